--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_reasons.py
@@ -0,0 +1,33 @@
+"""The reasons why calls are refused or sent again, each with a counter."""
+
+import enum
+
+
+class RefusalReason(enum.StrEnum):
+    """Why a call got a final answer of the load balancer itself."""
+
+    NO_SERVICE = 'no_service'
+    NOT_READY = 'not_ready'
+    STALE_CONFIGURATION = 'stale_configuration'
+    BAD_REQUEST = 'bad_request'
+    DEADLINE = 'deadline'
+    QUEUE_FULL = 'queue_full'
+    NO_UPSTREAM = 'no_upstream'
+    UPSTREAMS_FULL = 'upstreams_full'
+    CONNECT_FAILED = 'connect_failed'
+    ANSWER_LOST = 'answer_lost'
+    KEY_REUSED = 'key_reused'
+    KEY_IN_PROGRESS = 'key_in_progress'
+    CLAIM_UNAVAILABLE = 'claim_unavailable'
+    QUARANTINED = 'quarantined'
+
+
+class RetryReason(enum.StrEnum):
+    """Why a call was sent again, or a copy of it was sent."""
+
+    CONNECT_FAILED = 'connect_failed'
+    SHED = 'shed'
+    DRAINING = 'draining'
+    ANSWER_LOST = 'answer_lost'
+    UPSTREAM_ERROR = 'upstream_error'
+    HEDGE = 'hedge'
--- /dev/null
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operator tool."""
--- /dev/null
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The load balancer daemon."""
