Add the catalogue reader and a fake table

Cause: the daemon's poller and the tests of other parts need both early. Ruled out: nothing yet. Change: rows of the catalogue are read in pages; FakeTable has outages and lost answers. Measured: nothing yet. Conclusion: kept.

--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -1,5 +1,9 @@
 """Coordination parts of a load balancer whose nodes act together."""
 
+from cowslippond_core._catalogue_reader import read_changes as read_changes
+from cowslippond_core._catalogue_reader import read_document as read_document
+from cowslippond_core._catalogue_reader import read_documents as read_documents
+from cowslippond_core._catalogue_reader import read_head as read_head
 from cowslippond_core._clock import Clock as Clock
 from cowslippond_core._clock import Millis as Millis
 from cowslippond_core._clock import seconds_of as seconds_of
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_catalogue_reader.py
@@ -0,0 +1,109 @@
+"""Read accepted service documents from the platform's table."""
+
+from expression import Error, Ok, Result
+
+from cowslippond_core._catalogue_layout import (
+    CHANGES,
+    DOCUMENTS,
+    HEAD,
+    REVISION,
+    change_key,
+    decode_row,
+    document_key,
+)
+from cowslippond_core._document import AcceptedDocument
+from cowslippond_core._table import (
+    Attributes,
+    ItemKey,
+    Table,
+    TableError,
+    TableFault,
+)
+
+# Rows read by one query.
+_PAGE_ROWS = 100
+
+
+async def read_head(table: Table) -> Result[int, TableError]:
+    """Return the newest revision; 0 if no document was ever accepted."""
+    answer = await table.get(HEAD)
+    return answer.map(_decode_head)
+
+
+async def read_changes(
+    table: Table, after_revision: int, limit: int
+) -> Result[list[AcceptedDocument], TableError]:
+    """Return changes of all services in the order of their revisions.
+
+    :param after_revision: the newest revision that is known already.
+    :param limit: the most changes to return.
+    """
+    answer = await table.query(CHANGES, change_key(after_revision).sort, limit)
+    return answer.bind(_decode_page)
+
+
+async def read_documents(
+    table: Table,
+) -> Result[list[AcceptedDocument], TableError]:
+    """Return the newest document of every service, read in pages.
+
+    The pages are not one snapshot: a document may be newer than the head
+    that was read before.
+    """
+    documents: list[AcceptedDocument] = []
+    after = ''
+    while True:
+        answer = await table.query(DOCUMENTS, after, _PAGE_ROWS)
+        page = answer.bind(_decode_page)
+        if page.is_error():
+            return page
+        if not page.ok:
+            return Ok(documents)
+        documents.extend(page.ok)
+        after = page.ok[-1].service
+
+
+async def read_document(
+    table: Table, service: str
+) -> Result[AcceptedDocument | None, TableError]:
+    """Return the newest document of a service, ``None`` if it has none."""
+    answer = await table.get(document_key(service))
+    return answer.bind(_decode_found)
+
+
+def _decode_head(found: Attributes | None) -> int:
+    return 0 if found is None else int(found[REVISION])
+
+
+def _decode_found(
+    found: Attributes | None,
+) -> Result[AcceptedDocument | None, TableError]:
+    if found is None:
+        return Ok(None)
+    decoded = _decode_document(found)
+    if decoded.is_error():
+        return Error(decoded.error)
+    return Ok(decoded.ok)
+
+
+def _decode_page(
+    rows: list[tuple[ItemKey, Attributes]],
+) -> Result[list[AcceptedDocument], TableError]:
+    documents = []
+    for _, attributes in rows:
+        decoded = _decode_document(attributes)
+        if decoded.is_error():
+            return Error(decoded.error)
+        documents.append(decoded.ok)
+    return Ok(documents)
+
+
+def _decode_document(
+    attributes: Attributes,
+) -> Result[AcceptedDocument, TableError]:
+    try:
+        row = decode_row(attributes)
+    except (KeyError, ValueError) as fault:
+        detail = f'malformed row {attributes!r}: {fault!r}'
+        return Error(TableError(TableFault.UNAVAILABLE, detail))
+    return Ok(row.document)
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,105 @@
+"""Fakes at the interfaces, for tests without processes."""
+
+from collections.abc import Sequence
+
+import anyio
+from cowslippond_core import (
+    Clock,
+    Condition,
+    ItemKey,
+    Millis,
+    Put,
+    TableError,
+    TableFault,
+)
+from cowslippond_core._table import Attributes
+from expression import Error, Ok, Result
+
+
+class FakeTable:
+    """A table in memory with faults that a test switches on.
+
+    ``is_down`` fails every call without effect. ``lost_answers`` counts the
+    next writes that take effect and whose answer is lost;
+    ``lost_requests`` those that fail as unknown without effect. Every call
+    yields once, before it takes effect, so that tasks interleave.
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[ItemKey, Attributes] = {}
+        self.is_down = False
+        self.lost_answers = 0
+        self.lost_requests = 0
+        self.read_count = 0
+        self.write_count = 0
+
+    async def get(self, key: ItemKey) -> Result[Attributes | None, TableError]:
+        self.read_count += 1
+        await anyio.lowlevel.checkpoint()
+        if self.is_down:
+            return Error(TableError(TableFault.UNAVAILABLE, 'down'))
+        return Ok(self.rows.get(key))
+
+    async def put(self, put: Put) -> Result[None, TableError]:
+        return await self.transact([put])
+
+    async def transact(self, puts: Sequence[Put]) -> Result[None, TableError]:
+        self.write_count += 1
+        await anyio.lowlevel.checkpoint()
+        if self.is_down:
+            return Error(TableError(TableFault.UNAVAILABLE, 'down'))
+        if self.lost_requests:
+            self.lost_requests -= 1
+            return Error(TableError(TableFault.UNKNOWN, 'request lost'))
+        if not all(self._holds(put) for put in puts):
+            return Error(TableError(TableFault.CONFLICT, 'condition failed'))
+        for put in puts:
+            self.rows[put.key] = dict(put.attributes)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return Error(TableError(TableFault.UNKNOWN, 'answer lost'))
+        return Ok(None)
+
+    async def query(
+        self, partition: str, after: str, limit: int
+    ) -> Result[list[tuple[ItemKey, Attributes]], TableError]:
+        self.read_count += 1
+        await anyio.lowlevel.checkpoint()
+        if self.is_down:
+            return Error(TableError(TableFault.UNAVAILABLE, 'down'))
+        found = [
+            (key, attributes)
+            for key, attributes in sorted(self.rows.items())
+            if key.partition == partition and key.sort > after
+        ]
+        return Ok(found[:limit])
+
+    def _holds(self, put: Put) -> bool:
+        return all(
+            self._is_met(put.key, condition) for condition in put.conditions
+        )
+
+    def _is_met(self, key: ItemKey, condition: Condition) -> bool:
+        found = self.rows.get(key)
+        if condition.expected is None:
+            return found is None
+        if found is None:
+            return False
+        return found.get(condition.attribute) == condition.expected
+
+
+class FakeClock(Clock):
+    """A clock that moves only when told to, or when someone sleeps."""
+
+    def __init__(self, now: Millis = 0) -> None:
+        self.current: Millis = now
+
+    def now(self) -> Millis:
+        return self.current
+
+    def wall(self) -> int:
+        return int(self.current)
+
+    async def sleep(self, delay: Millis) -> None:
+        self.current += max(delay, 0)
+        await anyio.lowlevel.checkpoint()
