--- /dev/null
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
@@ -0,0 +1,264 @@
+"""The caller-facing edge: reads calls and writes answers over ASGI."""
+
+import logging
+import uuid
+from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
+from typing import Any, NamedTuple, Protocol, TypeAlias
+
+import anyio
+from cowslippond_core import (
+    CallAnswer,
+    CallRefusal,
+    HeaderList,
+    Outcome,
+    RefusalReason,
+    TruncatedAnswerError,
+)
+
+Message: TypeAlias = MutableMapping[str, Any]
+Receive: TypeAlias = Callable[[], Awaitable[Message]]
+Send: TypeAlias = Callable[[Message], Awaitable[None]]
+
+_log = logging.getLogger(__name__)
+
+_KEPT_BODY_BYTES = 65536
+_MILLIS_PER_SECOND = 1000
+_DROPPED_HEADERS = frozenset((
+    b'connection',
+    b'keep-alive',
+    b'transfer-encoding',
+    b'proxy-connection',
+    b'upgrade',
+    b'te',
+    b'trailer',
+))
+_STATUS_OF_REASON = {
+    RefusalReason.NO_SERVICE: 404,
+    RefusalReason.BAD_REQUEST: 400,
+    RefusalReason.KEY_REUSED: 422,
+    RefusalReason.KEY_IN_PROGRESS: 409,
+}
+_STATUS_OF_OUTCOME = {
+    Outcome.NOT_RUN: 503,
+    Outcome.FAILED: 502,
+    Outcome.UNKNOWN: 504,
+}
+
+
+class IncomingCall(NamedTuple):
+    """A call as it was read from a caller's connection.
+
+    ``body`` holds the first bytes of the body; ``rest`` yields the others, or
+    is ``None`` if ``body`` is whole.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    target: bytes
+    headers: HeaderList
+    body: bytes
+    rest: AsyncIterator[bytes] | None
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, or ``None`` if it is absent.
+
+        :param name: in lower case.
+        """
+        for present, text in self.headers:
+            if present == name:
+                return text
+        return None
+
+
+class CallHandler(Protocol):
+    """Whatever decides on a call."""
+
+    async def handle(self, call: IncomingCall) -> CallAnswer | CallRefusal:
+        """Return the answer of an upstream, or a refusal."""
+
+
+class Edge:
+    """The ASGI application that callers talk to.
+
+    :param handler: decides on each call.
+    :param keep_alive_seconds: how long an idle connection stays open at least,
+        announced to callers.
+    """
+
+    def __init__(self, handler: CallHandler, keep_alive_seconds: int) -> None:
+        self.handler = handler
+        self.is_leaving = False
+        self.running = 0
+        self.keep_alive = b'timeout=%d' % keep_alive_seconds
+
+    async def __call__(
+        self, scope: Message, receive: Receive, send: Send
+    ) -> None:
+        """Serve one call."""
+        if scope['type'] != 'http':
+            return
+        self.running += 1
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self.running -= 1
+
+    async def _serve(
+        self, scope: Message, receive: Receive, send: Send
+    ) -> None:
+        reader = _BodyReader(receive)
+        call = await _read_call(scope, reader)
+        if call is None:
+            return
+        try:
+            async with anyio.create_task_group() as group:
+                if call.rest is None:
+                    group.start_soon(
+                        _cancel_on_disconnect, receive, group.cancel_scope
+                    )
+                await self._answer(call, send)
+                group.cancel_scope.cancel()
+        except* TruncatedAnswerError as broken:
+            # The server closes the connection of an answer that was not
+            # completed, so the caller sees that it was cut short.
+            _log.warning(
+                'answer broke off',
+                extra={
+                    'request_id': call.request_id,
+                    'error': str(broken.exceptions[0]),
+                },
+            )
+        except* CallerLeftError:
+            _log.info('caller left', extra={'request_id': call.request_id})
+
+    async def _answer(self, call: IncomingCall, send: Send) -> None:
+        reply = await self.handler.handle(call)
+        if isinstance(reply, CallRefusal):
+            await self._send_refusal(call, reply, send)
+            return
+        try:
+            await self._send_answer(call, reply, send)
+        finally:
+            close = getattr(reply.chunks, 'aclose', None)
+            if close is not None:
+                await close()
+
+    async def _send_answer(
+        self, call: IncomingCall, reply: CallAnswer, send: Send
+    ) -> None:
+        await send({
+            'type': 'http.response.start',
+            'status': reply.status,
+            'headers': self._response_headers(call, reply.headers),
+        })
+        async for chunk in reply.chunks:
+            await send({
+                'type': 'http.response.body',
+                'body': chunk,
+                'more_body': True,
+            })
+        await send({'type': 'http.response.body', 'body': b''})
+
+    async def _send_refusal(
+        self, call: IncomingCall, refusal: CallRefusal, send: Send
+    ) -> None:
+        seconds = max(1, -(-int(refusal.retry_after_ms) // _MILLIS_PER_SECOND))
+        text = f'{refusal.outcome}: {refusal.reason}\n'.encode()
+        status = _STATUS_OF_REASON.get(
+            refusal.reason, _STATUS_OF_OUTCOME[refusal.outcome]
+        )
+        headers = (
+            (b'content-type', b'text/plain'),
+            (b'content-length', b'%d' % len(text)),
+            (b'x-outcome', refusal.outcome.encode()),
+            (b'x-reason', refusal.reason.encode()),
+            (b'retry-after', b'%d' % seconds),
+        )
+        await send({
+            'type': 'http.response.start',
+            'status': status,
+            'headers': self._response_headers(call, headers),
+        })
+        await send({'type': 'http.response.body', 'body': text})
+
+    def _response_headers(
+        self, call: IncomingCall, headers: HeaderList
+    ) -> list[tuple[bytes, bytes]]:
+        kept = [
+            (name, text)
+            for name, text in headers
+            if name.lower() not in _DROPPED_HEADERS
+        ]
+        kept.append((b'x-request-id', call.request_id.encode()))
+        if self.is_leaving or call.rest is not None:
+            kept.append((b'connection', b'close'))
+        else:
+            kept.append((b'keep-alive', self.keep_alive))
+        return kept
+
+
+class CallerLeftError(Exception):
+    """The caller closed its connection before its call was whole."""
+
+
+class _BodyReader:
+    """Reads the body of a call from the server."""
+
+    def __init__(self, receive: Receive) -> None:
+        self.receive = receive
+        self.is_whole = False
+
+    async def read(self) -> bytes:
+        """Return the next bytes of the body.
+
+        :raises CallerLeftError: if the caller closed its connection.
+        """
+        message = await self.receive()
+        if message['type'] == 'http.disconnect':
+            raise CallerLeftError
+        self.is_whole = not message.get('more_body', False)
+        chunk: bytes = message.get('body', b'')
+        return chunk
+
+    async def rest(self) -> AsyncIterator[bytes]:
+        """Yield the bytes of the body that were not read yet."""
+        while not self.is_whole:
+            yield await self.read()
+
+
+async def _read_call(
+    scope: Message, reader: _BodyReader
+) -> IncomingCall | None:
+    kept = bytearray()
+    try:
+        while not reader.is_whole and len(kept) < _KEPT_BODY_BYTES:
+            kept += await reader.read()
+    except CallerLeftError:
+        return None
+    headers: HeaderList = tuple(scope['headers'])
+    target: bytes = scope['raw_path']
+    if scope['query_string']:
+        target = b'%b?%b' % (target, scope['query_string'])
+    call = IncomingCall(
+        request_id='',
+        method=scope['method'],
+        path=scope['path'],
+        target=target,
+        headers=headers,
+        body=bytes(kept),
+        rest=None if reader.is_whole else reader.rest(),
+    )
+    given = call.header(b'x-request-id')
+    request_id = given.decode('latin-1') if given else uuid.uuid4().hex
+    return call._replace(request_id=request_id)
+
+
+async def _cancel_on_disconnect(
+    receive: Receive, scope: anyio.CancelScope
+) -> None:
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            scope.cancel()
+            return
--- /dev/null
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_logs.py
@@ -0,0 +1,55 @@
+"""Structured logs: one JSON object a line, or readable text."""
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+_TEXT_FORMAT = '%(asctime)s %(levelname)-7s %(name)s: %(message)s'
+_JSON_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
+_QUIET_LOGGERS = ('uvicorn.error', 'uvicorn.access', 'httpcore')
+_PLAIN_FIELDS = frozenset(
+    logging.LogRecord('', 0, '', 0, '', None, None).__dict__
+) | {'message', 'asctime', 'taskName', 'color_message'}
+
+
+class _TextFormatter(logging.Formatter):
+    """Append the extra fields of a record as ``name=text``."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the record as one line, with its traceback if it has one."""
+        line = super().format(record)
+        extras = [
+            f'{name}={text}'
+            for name, text in record.__dict__.items()
+            if name not in _PLAIN_FIELDS
+        ]
+        return ' '.join([line, *extras])
+
+
+def configure_logs(log_format: str, level: str) -> None:
+    """Send all logs to the standard error stream.
+
+    :param log_format: ``json`` or ``text``.
+    :param level: the lowest level to show, such as ``info``.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(_make_formatter(log_format))
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level.upper())
+    for name in _QUIET_LOGGERS:
+        logging.getLogger(name).setLevel(logging.CRITICAL)
+
+
+def _make_formatter(log_format: str) -> logging.Formatter:
+    if log_format == 'json':
+        return JsonFormatter(
+            _JSON_FORMAT,
+            rename_fields={
+                'asctime': 'time',
+                'levelname': 'level',
+                'name': 'logger',
+            },
+        )
+    return _TextFormatter(_TEXT_FORMAT)
