--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -35,3 +35,8 @@
 from cowslippond_core._table import Table as Table
 from cowslippond_core._table import TableError as TableError
 from cowslippond_core._table import TableFault as TableFault
+from cowslippond_core._vm_list import ENTRY_SERVICE as ENTRY_SERVICE
+from cowslippond_core._vm_list import Vm as Vm
+from cowslippond_core._vm_list import VmState as VmState
+from cowslippond_core._vm_list import fetch_vms as fetch_vms
+from cowslippond_core._vm_list import read_vms as read_vms
