--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -1,5 +1,9 @@
 """Coordination parts of a load balancer whose nodes act together."""
 
+from cowslippond_core._catalogue_reader import read_changes as read_changes
+from cowslippond_core._catalogue_reader import read_document as read_document
+from cowslippond_core._catalogue_reader import read_documents as read_documents
+from cowslippond_core._catalogue_reader import read_head as read_head
 from cowslippond_core._clock import Clock as Clock
 from cowslippond_core._clock import Millis as Millis
 from cowslippond_core._clock import seconds_of as seconds_of
@@ -35,3 +39,8 @@
 from cowslippond_core._table import Table as Table
 from cowslippond_core._table import TableError as TableError
 from cowslippond_core._table import TableFault as TableFault
+from cowslippond_core._vm_list import ENTRY_SERVICE as ENTRY_SERVICE
+from cowslippond_core._vm_list import Vm as Vm
+from cowslippond_core._vm_list import VmState as VmState
+from cowslippond_core._vm_list import fetch_vms as fetch_vms
+from cowslippond_core._vm_list import read_vms as read_vms
