Add thin stand-ins of the platform and the upstreams

Change: a platform process (table, objects, VM list, faults by control port) and an upstream process (slots, changing speed, faults, ledger).

--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of the platform: table, object store and list of VMs."""
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/platform/_app.py
@@ -0,0 +1,127 @@
+"""The platform as an ASGI application."""
+
+from collections.abc import Callable
+
+import orjson
+from cowslippond_core import Clock
+
+from cowslippond_standins import _asgi
+from cowslippond_standins.platform import _control
+from cowslippond_standins.platform._faults import Faults, LostAnswer, Outage
+from cowslippond_standins.platform._objects import ObjectApi
+from cowslippond_standins.platform._table_api import WRITES, TableApi
+from cowslippond_standins.platform._vms import VmRegister
+
+_CONTROL_PATH = '/control'
+_OBJECTS_PREFIX = '/objects/'
+_VMS_PATH = '/vms'
+
+
+class PlatformApp:
+    """Serve the table, the objects, the list of VMs and the control port.
+
+    ``cut`` aborts the connection of a request.
+    """
+
+    def __init__(self) -> None:
+        clock = Clock()
+        self.clock = clock
+        self.parts = {
+            'table': Faults(clock),
+            'objects': Faults(clock),
+            'list': Faults(clock),
+        }
+        self.table = TableApi(clock, self.parts['table'])
+        self.object_api = ObjectApi(clock, self.parts['objects'])
+        self.vms = VmRegister(clock, self.parts['list'])
+        self.cut: Callable[[_asgi.Scope], None] = _cut_nothing
+
+    async def __call__(
+        self, scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
+    ) -> None:
+        """_asgi.Answer one request."""
+        if not _asgi.is_http(scope):
+            return
+        payload = await _asgi.read_body(receive)
+        if scope['path'] == _CONTROL_PATH:
+            await _asgi.send_answer(send, self._control(scope, payload))
+            return
+        faults = self.parts[_part_of(scope)]
+        if not await self._passes_outage(faults, scope, receive, send):
+            return
+        answer = self._answer(scope, payload)
+        if _is_write(scope) and faults.take_lost_answer():
+            if faults.lost_answer == LostAnswer.HANG:
+                await _asgi.wait_for_disconnect(receive)
+            await self._lose(scope, receive)
+            return
+        await _asgi.send_answer(send, answer)
+
+    async def _passes_outage(
+        self,
+        faults: Faults,
+        scope: _asgi.Scope,
+        receive: _asgi.Receive,
+        send: _asgi.Send,
+    ) -> bool:
+        if faults.delay_ms > 0:
+            faults.counters['delayed'] += 1
+            await self.clock.sleep(faults.delay_ms)
+        if faults.outage == Outage.NONE:
+            return True
+        faults.counters['outages'] += 1
+        if faults.outage == Outage.ERROR:
+            await _asgi.send_answer(send, _asgi.Answer(_asgi.HTTP_UNAVAILABLE))
+        elif faults.outage == Outage.CUT:
+            await self._lose(scope, receive)
+        else:
+            await _asgi.wait_for_disconnect(receive)
+        return False
+
+    async def _lose(self, scope: _asgi.Scope, receive: _asgi.Receive) -> None:
+        self.cut(scope)
+        await _asgi.wait_for_disconnect(receive)
+
+    def _answer(self, scope: _asgi.Scope, payload: bytes) -> _asgi.Answer:
+        path = scope['path']
+        if path == _VMS_PATH:
+            return _asgi.json_answer(self.vms.served())
+        if path.startswith(_OBJECTS_PREFIX):
+            return self.object_api.answer(
+                scope['method'],
+                path.removeprefix(_OBJECTS_PREFIX),
+                payload,
+                _asgi.header_of(scope, b'if-none-match'),
+            )
+        return self.table.answer(_action_of(scope), payload)
+
+    def _control(self, scope: _asgi.Scope, payload: bytes) -> _asgi.Answer:
+        if scope['method'] == 'POST':
+            try:
+                _control.carry_out(orjson.loads(payload), self.parts, self.vms)
+            except (KeyError, ValueError) as wrong:
+                return _asgi.json_answer(repr(wrong), _asgi.HTTP_BAD_REQUEST)
+        return _asgi.json_answer(_control.counters(self.parts))
+
+
+def _cut_nothing(_: _asgi.Scope) -> None:
+    """Leave the connection alone, as no server was given."""
+
+
+def _part_of(scope: _asgi.Scope) -> str:
+    if scope['path'] == _VMS_PATH:
+        return 'list'
+    if scope['path'].startswith(_OBJECTS_PREFIX):
+        return 'objects'
+    return 'table'
+
+
+def _action_of(scope: _asgi.Scope) -> str:
+    target = _asgi.header_of(scope, b'x-amz-target').decode()
+    return target.rpartition('.')[2]
+
+
+def _is_write(scope: _asgi.Scope) -> bool:
+    if _part_of(scope) == 'table':
+        return _action_of(scope) in WRITES
+    return scope['method'] in {'PUT', 'DELETE'}
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/platform/_control.py
@@ -0,0 +1,56 @@
+"""Commands that switch the platform's faults and change its list of VMs."""
+
+from collections.abc import Mapping
+from typing import Any, TypeAlias
+
+from cowslippond_standins.platform._faults import Faults
+from cowslippond_standins.platform._vms import VmRegister
+
+Parts: TypeAlias = Mapping[str, Faults]
+
+
+def carry_out(
+    command: Mapping[str, Any], parts: Parts, vms: VmRegister
+) -> None:
+    """Carry out one command of the control port.
+
+    :param command: names itself by ``command``; an unknown one raises
+        :exc:`ValueError`.
+    """
+    name = command['command']
+    if name == 'set_faults':
+        parts[command['part']].change(command)
+        return
+    if name == 'clear_faults':
+        _clear(command.get('part', ''), parts)
+        return
+    if name == 'set_lag':
+        vms.lag_ms = command['lag_ms']
+        return
+    _change_list(name, command, vms)
+
+
+def counters(parts: Parts) -> Mapping[str, Mapping[str, int]]:
+    """Return the counters of every part, by part and name."""
+    return {part: dict(faults.counters) for part, faults in parts.items()}
+
+
+def _clear(chosen: str, parts: Parts) -> None:
+    for part, faults in parts.items():
+        if chosen in {'', part}:
+            faults.clear()
+
+
+def _change_list(
+    name: str, command: Mapping[str, Any], vms: VmRegister
+) -> None:
+    if name == 'set_vms':
+        vms.replace(command['vms'])
+    elif name == 'add_vm':
+        vms.add(command['vm'])
+    elif name == 'remove_vm':
+        vms.remove(command['vm'])
+    elif name == 'set_state':
+        vms.set_state(command['vm'], command['state'])
+    else:
+        raise ValueError(f'unknown command {name!r}')
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/platform/_faults.py
@@ -0,0 +1,97 @@
+"""Faults of one part of the platform, and counters of their effects."""
+
+import collections
+import enum
+from collections.abc import Mapping
+from typing import Any
+
+from cowslippond_core import Clock, Millis
+
+ALL_ANSWERS = -1
+_WINDOW: Millis = 1000
+
+
+class Outage(enum.StrEnum):
+    """How a part fails before a request has any effect."""
+
+    NONE = 'none'
+    CUT = 'cut'
+    ERROR = 'error'
+    HANG = 'hang'
+
+
+class LostAnswer(enum.StrEnum):
+    """What a client sees of an answer that is dropped."""
+
+    CUT = 'cut'
+    HANG = 'hang'
+
+
+class Faults:
+    """The faults that are switched on for one part, and its counters.
+
+    ``delay_ms`` is added before each request, ``stale_ms`` is the age of the
+    state that reads see, both in milliseconds. ``drop_answers`` counts the
+    writes whose answers are still to be dropped; ``ALL_ANSWERS`` drops every
+    one. ``max_reads`` and ``max_writes`` are per second; zero sets no limit.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.clear()
+
+    def clear(self) -> None:
+        """Switch every fault off; the counters go on."""
+        self.outage = Outage.NONE
+        self.delay_ms: Millis = 0
+        self.stale_ms: Millis = 0
+        self.drop_answers = 0
+        self.lost_answer = LostAnswer.CUT
+        self.max_reads = 0
+        self.max_writes = 0
+        self.window_end: Millis = 0
+        self.window: collections.Counter[str] = collections.Counter()
+
+    def change(self, command: Mapping[str, Any]) -> None:
+        """Set the faults that a command names."""
+        self.outage = Outage(command.get('outage', self.outage))
+        self.delay_ms = command.get('delay_ms', self.delay_ms)
+        self.stale_ms = command.get('stale_ms', self.stale_ms)
+        self.drop_answers = command.get('drop_answers', self.drop_answers)
+        lost = command.get('lost_answer', self.lost_answer)
+        self.lost_answer = LostAnswer(lost)
+        self.max_reads = command.get('max_reads', self.max_reads)
+        self.max_writes = command.get('max_writes', self.max_writes)
+
+    def take_lost_answer(self) -> bool:
+        """Tell whether the answer of a write that took effect is dropped."""
+        if self.drop_answers == 0:
+            return False
+        if self.drop_answers > 0:
+            self.drop_answers -= 1
+        self.counters['answers_dropped'] += 1
+        return True
+
+    def take_throttle(self, kind: str) -> bool:
+        """Count a request and tell whether it is above its limit.
+
+        :param kind: ``reads`` or ``writes``.
+        """
+        self.counters[kind] += 1
+        now = self.clock.now()
+        if now >= self.window_end:
+            self.window.clear()
+            self.window_end = now + _WINDOW
+        self.window[kind] += 1
+        limit = self.max_reads if kind == 'reads' else self.max_writes
+        is_above = 0 < limit < self.window[kind]
+        if is_above:
+            self.counters['throttled'] += 1
+        return is_above
+
+    def read_time(self) -> Millis:
+        """Return the time whose state reads see."""
+        if self.stale_ms > 0:
+            self.counters['stale_reads'] += 1
+        return self.clock.now() - self.stale_ms
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/platform/_objects.py
@@ -0,0 +1,66 @@
+"""The object store: whole objects by bucket and key, with their past."""
+
+import hashlib
+
+from cowslippond_core import Clock
+
+from cowslippond_standins._asgi import HTTP_NOT_FOUND, HTTP_OK, Answer
+from cowslippond_standins._history import History
+from cowslippond_standins.platform._faults import Faults
+
+_NO_CONTENT = 204
+_BAD_METHOD = 405
+_PRECONDITION_FAILED = 412
+
+
+class ObjectApi:
+    """Answer ``PUT``, ``GET`` and ``DELETE`` of an object's path."""
+
+    def __init__(self, clock: Clock, faults: Faults) -> None:
+        self.clock = clock
+        self.faults = faults
+        self.stored: dict[str, History[bytes | None]] = {}
+
+    def answer(
+        self, method: str, path: str, payload: bytes, if_none_match: bytes
+    ) -> Answer:
+        """Carry out a call and return its answer.
+
+        :param path: bucket and key.
+        :param if_none_match: ``*`` lets a write pass only if none exists.
+        """
+        self.faults.counters[method] += 1
+        self.faults.take_throttle('reads' if method == 'GET' else 'writes')
+        if method == 'GET':
+            return self._get(path)
+        if method == 'PUT':
+            return self._put(path, payload, must_be_new=if_none_match == b'*')
+        if method == 'DELETE':
+            self._write(path, None)
+            return Answer(_NO_CONTENT)
+        return Answer(_BAD_METHOD)
+
+    def _get(self, path: str) -> Answer:
+        history = self.stored.get(path)
+        found = history.read(self.faults.read_time()) if history else None
+        if found is None:
+            return Answer(HTTP_NOT_FOUND)
+        return Answer(HTTP_OK, found, ((b'etag', _etag(found)),))
+
+    def _put(self, path: str, payload: bytes, *, must_be_new: bool) -> Answer:
+        history = self.stored.get(path)
+        if must_be_new and history and history.newest() is not None:
+            self.faults.counters['conflicts'] += 1
+            return Answer(_PRECONDITION_FAILED)
+        self._write(path, payload)
+        return Answer(HTTP_OK, b'', ((b'etag', _etag(payload)),))
+
+    def _write(self, path: str, payload: bytes | None) -> None:
+        if path not in self.stored:
+            self.stored[path] = History[bytes | None](None)
+        self.stored[path].write(self.clock.now(), payload)
+
+
+def _etag(payload: bytes) -> bytes:
+    digest = hashlib.md5(payload, usedforsecurity=False).hexdigest()
+    return f'"{digest}"'.encode()
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/platform/_table.py
@@ -0,0 +1,174 @@
+"""The transactional table: items, conditions and transactions."""
+
+import bisect
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any, NamedTuple, TypeAlias
+
+import orjson
+from cowslippond_core import Clock, Millis
+from expression import Error, Ok, Result
+
+from cowslippond_standins._history import History
+
+Item: TypeAlias = Mapping[str, Mapping[str, str]]
+Key: TypeAlias = tuple[str, str]
+
+MAX_ITEM_BYTES = 409_600
+MAX_TRANSACTION_ITEMS = 100
+_CONJUNCTION = ' AND '
+_ABSENT_CLAUSE = 'attribute_not_exists(pk)'
+_QUERY_CLAUSE = 'pk = :pk AND sk > :sk'
+
+
+class TableFailure(NamedTuple):
+    """An error in the words of the table's protocol."""
+
+    kind: str
+    message: str
+
+
+class Write(NamedTuple):
+    """One write as the protocol states it."""
+
+    item: Item
+    condition: str
+    names: Mapping[str, str]
+    expected: Item
+
+
+def read_write(body: Mapping[str, Any]) -> Write:
+    """Return the write that a request body states."""
+    return Write(
+        body['Item'],
+        body.get('ConditionExpression', ''),
+        body.get('ExpressionAttributeNames', {}),
+        body.get('ExpressionAttributeValues', {}),
+    )
+
+
+class TableStore:
+    """Items by partition and sort key, with their past."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.partitions: dict[str, dict[str, History[Item | None]]] = {}
+        self.sort_keys: dict[str, list[str]] = {}
+
+    def get(self, key: Item, at: Millis) -> Item | None:
+        """Return an item as it was at a time, or ``None``."""
+        partition, sort = _key_of(key)
+        history = self._history(partition, sort)
+        return history.read(at) if history else None
+
+    def query(
+        self, body: Mapping[str, Any], at: Millis
+    ) -> Result[list[Item], TableFailure]:
+        """Return the items of a partition above a sort key, in its order."""
+        if body.get('KeyConditionExpression') != _QUERY_CLAUSE:
+            return Error(_invalid('KeyConditionExpression is not supported'))
+        bounds = body['ExpressionAttributeValues']
+        found = self._above(bounds[':pk']['S'], bounds[':sk']['S'], at)
+        limit = int(body.get('Limit', MAX_ITEM_BYTES))
+        return Ok([item for item, _ in zip(found, range(limit), strict=False)])
+
+    def put(self, write: Write) -> Result[None, TableFailure]:
+        """Write one item if its condition holds."""
+        fault = _invalid_write(write)
+        if fault:
+            return Error(fault)
+        if not self._holds(write):
+            return Error(
+                TableFailure(
+                    'ConditionalCheckFailedException',
+                    'The conditional request failed',
+                )
+            )
+        self._apply(write)
+        return Ok(None)
+
+    def transact(self, writes: Sequence[Write]) -> Result[None, TableFailure]:
+        """Write all items if every condition holds, or none."""
+        keys = {_key_of(write.item) for write in writes}
+        if len(keys) < len(writes) or len(writes) > MAX_TRANSACTION_ITEMS:
+            return Error(_invalid('Items repeat, or are too many'))
+        for checked in writes:
+            fault = _invalid_write(checked)
+            if fault:
+                return Error(fault)
+        verdicts = [self._holds(write) for write in writes]
+        if not all(verdicts):
+            return Error(_cancelled(verdicts))
+        for write in writes:
+            self._apply(write)
+        return Ok(None)
+
+    def _above(self, partition: str, after: str, at: Millis) -> Iterator[Item]:
+        rows = self.partitions.get(partition, {})
+        keys = self.sort_keys.get(partition, [])
+        for sort in keys[bisect.bisect_right(keys, after) :]:
+            item = rows[sort].read(at)
+            if item is not None:
+                yield item
+
+    def _history(
+        self, partition: str, sort: str
+    ) -> History[Item | None] | None:
+        return self.partitions.get(partition, {}).get(sort)
+
+    def _apply(self, write: Write) -> None:
+        partition, sort = _key_of(write.item)
+        rows = self.partitions.setdefault(partition, {})
+        if sort not in rows:
+            rows[sort] = History[Item | None](None)
+            bisect.insort(self.sort_keys.setdefault(partition, []), sort)
+        rows[sort].write(self.clock.now(), write.item)
+
+    def _holds(self, write: Write) -> bool:
+        history = self._history(*_key_of(write.item))
+        item = history.newest() if history else None
+        for clause in _clauses(write):
+            if not _clause_holds(clause, write, item):
+                return False
+        return True
+
+
+def _key_of(item: Item) -> Key:
+    return item['pk']['S'], item['sk']['S']
+
+
+def _clauses(write: Write) -> list[str]:
+    return write.condition.split(_CONJUNCTION) if write.condition else []
+
+
+def _clause_holds(clause: str, write: Write, item: Item | None) -> bool:
+    if clause == _ABSENT_CLAUSE:
+        return item is None
+    name, _, placeholder = clause.partition(' = ')
+    expected = write.expected[placeholder]
+    return item is not None and item.get(write.names[name]) == expected
+
+
+def _invalid_write(write: Write) -> TableFailure | None:
+    if len(orjson.dumps(write.item)) > MAX_ITEM_BYTES:
+        return _invalid('Item size has exceeded the maximum allowed size')
+    for clause in _clauses(write):
+        name, _, placeholder = clause.partition(' = ')
+        is_equality = name in write.names and placeholder in write.expected
+        if clause != _ABSENT_CLAUSE and not is_equality:
+            return _invalid(f'Clause {clause!r} is not supported')
+    return None
+
+
+def _invalid(message: str) -> TableFailure:
+    return TableFailure('ValidationException', message)
+
+
+def _cancelled(verdicts: Sequence[bool]) -> TableFailure:
+    reasons = [
+        'None' if holds else 'ConditionalCheckFailed' for holds in verdicts
+    ]
+    listed = ', '.join(reasons)
+    return TableFailure(
+        'TransactionCanceledException',
+        f'Transaction cancelled, reasons [{listed}]',
+    )
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/platform/_table_api.py
@@ -0,0 +1,81 @@
+"""The table over the DynamoDB JSON 1.0 protocol."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+from cowslippond_core import Clock
+from expression import Error, Ok, Result
+
+from cowslippond_standins._asgi import HTTP_BAD_REQUEST, HTTP_OK, Answer
+from cowslippond_standins.platform._faults import Faults
+from cowslippond_standins.platform._table import (
+    TableFailure,
+    TableStore,
+    read_write,
+)
+
+WRITES = frozenset(('PutItem', 'TransactWriteItems'))
+_ERROR_PREFIX = 'com.amazonaws.dynamodb.v20120810#'
+_CONTENT_TYPE = ((b'payload-type', b'application/x-amz-json-1.0'),)
+
+
+class TableApi:
+    """Answer the calls of the table's protocol."""
+
+    def __init__(self, clock: Clock, faults: Faults) -> None:
+        self.store = TableStore(clock)
+        self.faults = faults
+
+    def answer(self, action: str, payload: bytes) -> Answer:
+        """Carry out a call and return its answer.
+
+        :param action: the protocol's name of the call, such as ``GetItem``.
+        """
+        self.faults.counters[action] += 1
+        kind = 'writes' if action in WRITES else 'reads'
+        if self.faults.take_throttle(kind):
+            return _failure_answer(
+                TableFailure(
+                    'ProvisionedThroughputExceededException',
+                    'Rate of requests exceeds the allowed throughput',
+                )
+            )
+        outcome = self._carry_out(action, orjson.loads(payload))
+        if outcome.is_error():
+            self.faults.counters['conflicts'] += 1
+            return _failure_answer(outcome.error)
+        return Answer(HTTP_OK, orjson.dumps(outcome.ok), _CONTENT_TYPE)
+
+    def _carry_out(
+        self, action: str, body: Mapping[str, Any]
+    ) -> Result[Mapping[str, Any], TableFailure]:
+        if action == 'GetItem':
+            return Ok(self._get(body))
+        if action == 'Query':
+            found = self.store.query(body, self.faults.read_time())
+            return found.map(_items_answer)
+        if action == 'PutItem':
+            return self.store.put(read_write(body)).map(_empty)
+        if action == 'TransactWriteItems':
+            puts = [entry['Put'] for entry in body['TransactItems']]
+            writes = [read_write(put) for put in puts]
+            return self.store.transact(writes).map(_empty)
+        return Error(TableFailure('UnknownOperationException', action))
+
+    def _get(self, body: Mapping[str, Any]) -> Mapping[str, Any]:
+        item = self.store.get(body['Key'], self.faults.read_time())
+        return {} if item is None else {'Item': item}
+
+
+def _items_answer(found: list[Any]) -> Mapping[str, Any]:
+    return {'Items': found, 'Count': len(found)}
+
+
+def _empty(_: object) -> Mapping[str, Any]:
+    return {}
+
+
+def _failure_answer(failure: TableFailure) -> Answer:
+    body = {'__type': _ERROR_PREFIX + failure.kind, 'message': failure.message}
+    return Answer(HTTP_BAD_REQUEST, orjson.dumps(body), _CONTENT_TYPE)
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/platform/_vms.py
@@ -0,0 +1,67 @@
+"""The list of VMs, served some time after it changed."""
+
+from collections.abc import Sequence
+from typing import TypeAlias, TypedDict
+
+from cowslippond_core import Clock, Millis
+
+from cowslippond_standins._history import History
+from cowslippond_standins.platform._faults import Faults
+
+
+class TargetGroup(TypedDict):
+    """An entry of the list, in the format of Prometheus HTTP discovery."""
+
+    targets: list[str]
+    labels: dict[str, str]
+
+
+VmList: TypeAlias = tuple[TargetGroup, ...]
+
+
+class VmRegister:
+    """The VMs as they are, and as the platform tells of them.
+
+    ``lag_ms`` is the time from a change until it is served, in milliseconds.
+    """
+
+    def __init__(self, clock: Clock, faults: Faults) -> None:
+        self.clock = clock
+        self.faults = faults
+        self.lag_ms: Millis = 0
+        self.history = History[VmList](())
+
+    def served(self) -> VmList:
+        """Return the list as the platform tells it now."""
+        self.faults.take_throttle('reads')
+        return self.history.read(self.faults.read_time() - self.lag_ms)
+
+    def replace(self, groups: Sequence[TargetGroup]) -> None:
+        """Set the whole list."""
+        self.history.write(self.clock.now(), tuple(groups))
+
+    def add(self, group: TargetGroup) -> None:
+        """Add a VM, or replace the one with the same name."""
+        name = group['labels']['vm']
+        kept = [
+            old for old in self.history.newest() if old['labels']['vm'] != name
+        ]
+        self.replace([*kept, group])
+
+    def remove(self, vm: str) -> None:
+        """Take a VM off the list."""
+        groups = self.history.newest()
+        self.replace([old for old in groups if old['labels']['vm'] != vm])
+
+    def set_state(self, vm: str, state: str) -> None:
+        """Set the state of one VM.
+
+        :param state: ``live`` or ``leaving``.
+        """
+        changed: list[TargetGroup] = []
+        for group in self.history.newest():
+            labels = group['labels']
+            if labels['vm'] == vm:
+                labels = {**labels, 'state': state}
+            changed.append({'targets': group['targets'], 'labels': labels})
+        self.replace(changed)
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of an upstream: slots, changing speed, faults and a ledger."""
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/__main__.py
@@ -0,0 +1,53 @@
+"""Run one or several stand-in upstreams as a process."""
+
+import pathlib
+
+import defopt
+
+from cowslippond_standins import _serving
+from cowslippond_standins.upstream._app import UpstreamApp
+from cowslippond_standins.upstream._behaviour import Behaviour
+from cowslippond_standins.upstream._control import ControlApp
+
+_DEFAULT_MEAN_MS = 8
+
+
+def serve(
+    *,
+    port: int,
+    control_port: int,
+    host: str = '127.0.0.1',
+    count: int = 1,
+    seed: int = 1,
+    slots: int = 2,
+    mean_ms: float = _DEFAULT_MEAN_MS,
+    ledger: pathlib.Path | None = None,
+) -> None:
+    """Serve upstreams on successive ports, and their control port.
+
+    :param port: port of the first upstream.
+    :param control_port: port of the control interface, one for all.
+    :param host: address to listen on.
+    :param count: number of upstreams in this process.
+    :param seed: seed of the service times and of the changes of speed.
+    :param slots: calls that one upstream runs at once.
+    :param mean_ms: mean service time in milliseconds, at full speed.
+    :param ledger: file that gets a line for each run, kept over a crash.
+    """
+    apps = []
+    servers = []
+    for index in range(count):
+        behaviour = Behaviour(slots=slots, mean_ms=mean_ms)
+        app = UpstreamApp(behaviour, seed + index, ledger)
+        server = _serving.make_server(
+            _serving.Endpoint(app, host, port + index)
+        )
+        app.cut_all = server.cut_all
+        apps.append(app)
+        servers.append(server)
+    control = _serving.Endpoint(ControlApp(apps), host, control_port)
+    _serving.run([*servers, _serving.make_server(control)])
+
+
+if __name__ == '__main__':
+    defopt.run(serve)
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/_app.py
@@ -0,0 +1,250 @@
+"""A stand-in upstream as an ASGI application."""
+
+import contextlib
+import os
+import pathlib
+import random
+import sys
+from collections.abc import Callable
+
+import anyio
+from cowslippond_core import Clock, Millis, seconds_of
+from cowslippond_core import _headers as headers
+
+from cowslippond_standins import _asgi
+from cowslippond_standins.upstream._behaviour import (
+    Behaviour,
+    CrashMode,
+    FailFast,
+)
+from cowslippond_standins.upstream._ledger import Ledger, Run, RunOutcome
+from cowslippond_standins.upstream._load import LoadMeter
+from cowslippond_standins.upstream._request import Wanted, body_of, read_wanted
+from cowslippond_standins.upstream._slots import Slots
+from cowslippond_standins.upstream._speed import Speed
+
+_PROBE_PATH = '/load'
+_HTTP_ERROR = 500
+_HTTP_EXPIRED = 504
+_CRASH_STATUS = 70
+_PART_BYTES = 65_536
+
+
+class UpstreamApp:
+    """Run calls in slots, with the faults that are switched on.
+
+    ``cut_all`` aborts every connection of this upstream.
+
+    :param seed: of service times and changes of speed.
+    :param ledger_path: file that keeps the runs of orders over a crash.
+    """
+
+    def __init__(
+        self,
+        behaviour: Behaviour,
+        seed: int,
+        ledger_path: pathlib.Path | None = None,
+    ) -> None:
+        self.clock = Clock()
+        self.behaviour = behaviour
+        self.draw = random.Random(seed)
+        self.speed = Speed(behaviour, seed, self.clock.now())
+        self.slots = Slots(behaviour)
+        self.ledger = Ledger(self.clock, ledger_path)
+        self.load = LoadMeter(self.clock, behaviour, self.slots)
+        self.cut_all: Callable[[], None] = _cut_nothing
+
+    async def __call__(
+        self, scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
+    ) -> None:
+        """_asgi.Answer one request."""
+        if not _asgi.is_http(scope):
+            return
+        refusal = self._refusal(scope['path'])
+        payload = await _asgi.read_body(receive)
+        if self.behaviour.faults.hang:
+            self.ledger.counters['hung'] += 1
+            await _asgi.wait_for_disconnect(receive)
+            return
+        if refusal is not None:
+            await _asgi.send_answer(send, refusal)
+            return
+        wanted = read_wanted(scope, payload)
+        run = self._make_run(scope, wanted)
+        outcome = await self._run_call(run, wanted, receive)
+        if outcome == RunOutcome.COMPLETED:
+            await self._send(wanted, payload, send)
+        elif outcome != RunOutcome.CANCELLED:
+            await _asgi.send_answer(send, self._expired(run))
+
+    def _refusal(self, path: str) -> _asgi.Answer | None:
+        if path == _PROBE_PATH:
+            self.ledger.probe()
+            return self.load.probe_answer()
+        if self.behaviour.faults.draining:
+            return self._not_run(headers.NOT_RUN_DRAINING)
+        if self.behaviour.faults.fail_fast != FailFast.OFF:
+            self.ledger.counters['failed_fast'] += 1
+            return _failure(self.behaviour.faults.fail_fast)
+        if self.slots.is_full():
+            return self._not_run(headers.NOT_RUN_SHED)
+        return None
+
+    def _not_run(self, promise: str) -> _asgi.Answer:
+        self.ledger.counters[promise] += 1
+        marks: _asgi.Headers = ((headers.NOT_RUN.encode(), promise.encode()),)
+        if promise == headers.NOT_RUN_DRAINING:
+            marks = (*marks, (b'connection', b'close'))
+        return _asgi.Answer(
+            _asgi.HTTP_UNAVAILABLE, b'', (*marks, *self.load.report())
+        )
+
+    def _expired(self, run: Run) -> _asgi.Answer:
+        if run['started'] == 0:
+            return self._not_run(headers.NOT_RUN_SHED)
+        return _asgi.Answer(_HTTP_EXPIRED)
+
+    def _make_run(self, scope: _asgi.Scope, wanted: Wanted) -> Run:
+        work = wanted.work_ms
+        if work < 0:
+            work = self.draw.expovariate(1 / self.behaviour.mean_ms)
+        return {
+            'request_id': _text(scope, headers.REQUEST_ID),
+            'order_key': _text(scope, 'idempotency-key'),
+            'caller': _text(scope, 'authorization'),
+            'path': scope['path'],
+            'nonce': wanted.nonce,
+            'attempt': _text(scope, headers.ATTEMPT),
+            'work_ms': work,
+            'started': 0,
+            'ended': 0,
+            'outcome': RunOutcome.RUNNING,
+        }
+
+    async def _run_call(
+        self, run: Run, wanted: Wanted, receive: _asgi.Receive
+    ) -> RunOutcome:
+        now = self.clock.now()
+        deadline = float('inf')
+        if self.behaviour.faults.honours_deadline and wanted.deadline_ms > 0:
+            deadline = now + wanted.deadline_ms
+        got_slot = await self._wait_for_slot(receive, deadline - now)
+        if got_slot != RunOutcome.RUNNING:
+            self.ledger.counters['left_queue'] += 1
+            return got_slot
+        self.load.count()
+        run['started'] = self.clock.now()
+        self.ledger.start(run)
+        with contextlib.ExitStack() as slot:
+            slot.callback(self._release)
+            if wanted.is_crash:
+                self._crash(run)
+            outcome = await self._work(run, receive, deadline)
+        self.ledger.end(run, outcome)
+        return outcome
+
+    def _release(self) -> None:
+        self.slots.release()
+        self.load.changed()
+
+    async def _wait_for_slot(
+        self, receive: _asgi.Receive, patience: Millis
+    ) -> RunOutcome:
+        if self.slots.busy < self.behaviour.slots:
+            await self.slots.acquire()
+            self.load.changed()
+            return RunOutcome.RUNNING
+        outcomes = [RunOutcome.EXPIRED]
+        with anyio.move_on_after(seconds_of(patience)):
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    _watch_leaving, receive, group.cancel_scope, outcomes
+                )
+                await self.slots.acquire()
+                outcomes.append(RunOutcome.RUNNING)
+                group.cancel_scope.cancel()
+        self.load.changed()
+        return outcomes[-1]
+
+    async def _work(
+        self, run: Run, receive: _asgi.Receive, deadline: Millis
+    ) -> RunOutcome:
+        left = run['work_ms']
+        now = self.clock.now()
+        while left > 0:
+            if now >= deadline:
+                return RunOutcome.EXPIRED
+            speed, span = self.speed.at(now)
+            step = min(span, left / speed)
+            if await self._is_left(receive, step):
+                return RunOutcome.CANCELLED
+            later = self.clock.now()
+            left -= (later - now) * speed
+            now = later
+        return RunOutcome.COMPLETED
+
+    async def _is_left(self, receive: _asgi.Receive, step: Millis) -> bool:
+        if not self.behaviour.faults.honours_cancel:
+            await self.clock.sleep(step)
+            return False
+        with anyio.move_on_after(seconds_of(step)):
+            await _asgi.wait_for_disconnect(receive)
+            return True
+        return False
+
+    async def _send(
+        self, wanted: Wanted, payload: bytes, send: _asgi.Send
+    ) -> None:
+        body = body_of(wanted.nonce, wanted.size)
+        marks = [
+            (b'x-nonce', wanted.nonce.encode()),
+            (b'x-body-length', str(len(payload)).encode()),
+            *self.load.report(),
+        ]
+        if not wanted.is_chunked:
+            marks.append((b'payload-length', str(len(body)).encode()))
+        await send(
+            {'type': 'http.response.start', 'status': 200, 'headers': marks}
+        )
+        if self.behaviour.faults.truncate > 0:
+            self.behaviour.faults.truncate -= 1
+            self.ledger.counters[RunOutcome.TRUNCATED.value] += 1
+            await send(_part(body[: len(body) // 2], more=True))
+            return
+        for start in range(0, len(body), _PART_BYTES):
+            await send(_part(body[start : start + _PART_BYTES], more=True))
+        await send(_part(b'', more=False))
+
+    def _crash(self, run: Run) -> None:
+        self.ledger.counters['crashes'] += 1
+        print('crash', run['request_id'], file=sys.stderr, flush=True)
+        if self.behaviour.faults.crash_mode == CrashMode.EXIT:
+            os._exit(_CRASH_STATUS)
+        self.cut_all()
+        self.speed.restart(self.clock.now())
+
+
+def _failure(mode: FailFast) -> _asgi.Answer:
+    if mode == FailFast.ERROR:
+        return _asgi.Answer(_HTTP_ERROR, b'failed at once')
+    return _asgi.Answer(_asgi.HTTP_UNAVAILABLE, b'unavailable')
+
+
+def _part(body: bytes, *, more: bool) -> dict[str, object]:
+    return {'type': 'http.response.body', 'body': body, 'more_body': more}
+
+
+def _text(scope: _asgi.Scope, name: str) -> str:
+    return _asgi.header_of(scope, name.encode()).decode('latin-1')
+
+
+def _cut_nothing() -> None:
+    """Leave connections alone, as no server was given."""
+
+
+async def _watch_leaving(
+    receive: _asgi.Receive, scope: anyio.CancelScope, outcomes: list[RunOutcome]
+) -> None:
+    await _asgi.wait_for_disconnect(receive)
+    outcomes.append(RunOutcome.CANCELLED)
+    scope.cancel()
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/_control.py
@@ -0,0 +1,48 @@
+"""The control port of stand-in upstreams."""
+
+from collections.abc import Sequence
+
+import orjson
+
+from cowslippond_standins import _asgi
+from cowslippond_standins.upstream._app import UpstreamApp
+
+
+class ControlApp:
+    """Serve ledgers and switch faults.
+
+    ``GET /ledger`` returns the runs, ``GET /ledger?orders=1`` those of orders
+    only; ``POST /control`` sets what its JSON object names; ``POST /cut``
+    aborts every connection. A number before the path chooses the upstream, as
+    in ``/3/ledger``; without it the first one is meant.
+    """
+
+    def __init__(self, apps: Sequence[UpstreamApp]) -> None:
+        self.apps = apps
+
+    async def __call__(
+        self, scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
+    ) -> None:
+        """_asgi.Answer one request."""
+        if not _asgi.is_http(scope):
+            return
+        payload = await _asgi.read_body(receive)
+        await _asgi.send_answer(send, self._answer(scope, payload))
+
+    def _answer(self, scope: _asgi.Scope, payload: bytes) -> _asgi.Answer:
+        number, _, action = scope['path'].strip('/').rpartition('/')
+        app = self.apps[int(number or 0)]
+        if action == 'ledger':
+            only_orders = scope['query_string'] == b'orders=1'
+            ledger = app.ledger.report(only_orders=only_orders)
+            return _asgi.json_answer(ledger)
+        if action == 'cut':
+            app.cut_all()
+            return _asgi.json_answer({})
+        if action != 'control':
+            return _asgi.Answer(_asgi.HTTP_NOT_FOUND)
+        try:
+            app.behaviour.change(orjson.loads(payload))
+        except (AttributeError, ValueError, TypeError) as wrong:
+            return _asgi.json_answer(repr(wrong), _asgi.HTTP_BAD_REQUEST)
+        return _asgi.json_answer(app.behaviour.told())
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/_ledger.py
@@ -0,0 +1,87 @@
+"""The ledger of an upstream: every run, and every probe."""
+
+import collections
+import enum
+import pathlib
+from typing import Any, TypedDict
+
+import orjson
+from cowslippond_core import Clock, Millis
+
+_MAX_RUNS = 400_000
+
+
+class RunOutcome(enum.StrEnum):
+    """How a run ended."""
+
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    CANCELLED = 'cancelled'
+    EXPIRED = 'expired'
+    TRUNCATED = 'truncated'
+
+
+class Run(TypedDict):
+    """One run of a call; times are on the machine's clock, in milliseconds.
+
+    ``order_key`` and ``caller`` identify an order; ``work_ms`` is the time it
+    takes at full speed.
+    """
+
+    request_id: str
+    order_key: str
+    caller: str
+    path: str
+    nonce: str
+    attempt: str
+    work_ms: Millis
+    started: Millis
+    ended: Millis
+    outcome: RunOutcome
+
+
+class Ledger:
+    """The runs and probes of one upstream.
+
+    :param path: file that gets a line for each run of an order, or ``None``.
+    """
+
+    def __init__(self, clock: Clock, path: pathlib.Path | None) -> None:
+        self.clock = clock
+        self.path = path
+        self.runs: collections.deque[Run] = collections.deque(maxlen=_MAX_RUNS)
+        self.probes: list[Millis] = []
+        self.counters: collections.Counter[str] = collections.Counter()
+
+    def start(self, run: Run) -> None:
+        """Record that a run begins."""
+        self.runs.append(run)
+        self.counters['runs'] += 1
+        if self.path is not None and run['order_key']:
+            self._write_line(run)
+
+    def end(self, run: Run, outcome: RunOutcome) -> None:
+        """Record how a run ended."""
+        run['ended'] = self.clock.now()
+        run['outcome'] = outcome
+        self.counters[outcome.value] += 1
+
+    def probe(self) -> None:
+        """Record a probe."""
+        self.probes.append(self.clock.now())
+
+    def report(self, *, only_orders: bool) -> dict[str, Any]:
+        """Return the ledger for the control port."""
+        runs = [run for run in self.runs if run['order_key'] or not only_orders]
+        return {
+            'runs': runs,
+            'probes': self.probes,
+            'counters': dict(self.counters),
+        }
+
+    def _write_line(self, run: Run) -> None:
+        assert self.path is not None
+        with self.path.open('ab') as ledger_file:
+            ledger_file.write(
+                orjson.dumps(run, option=orjson.OPT_APPEND_NEWLINE)
+            )
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/_load.py
@@ -0,0 +1,64 @@
+"""What an upstream tells of its load, in time, late or wrong."""
+
+from cowslippond_core import Clock, Millis
+from cowslippond_core import _headers as headers
+
+from cowslippond_standins._asgi import Answer, Headers, json_answer
+from cowslippond_standins._history import History
+from cowslippond_standins.upstream._behaviour import Behaviour, LoadReport
+from cowslippond_standins.upstream._slots import Slots
+
+_WINDOW: Millis = 1000
+
+
+class LoadMeter:
+    """Count calls and report the load of one upstream."""
+
+    def __init__(
+        self, clock: Clock, behaviour: Behaviour, slots: Slots
+    ) -> None:
+        self.clock = clock
+        self.behaviour = behaviour
+        self.slots = slots
+        self.history = History[int](0)
+        self.window_start = clock.now()
+        self.window_calls = 0
+        self.rate: float = 0
+
+    def changed(self) -> None:
+        """Take note that a call came or went."""
+        if self.behaviour.faults.report_lag_ms > 0:
+            self.history.write(self.clock.now(), self.slots.in_flight())
+
+    def count(self) -> None:
+        """Count a call that begins."""
+        now = self.clock.now()
+        self.window_calls += 1
+        if now - self.window_start >= _WINDOW:
+            self.rate = self.window_calls / (now - self.window_start) * _WINDOW
+            self.window_start = now
+            self.window_calls = 0
+
+    def report(self) -> Headers:
+        """Return the header that reports the load, or none."""
+        if self.behaviour.faults.load_report == LoadReport.OFF:
+            return ()
+        told = self._told()
+        text = (
+            f'TEXT named_metrics.in_flight={told}, '
+            f'rps_fractional={self.rate:.1f}'
+        )
+        return ((headers.LOAD_REPORT.encode(), text.encode()),)
+
+    def probe_answer(self) -> Answer:
+        """Return the answer to a probe."""
+        answer = json_answer({'in_flight': self._told()})
+        return answer._replace(headers=(*answer.headers, *self.report()))
+
+    def _told(self) -> int:
+        if self.behaviour.faults.load_report == LoadReport.WRONG:
+            return self.behaviour.faults.report_wrong
+        if self.behaviour.faults.report_lag_ms > 0:
+            seen_at = self.clock.now() - self.behaviour.faults.report_lag_ms
+            return self.history.read(seen_at)
+        return self.slots.in_flight()
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/_speed.py
@@ -0,0 +1,60 @@
+"""The speed of an upstream, which changes from one millisecond to the next."""
+
+import random
+
+from cowslippond_core import Millis
+
+from cowslippond_standins.upstream._behaviour import Behaviour
+
+LONGEST_STEP: Millis = 20
+
+
+class Speed:
+    """A seeded schedule of slow spans.
+
+    :param behaviour: says how often, how long and how slow.
+    :param seed: seed of the schedule.
+    :param now: the start, in milliseconds.
+    """
+
+    def __init__(self, behaviour: Behaviour, seed: int, now: Millis) -> None:
+        self.behaviour = behaviour
+        self.draw = random.Random(seed)
+        self.cold_since = now
+        self.slow_start = now
+        self.slow_end = now
+
+    def at(self, now: Millis) -> tuple[float, Millis]:
+        """Return the speed at a time, and for how long it holds.
+
+        :param now: on the clock, in milliseconds.
+        """
+        behaviour = self.behaviour
+        speed = 1 / behaviour.slowdown
+        span = LONGEST_STEP
+        cold_left = self.cold_since + behaviour.cold_ms - now
+        if cold_left > 0:
+            speed /= behaviour.cold_slowdown
+            span = min(span, cold_left)
+        if behaviour.noise_gap_ms <= 0:
+            return speed, span
+        self._advance(now)
+        if now < self.slow_start:
+            return speed, min(span, self.slow_start - now)
+        slowed = speed / behaviour.noise_slowdown
+        return slowed, min(span, self.slow_end - now)
+
+    def restart(self, now: Millis) -> None:
+        """Begin a cold start.
+
+        :param now: on the clock, in milliseconds.
+        """
+        self.cold_since = now
+
+    def _advance(self, now: Millis) -> None:
+        behaviour = self.behaviour
+        while self.slow_end <= now:
+            gap = self.draw.expovariate(1 / behaviour.noise_gap_ms)
+            span = self.draw.expovariate(1 / behaviour.noise_span_ms)
+            self.slow_start = self.slow_end + gap
+            self.slow_end = self.slow_start + span
