--- a/packages/cowslippond-standins/src/cowslippond_standins/_serving.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/_serving.py
@@ -52,7 +52,7 @@
         http='httptools',
         ws='none',
         lifespan='off',
-        log_level='critical',
+        log_level='error',
         access_log=False,
         server_header=False,
         date_header=False,
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/_stream.py
@@ -0,0 +1,31 @@
+"""TCP streams: connect, abort and reset."""
+
+import socket
+import struct
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+from cowslippond_standins._address import Address
+
+CHUNK_BYTES = 65_536
+_LINGER_OFF = struct.pack('ii', 1, 0)
+
+
+async def connect(target: Address) -> SocketStream:
+    """Open a connection without Nagle's delay."""
+    stream = await anyio.connect_tcp(target.host, target.port)
+    stream.extra(SocketAttribute.raw_socket).setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
+    )
+    return stream
+
+
+async def reset(stream: SocketStream) -> None:
+    """Close a connection by RST."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    try:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_OFF)
+    except OSError:
+        return
+    await anyio.aclose_forcefully(stream)
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/balancer.py
@@ -0,0 +1,203 @@
+"""Stand-in of the platform's TCP balancer."""
+
+import contextlib
+import itertools
+import signal
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import anyio
+import defopt
+import httpcore
+import orjson
+from anyio.abc import SocketStream
+from cowslippond_core import Clock, Millis, seconds_of
+
+from cowslippond_standins import _stream
+from cowslippond_standins._address import Address, parse_address
+
+_CHECK_TIMEOUT: Millis = 1000
+_DEFAULT_INTERVAL: Millis = 200
+_DEFAULT_LAG: Millis = 300
+_HTTP_OK = 200
+_BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
+
+
+class Backend(NamedTuple):
+    """A daemon as the balancer sees it, by its two addresses."""
+
+    caller_address: str
+    admin_address: str
+
+
+class Verdict(NamedTuple):
+    """What the last checks of a backend said, and since when."""
+
+    is_healthy: bool
+    since: Millis
+
+
+class Balancer:
+    """Spread connections over the backends that pass health checks.
+
+    :param lag: time from a change of health until it is acted on, in
+        milliseconds.
+    """
+
+    def __init__(
+        self, clock: Clock, backends: Sequence[Backend], lag: Millis
+    ) -> None:
+        self.clock = clock
+        self.lag = lag
+        self.backends = list(backends)
+        self.verdicts: dict[Backend, Verdict] = {}
+        self.in_service: set[Backend] = set()
+        self.turns = itertools.count()
+
+    def candidates(self) -> list[Backend]:
+        """Return the backends in service, the next one first."""
+        ready = [one for one in self.backends if one in self.in_service]
+        if not ready:
+            return []
+        first = next(self.turns) % len(ready)
+        return ready[first:] + ready[:first]
+
+    async def check_all(self) -> None:
+        """Check every backend once and act on what is older than the lag."""
+        async with anyio.create_task_group() as group:
+            for backend in self.backends:
+                group.start_soon(self._check, backend)
+        self.in_service &= set(self.backends)
+
+    async def pass_on(self, client: SocketStream) -> None:
+        """Pass one connection on to a backend."""
+        async with client:
+            for backend in self.candidates():
+                with contextlib.suppress(*_BROKEN):
+                    address = parse_address(backend.caller_address)
+                    target = await _stream.connect(address)
+                    await relay(client, target)
+                    return
+
+    async def _check(self, backend: Backend) -> None:
+        is_healthy = await _is_healthy(backend)
+        now = self.clock.now()
+        verdict = self.verdicts.get(backend)
+        if verdict is None or verdict.is_healthy != is_healthy:
+            since = now if verdict else now - self.lag
+            verdict = Verdict(is_healthy, since)
+            self.verdicts[backend] = verdict
+        if now - verdict.since < self.lag:
+            return
+        if is_healthy:
+            self.in_service.add(backend)
+        else:
+            self.in_service.discard(backend)
+
+
+async def relay(client: SocketStream, target: SocketStream) -> None:
+    """Copy bytes both ways until both ends are closed or one breaks."""
+    async with target, anyio.create_task_group() as group:
+        group.start_soon(_copy, client, target, group.cancel_scope)
+        group.start_soon(_copy, target, client, group.cancel_scope)
+
+
+async def _copy(
+    source: SocketStream, sink: SocketStream, scope: anyio.CancelScope
+) -> None:
+    try:
+        async for chunk in source:
+            await sink.send(chunk)
+    except _BROKEN:
+        scope.cancel()
+        return
+    with contextlib.suppress(*_BROKEN):
+        await sink.send_eof()
+
+
+async def _is_healthy(backend: Backend) -> bool:
+    url = f'http://{backend.admin_address}/healthz'
+    try:
+        with anyio.fail_after(seconds_of(_CHECK_TIMEOUT)):
+            async with httpcore.AsyncConnectionPool() as pool:
+                answer = await pool.request('GET', url)
+    except (httpcore.NetworkError, httpcore.ProtocolError, TimeoutError):
+        return False
+    return answer.status == _HTTP_OK
+
+
+async def read_vm_list(url: str) -> list[Backend] | None:
+    """Return the entry VMs on the platform's list, or ``None`` without it."""
+    try:
+        async with httpcore.AsyncConnectionPool() as pool:
+            answer = await pool.request('GET', url)
+    except (httpcore.NetworkError, httpcore.ProtocolError):
+        return None
+    if answer.status != _HTTP_OK:
+        return None
+    found = []
+    for group in orjson.loads(answer.content):
+        labels = group['labels']
+        if labels['service'] == 'cowslippond' and 'caller_address' in labels:
+            found.append(
+                Backend(labels['caller_address'], labels['admin_address'])
+            )
+    return found
+
+
+async def _keep_checking(
+    balancer: Balancer, vm_list_url: str, interval: Millis
+) -> None:
+    while True:
+        if vm_list_url:
+            listed = await read_vm_list(vm_list_url)
+            balancer.backends = balancer.backends if listed is None else listed
+        await balancer.check_all()
+        await balancer.clock.sleep(interval)
+
+
+async def _run(
+    address: Address, balancer: Balancer, vm_list_url: str, interval: Millis
+) -> None:
+    listener = await anyio.create_tcp_listener(
+        local_host=address.host, local_port=address.port
+    )
+    with anyio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+        async with anyio.create_task_group() as group:
+            group.start_soon(_keep_checking, balancer, vm_list_url, interval)
+            group.start_soon(listener.serve, balancer.pass_on)
+            await anext(signals)
+            group.cancel_scope.cancel()
+
+
+def serve(
+    *backends: str,
+    port: int,
+    host: str = '127.0.0.1',
+    vm_list_url: str = '',
+    interval_ms: float = _DEFAULT_INTERVAL,
+    lag_ms: float = _DEFAULT_LAG,
+) -> None:
+    """Balance TCP connections over daemons that pass health checks.
+
+    :param backends: daemons, as caller address/admin address.
+    :param port: port to listen on.
+    :param host: address to listen on.
+    :param vm_list_url: list of VMs to take the daemons from.
+    :param interval_ms: time between health checks, in milliseconds.
+    :param lag_ms: time until a change is acted on, in milliseconds.
+    """
+    given = [Backend(*text.split('/')) for text in backends]
+    balancer = Balancer(Clock(), given, lag_ms)
+    anyio.run(
+        _run,
+        Address(host, port),
+        balancer,
+        vm_list_url,
+        interval_ms,
+        backend_options={'use_uvloop': True},
+    )
+
+
+if __name__ == '__main__':
+    defopt.run(serve)
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fault_proxy/__init__.py
@@ -0,0 +1,1 @@
+"""TCP proxy that brings about faults between two processes."""
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fault_proxy/_link.py
@@ -0,0 +1,195 @@
+"""The faults of one link, and the connections over it."""
+
+import collections
+import enum
+from collections.abc import Mapping
+from typing import Any
+
+import anyio
+from anyio.abc import SocketStream
+from cowslippond_core import Clock, Millis
+
+from cowslippond_standins import _stream
+from cowslippond_standins._address import Address
+
+_BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
+
+
+class Direction(enum.StrEnum):
+    """Which way bytes flow: up is from the client to the target."""
+
+    UP = 'up'
+    DOWN = 'down'
+
+
+class CutMode(enum.StrEnum):
+    """How a connection is cut."""
+
+    FIN = 'fin'
+    RST = 'rst'
+
+
+class Faults:
+    """The faults that are switched on for a link.
+
+    ``delay_up_ms`` and ``delay_down_ms`` hold back each piece of bytes, in
+    milliseconds. ``silent`` names the directions in which the bytes of new
+    connections vanish. ``drop_answers`` counts the answers that still are
+    dropped together with their connection. ``cut_after_bytes`` cuts a
+    connection once that many bytes went down; zero is off.
+    """
+
+    def __init__(self) -> None:
+        self.delay_up_ms: Millis = 0
+        self.delay_down_ms: Millis = 0
+        self.silent: set[Direction] = set()
+        self.refuse_new = False
+        self.holding = False
+        self.drop_answers = 0
+        self.cut_after_bytes = 0
+        self.cut_mode = CutMode.RST
+
+    def change(self, command: Mapping[str, Any]) -> None:
+        """Set the faults that a command names."""
+        for name, chosen in command.items():
+            if name == 'silent':
+                self.silent = {Direction(text) for text in chosen}
+                continue
+            current = getattr(self, name)
+            setattr(self, name, type(current)(chosen))
+
+    def delay(self, direction: Direction) -> Millis:
+        """Return the delay of a direction, in milliseconds."""
+        if direction == Direction.UP:
+            return self.delay_up_ms
+        return self.delay_down_ms
+
+
+class Relay:
+    """One connection over a link."""
+
+    def __init__(self, client: SocketStream, target: SocketStream) -> None:
+        self.client = client
+        self.target = target
+        self.silent: set[Direction] = set()
+        self.bytes_down = 0
+
+    async def cut(self, mode: CutMode) -> None:
+        """Close both ends."""
+        for stream in (self.client, self.target):
+            if mode == CutMode.RST:
+                await _stream.reset(stream)
+            else:
+                await stream.aclose()
+
+
+class Link:
+    """A listening address whose connections are passed on to a target."""
+
+    def __init__(self, clock: Clock, target: Address) -> None:
+        self.clock = clock
+        self.target = target
+        self.faults = Faults()
+        self.relays: set[Relay] = set()
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.released = anyio.Event()
+
+    async def pass_on(self, client: SocketStream) -> None:
+        """Pass one connection on, through the faults."""
+        self.counters['connections'] += 1
+        if self.faults.refuse_new:
+            self.counters['refused'] += 1
+            await _stream.reset(client)
+            return
+        try:
+            target = await _stream.connect(self.target)
+        except OSError:
+            self.counters['target_refused'] += 1
+            await _stream.reset(client)
+            return
+        await self._relay(Relay(client, target))
+
+    async def cut_all(self, mode: CutMode) -> None:
+        """Cut the connections that are open."""
+        for relay in list(self.relays):
+            self.counters['cut'] += 1
+            await relay.cut(mode)
+
+    def silence_existing(self, directions: set[Direction]) -> None:
+        """Let the bytes of the connections that are open vanish."""
+        for relay in self.relays:
+            self.counters['silenced'] += 1
+            relay.silent |= directions
+
+    def release(self) -> None:
+        """Let the answers go that were held back."""
+        self.faults.holding = False
+        self.released.set()
+        self.released = anyio.Event()
+
+    async def _relay(self, relay: Relay) -> None:
+        relay.silent |= self.faults.silent
+        self.relays.add(relay)
+        async with relay.client, relay.target:
+            async with anyio.create_task_group() as group:
+                scope = group.cancel_scope
+                group.start_soon(self._copy, relay, Direction.UP, scope)
+                group.start_soon(self._copy, relay, Direction.DOWN, scope)
+        self.relays.discard(relay)
+
+    async def _copy(
+        self, relay: Relay, direction: Direction, scope: anyio.CancelScope
+    ) -> None:
+        source, sink = relay.client, relay.target
+        if direction == Direction.DOWN:
+            source, sink = sink, source
+        try:
+            await self._copy_all(relay, direction, source, sink)
+        except _BROKEN:
+            scope.cancel()
+
+    async def _copy_all(
+        self,
+        relay: Relay,
+        direction: Direction,
+        source: SocketStream,
+        sink: SocketStream,
+    ) -> None:
+        async for chunk in source:
+            if await self._passes(relay, direction, chunk):
+                await sink.send(chunk)
+                self.counters[f'bytes_{direction}'] += len(chunk)
+        if direction not in relay.silent:
+            await sink.send_eof()
+
+    async def _passes(
+        self, relay: Relay, direction: Direction, chunk: bytes
+    ) -> bool:
+        if direction == Direction.DOWN:
+            await self._meet_answer(relay, chunk)
+        delay = self.faults.delay(direction)
+        if delay > 0:
+            self.counters['delayed'] += 1
+            await self.clock.sleep(delay)
+        if direction in relay.silent:
+            self.counters['bytes_lost'] += len(chunk)
+            return False
+        return True
+
+    async def _meet_answer(self, relay: Relay, chunk: bytes) -> None:
+        faults = self.faults
+        if faults.holding:
+            self.counters['held'] += 1
+            await self.released.wait()
+        if faults.drop_answers > 0:
+            faults.drop_answers -= 1
+            self.counters['answers_dropped'] += 1
+            await relay.cut(faults.cut_mode)
+            raise anyio.ClosedResourceError
+        relay.bytes_down += len(chunk)
+        if 0 < faults.cut_after_bytes < relay.bytes_down:
+            self.counters['cut_in_answer'] += 1
+            allowed = faults.cut_after_bytes - relay.bytes_down + len(chunk)
+            await relay.client.send(chunk[: max(allowed, 0)])
+            await relay.cut(CutMode.FIN)
+            raise anyio.ClosedResourceError
