Claim keyed calls in the table before they are sent

Cause: a keyed order repeated through another daemon would run twice. Ruled out: a lease that another daemon takes over; the call of a paused holder would still run. Change: object store client, claims, settlements in the background and the flow around sending a keyed call.

--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -1,5 +1,13 @@
 """Coordination parts of a load balancer whose nodes act together."""
 
+from cowslippond_core._call_identity import CallIdentity as CallIdentity
+from cowslippond_core._claim import Claim as Claim
+from cowslippond_core._claim import RecordedAnswer as RecordedAnswer
+from cowslippond_core._claim_backlog import ClaimBacklog as ClaimBacklog
+from cowslippond_core._claim_ends import CallEnd as CallEnd
+from cowslippond_core._claim_flow import ClaimFlow as ClaimFlow
+from cowslippond_core._claims import Claims as Claims
+from cowslippond_core._claims import ClaimSettings as ClaimSettings
 from cowslippond_core._clock import Clock as Clock
 from cowslippond_core._clock import Millis as Millis
 from cowslippond_core._clock import seconds_of as seconds_of
@@ -27,6 +35,10 @@
 from cowslippond_core._messages import (
     TruncatedAnswerError as TruncatedAnswerError,
 )
+from cowslippond_core._objects import ObjectError as ObjectError
+from cowslippond_core._objects import ObjectFault as ObjectFault
+from cowslippond_core._objects import ObjectStore as ObjectStore
+from cowslippond_core._objects import S3ObjectStore as S3ObjectStore
 from cowslippond_core._reasons import RefusalReason as RefusalReason
 from cowslippond_core._reasons import RetryReason as RetryReason
 from cowslippond_core._table import Condition as Condition
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_call_identity.py
@@ -0,0 +1,46 @@
+"""What tells whether two calls are the same order, and the same request."""
+
+import hashlib
+from typing import NamedTuple
+
+from cowslippond_core._messages import CallRequest
+from cowslippond_core._table import ItemKey
+
+_DIGEST_BYTES = 32
+_LENGTH_BYTES = 8
+_SORT_KEY = 'claim'
+
+
+class CallIdentity(NamedTuple):
+    """What makes two calls the same order: the key within its scope."""
+
+    service: str
+    caller: str
+    key: str
+
+
+def claim_key(identity: CallIdentity) -> ItemKey:
+    """Return the primary key of the row that claims a call."""
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for part in identity:
+        encoded = part.encode()
+        digest.update(len(encoded).to_bytes(_LENGTH_BYTES))
+        digest.update(encoded)
+    return ItemKey(f'claim#{digest.hexdigest()}', _SORT_KEY)
+
+
+def digest_bytes(body: bytes) -> str:
+    """Return the digest that guards a kept body."""
+    return hashlib.blake2b(body, digest_size=_DIGEST_BYTES).hexdigest()
+
+
+def digest_request(request: CallRequest) -> str:
+    """Return the digest by which a key used for another call is found.
+
+    It covers the method, the target and the bytes of the body that were read.
+    """
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for part in (request.method, request.target, request.body):
+        digest.update(len(part).to_bytes(_LENGTH_BYTES))
+        digest.update(part)
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_claim_rows.py
@@ -0,0 +1,133 @@
+"""The rows of the platform's table that claim calls for one run each."""
+
+import enum
+from typing import NamedTuple
+
+import orjson
+from expression import Error, Ok, Result
+
+from cowslippond_core._messages import HeaderList
+from cowslippond_core._table import Attributes, Condition
+
+_TOKEN_FIELD = 'token'
+_STATE_FIELD = 'state'
+_DIGEST_FIELD = 'request_digest'
+_UNTIL_FIELD = 'until'
+_EXPIRES_FIELD = 'expires_at'
+_VM_FIELD = 'vm'
+_ANSWER_FIELD = 'answer'
+_BODY_FIELD = 'body'
+
+
+class ClaimState(enum.StrEnum):
+    """What is recorded about a claimed call."""
+
+    CLAIMED = 'claimed'
+    ANSWERED = 'answered'
+    RELEASED = 'released'
+
+
+class AnswerHead(NamedTuple):
+    """What a row tells of an answer besides its body.
+
+    ``stored_at`` is the object that holds the body, empty when the row holds
+    it; ``is_kept`` is false when the body was too large to keep. ``length``
+    is the body's length in bytes and ``digest`` its BLAKE2b digest.
+    """
+
+    status: int
+    headers: HeaderList
+    length: int
+    digest: str
+    stored_at: str
+    is_kept: bool
+
+
+class ClaimRow(NamedTuple):
+    """A row of the table that claims a call.
+
+    ``until`` is the end of the claimant's deadline, in milliseconds since the
+    Unix epoch; it serves as a hint to callers and never decides who may run.
+    ``expires_at`` is in seconds since the Unix epoch, as the platform's
+    removal of expired rows wants it.
+    """
+
+    token: str
+    state: ClaimState
+    request_digest: str
+    vm: str
+    until: int
+    expires_at: int
+    answer: AnswerHead | None = None
+    body: bytes = b''
+
+
+def row_conditions(token: str, state: ClaimState) -> tuple[Condition, ...]:
+    """Return what must hold for a write over a row that was read."""
+    return (
+        Condition(_TOKEN_FIELD, token),
+        Condition(_STATE_FIELD, state.value),
+    )
+
+
+def encode_row(row: ClaimRow) -> Attributes:
+    """Return the attributes of a row."""
+    attributes: dict[str, str | int | bytes] = {
+        _TOKEN_FIELD: row.token,
+        _STATE_FIELD: row.state.value,
+        _DIGEST_FIELD: row.request_digest,
+        _VM_FIELD: row.vm,
+        _UNTIL_FIELD: row.until,
+        _EXPIRES_FIELD: row.expires_at,
+    }
+    if row.answer is None:
+        return attributes
+    attributes[_ANSWER_FIELD] = _encode_head(row.answer)
+    attributes[_BODY_FIELD] = row.body
+    return attributes
+
+
+def decode_row(attributes: Attributes) -> Result[ClaimRow, str]:
+    """Return the row of some attributes, or what is wrong with them."""
+    try:
+        return Ok(_decode_row(attributes))
+    except (KeyError, TypeError, ValueError) as malformed:
+        return Error(repr(malformed))
+
+
+def _decode_row(attributes: Attributes) -> ClaimRow:
+    row = ClaimRow(
+        token=str(attributes[_TOKEN_FIELD]),
+        state=ClaimState(str(attributes[_STATE_FIELD])),
+        request_digest=str(attributes[_DIGEST_FIELD]),
+        vm=str(attributes[_VM_FIELD]),
+        until=int(attributes[_UNTIL_FIELD]),
+        expires_at=int(attributes[_EXPIRES_FIELD]),
+    )
+    if row.state is not ClaimState.ANSWERED:
+        return row
+    body = attributes[_BODY_FIELD]
+    if not isinstance(body, bytes):
+        raise TypeError('the body of a recorded answer is not binary')
+    return row._replace(
+        answer=_decode_head(str(attributes[_ANSWER_FIELD])), body=body
+    )
+
+
+def _encode_head(head: AnswerHead) -> str:
+    headers = [
+        (name.decode('latin-1'), text.decode('latin-1'))
+        for name, text in head.headers
+    ]
+    return orjson.dumps(
+        head._replace(headers=())._asdict() | {'headers': headers}
+    ).decode()
+
+
+def _decode_head(text: str) -> AnswerHead:
+    fields = orjson.loads(text)
+    headers = tuple(
+        (name.encode('latin-1'), held.encode('latin-1'))
+        for name, held in fields.pop('headers')
+    )
+    return AnswerHead(headers=headers, **fields)
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_objects.py
@@ -0,0 +1,151 @@
+"""The platform's object store over the S3 protocol."""
+
+import enum
+from collections.abc import Mapping
+from typing import NamedTuple, Protocol
+from urllib.parse import quote
+
+import anyio
+import httpcore
+from expression import Error, Ok, Result
+
+from cowslippond_core._clock import Millis, seconds_of
+
+_OK_STATUS = 200
+_CREATED_STATUS = 201
+_NO_CONTENT_STATUS = 204
+_NOT_FOUND_STATUS = 404
+_CONFLICT_STATUS = 409
+_PRECONDITION_STATUS = 412
+_THROTTLED_STATUS = 429
+_DONE = frozenset((_OK_STATUS, _CREATED_STATUS, _NO_CONTENT_STATUS))
+_CONFLICTS = frozenset((_CONFLICT_STATUS, _PRECONDITION_STATUS))
+_MAX_CONNECTIONS = 8
+_KEEPALIVE_SECONDS = 5
+_LOST_ANSWER = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    TimeoutError,
+)
+
+
+class ObjectFault(enum.StrEnum):
+    """How a call to the object store failed.
+
+    A call that is ``UNAVAILABLE`` had no effect; one that is ``UNKNOWN`` may
+    have taken effect although its answer was lost.
+    """
+
+    CONFLICT = 'conflict'
+    UNAVAILABLE = 'unavailable'
+    UNKNOWN = 'unknown'
+
+
+class ObjectError(NamedTuple):
+    """A failed call to the object store."""
+
+    fault: ObjectFault
+    detail: str
+
+
+class ObjectStore(Protocol):
+    """The calls on the platform's object store that this project needs."""
+
+    async def put(self, key: str, body: bytes) -> Result[None, ObjectError]:
+        """Write an object; a key that is taken is a conflict."""
+
+    async def get(self, key: str) -> Result[bytes | None, ObjectError]:
+        """Return an object, or ``None`` if it is absent."""
+
+    async def delete(self, key: str) -> Result[None, ObjectError]:
+        """Remove an object; an absent one counts as removed."""
+
+
+class S3ObjectStore:
+    """A bucket of the platform's object store, reached over HTTP.
+
+    :param url: the endpoint, such as ``http://10.0.0.1:9000``.
+    :param bucket: the bucket's name.
+    :param timeout: the longest wait for an answer, in milliseconds.
+    """
+
+    def __init__(self, url: str, bucket: str, timeout: Millis) -> None:
+        self.base = f'{url}/{quote(bucket)}'
+        self.timeout = timeout
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS,
+            keepalive_expiry=_KEEPALIVE_SECONDS,
+            retries=0,
+        )
+
+    async def put(self, key: str, body: bytes) -> Result[None, ObjectError]:
+        """Write an object; a key that is taken is a conflict."""
+        answer = await self._call('PUT', key, {'If-None-Match': '*'}, body)
+        return answer.bind(_read_done)
+
+    async def get(self, key: str) -> Result[bytes | None, ObjectError]:
+        """Return an object, or ``None`` if it is absent."""
+        answer = await self._call('GET', key, {}, None)
+        return answer.bind(_read_object)
+
+    async def delete(self, key: str) -> Result[None, ObjectError]:
+        """Remove an object; an absent one counts as removed."""
+        answer = await self._call('DELETE', key, {}, None)
+        return answer.bind(_read_deleted)
+
+    async def close(self) -> None:
+        """Close the connections to the object store."""
+        await self.pool.aclose()
+
+    async def _call(
+        self,
+        method: str,
+        key: str,
+        headers: Mapping[bytes | str, bytes | str],
+        body: bytes | None,
+    ) -> Result[httpcore.Response, ObjectError]:
+        try:
+            with anyio.fail_after(seconds_of(self.timeout)):
+                response = await self.pool.request(
+                    method,
+                    f'{self.base}/{quote(key)}',
+                    headers=headers,
+                    content=body,
+                )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as refused:
+            return Error(ObjectError(ObjectFault.UNAVAILABLE, repr(refused)))
+        except _LOST_ANSWER as lost:
+            return Error(ObjectError(ObjectFault.UNKNOWN, repr(lost)))
+        return Ok(response)
+
+
+def _read_done(response: httpcore.Response) -> Result[None, ObjectError]:
+    if response.status in _DONE:
+        return Ok(None)
+    return Error(_read_error(response))
+
+
+def _read_deleted(response: httpcore.Response) -> Result[None, ObjectError]:
+    if response.status == _NOT_FOUND_STATUS:
+        return Ok(None)
+    return _read_done(response)
+
+
+def _read_object(
+    response: httpcore.Response,
+) -> Result[bytes | None, ObjectError]:
+    if response.status == _NOT_FOUND_STATUS:
+        return Ok(None)
+    if response.status == _OK_STATUS:
+        return Ok(response.content)
+    return Error(_read_error(response))
+
+
+def _read_error(response: httpcore.Response) -> ObjectError:
+    detail = f'status {response.status}'
+    if response.status in _CONFLICTS:
+        return ObjectError(ObjectFault.CONFLICT, detail)
+    if response.status == _THROTTLED_STATUS:
+        return ObjectError(ObjectFault.UNAVAILABLE, detail)
+    return ObjectError(ObjectFault.UNKNOWN, detail)
--- a/packages/cowslippond-core/src/cowslippond_core/_reasons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reasons.py
@@ -19,6 +19,8 @@
     KEY_REUSED = 'key_reused'
     KEY_IN_PROGRESS = 'key_in_progress'
     CLAIM_UNAVAILABLE = 'claim_unavailable'
+    KEY_OUTCOME_LOST = 'key_outcome_lost'
+    ANSWER_NOT_KEPT = 'answer_not_kept'
     QUARANTINED = 'quarantined'
 
 
