--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_admin.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_admin.py
@@ -31,14 +31,16 @@
         if scope['type'] != 'http':
             return
         status, body = self._respond(scope['path'])
-        await send({
-            'type': 'http.response.start',
-            'status': status,
-            'headers': [
-                (b'content-type', b'application/json'),
-                (b'content-length', b'%d' % len(body)),
-            ],
-        })
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': [
+                    (b'content-type', b'application/json'),
+                    (b'content-length', b'%d' % len(body)),
+                ],
+            }
+        )
         await send({'type': 'http.response.body', 'body': body})
 
     def _respond(self, path: str) -> tuple[int, bytes]:
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
@@ -23,15 +23,17 @@
 
 _KEPT_BODY_BYTES = 65536
 _MILLIS_PER_SECOND = 1000
-_DROPPED_HEADERS = frozenset((
-    b'connection',
-    b'keep-alive',
-    b'transfer-encoding',
-    b'proxy-connection',
-    b'upgrade',
-    b'te',
-    b'trailer',
-))
+_DROPPED_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'transfer-encoding',
+        b'proxy-connection',
+        b'upgrade',
+        b'te',
+        b'trailer',
+    )
+)
 _STATUS_OF_REASON = {
     RefusalReason.NO_SERVICE: 404,
     RefusalReason.BAD_REQUEST: 400,
@@ -147,17 +149,21 @@
     async def _send_answer(
         self, call: IncomingCall, reply: CallAnswer, send: Send
     ) -> None:
-        await send({
-            'type': 'http.response.start',
-            'status': reply.status,
-            'headers': self._response_headers(call, reply.headers),
-        })
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': reply.status,
+                'headers': self._response_headers(call, reply.headers),
+            }
+        )
         async for chunk in reply.chunks:
-            await send({
-                'type': 'http.response.body',
-                'body': chunk,
-                'more_body': True,
-            })
+            await send(
+                {
+                    'type': 'http.response.body',
+                    'body': chunk,
+                    'more_body': True,
+                }
+            )
         await send({'type': 'http.response.body', 'body': b''})
 
     async def _send_refusal(
@@ -175,11 +181,13 @@
             (b'x-reason', refusal.reason.encode()),
             (b'retry-after', b'%d' % seconds),
         )
-        await send({
-            'type': 'http.response.start',
-            'status': status,
-            'headers': self._response_headers(call, headers),
-        })
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': self._response_headers(call, headers),
+            }
+        )
         await send({'type': 'http.response.body', 'body': text})
 
     def _response_headers(
