--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -1,11 +1,19 @@
 """Coordination parts of a load balancer whose nodes act together."""
 
+from cowslippond_core._call_identity import CallIdentity as CallIdentity
 from cowslippond_core._catalogue_reader import read_changes as read_changes
 from cowslippond_core._catalogue_reader import read_documents as read_documents
 from cowslippond_core._catalogue_reader import read_head as read_head
 from cowslippond_core._catalogue_reader import (
     read_newest_document as read_newest_document,
 )
+from cowslippond_core._claim import Claim as Claim
+from cowslippond_core._claim import RecordedAnswer as RecordedAnswer
+from cowslippond_core._claim_backlog import ClaimBacklog as ClaimBacklog
+from cowslippond_core._claim_ends import CallEnd as CallEnd
+from cowslippond_core._claim_flow import ClaimFlow as ClaimFlow
+from cowslippond_core._claims import Claims as Claims
+from cowslippond_core._claims import ClaimSettings as ClaimSettings
 from cowslippond_core._clock import Clock as Clock
 from cowslippond_core._clock import Millis as Millis
 from cowslippond_core._clock import seconds_of as seconds_of
@@ -34,6 +42,10 @@
 from cowslippond_core._messages import (
     TruncatedAnswerError as TruncatedAnswerError,
 )
+from cowslippond_core._objects import ObjectError as ObjectError
+from cowslippond_core._objects import ObjectFault as ObjectFault
+from cowslippond_core._objects import ObjectStore as ObjectStore
+from cowslippond_core._objects import S3ObjectStore as S3ObjectStore
 from cowslippond_core._reasons import RefusalReason as RefusalReason
 from cowslippond_core._reasons import RetryReason as RetryReason
 from cowslippond_core._table import Condition as Condition
@@ -42,3 +54,8 @@
 from cowslippond_core._table import Table as Table
 from cowslippond_core._table import TableError as TableError
 from cowslippond_core._table import TableFault as TableFault
+from cowslippond_core._vm_list import ENTRY_SERVICE as ENTRY_SERVICE
+from cowslippond_core._vm_list import Vm as Vm
+from cowslippond_core._vm_list import VmState as VmState
+from cowslippond_core._vm_list import fetch_vms as fetch_vms
+from cowslippond_core._vm_list import read_vms as read_vms
