Read the daemon's settings and find overlapping routes

Cause: the daemon needs checked settings; two services must not claim the same calls, and a nested match must not take calls out of at-most-once. Ruled out: refusing every nested match, as a catalogue at / and a checkout below it is the usual layout. Change: the settings share the document's field table and findings.

--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -48,6 +48,11 @@
 from cowslippond_core._objects import S3ObjectStore as S3ObjectStore
 from cowslippond_core._reasons import RefusalReason as RefusalReason
 from cowslippond_core._reasons import RetryReason as RetryReason
+from cowslippond_core._settings import LogSettings as LogSettings
+from cowslippond_core._settings import PlatformSettings as PlatformSettings
+from cowslippond_core._settings import RetireSettings as RetireSettings
+from cowslippond_core._settings import Settings as Settings
+from cowslippond_core._settings import read_settings as read_settings
 from cowslippond_core._table import Condition as Condition
 from cowslippond_core._table import ItemKey as ItemKey
 from cowslippond_core._table import Put as Put
--- a/packages/cowslippond-core/src/cowslippond_core/_document_rules.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_document_rules.py
@@ -1,17 +1,15 @@
 """Contradictions between the fields of a service document."""
 
 import itertools
-import re
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple, TypeAlias
 
 from cowslippond_core._field_check import show
 from cowslippond_core._field_report import FieldReport
+from cowslippond_core._route_overlap import can_cover
 
 _Fields: TypeAlias = Mapping[str, Any]
 
-_WILDCARD = re.compile(r'[*?\[]')
-
 
 class _OrderRule(NamedTuple):
     """Two numbers of which the lower one must not exceed the upper one.
@@ -124,18 +122,11 @@
     for index, rule in enumerate(fields.get('never_repeat') or ()):
         if rule is None or rule['path'] is None:
             continue
-        if not any(_can_match(rule['path'], prefix) for prefix in prefixes):
+        if not any(can_cover(rule['path'], prefix) for prefix in prefixes):
             message = f'{show(rule["path"])} lies outside every match'
             report.add(f'never_repeat[{index}].path', message)
 
 
-def _can_match(pattern: str, prefix: str) -> bool:
-    literal = _WILDCARD.split(pattern, maxsplit=1)[0]
-    if literal.startswith(prefix):
-        return True
-    return literal != pattern and prefix.startswith(literal)
-
-
 def _check_never_repeat_twins(fields: _Fields, report: FieldReport) -> None:
     rules = fields.get('never_repeat') or ()
     for (first, rule), (second, other) in itertools.combinations(
