--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -1,5 +1,8 @@
 """Coordination parts of a load balancer whose nodes act together."""
 
+from cowslippond_core._budgets import BudgetSettings as BudgetSettings
+from cowslippond_core._budgets import ShareBudget as ShareBudget
+from cowslippond_core._budgets import is_first_attempt as is_first_attempt
 from cowslippond_core._call_identity import CallIdentity as CallIdentity
 from cowslippond_core._catalogue_reader import read_changes as read_changes
 from cowslippond_core._catalogue_reader import read_documents as read_documents
@@ -34,6 +37,12 @@
 from cowslippond_core._findings import Finding as Finding
 from cowslippond_core._findings import Place as Place
 from cowslippond_core._findings import format_finding as format_finding
+from cowslippond_core._fingerprint import (
+    FINGERPRINT_BODY_BYTES as FINGERPRINT_BODY_BYTES,
+)
+from cowslippond_core._fingerprint import (
+    fingerprint_request as fingerprint_request,
+)
 from cowslippond_core._messages import CallAnswer as CallAnswer
 from cowslippond_core._messages import CallRefusal as CallRefusal
 from cowslippond_core._messages import CallRequest as CallRequest
@@ -46,8 +55,11 @@
 from cowslippond_core._objects import ObjectFault as ObjectFault
 from cowslippond_core._objects import ObjectStore as ObjectStore
 from cowslippond_core._objects import S3ObjectStore as S3ObjectStore
+from cowslippond_core._quarantine import Quarantine as Quarantine
 from cowslippond_core._reasons import RefusalReason as RefusalReason
 from cowslippond_core._reasons import RetryReason as RetryReason
+from cowslippond_core._suspects import CrashMark as CrashMark
+from cowslippond_core._suspects import Suspect as Suspect
 from cowslippond_core._table import Condition as Condition
 from cowslippond_core._table import ItemKey as ItemKey
 from cowslippond_core._table import Put as Put
