Send calls over connections of our own

Ruled out: h11 on the same stream (0.2 ms a call). Change: answers are parsed by httptools on an anyio stream, with one reading task for each connection; least in-flight, late binding after a promise of 'not run', idempotent retries.

--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -29,12 +29,16 @@
 )
 from cowslippond_core._reasons import RefusalReason as RefusalReason
 from cowslippond_core._reasons import RetryReason as RetryReason
+from cowslippond_core._sender import Sender as Sender
+from cowslippond_core._service_state import ServiceState as ServiceState
 from cowslippond_core._table import Condition as Condition
 from cowslippond_core._table import ItemKey as ItemKey
 from cowslippond_core._table import Put as Put
 from cowslippond_core._table import Table as Table
 from cowslippond_core._table import TableError as TableError
 from cowslippond_core._table import TableFault as TableFault
+from cowslippond_core._upstreams import Upstream as Upstream
+from cowslippond_core._upstreams import UpstreamSet as UpstreamSet
 from cowslippond_core._vm_list import ENTRY_SERVICE as ENTRY_SERVICE
 from cowslippond_core._vm_list import Vm as Vm
 from cowslippond_core._vm_list import VmState as VmState
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_attempt.py
@@ -0,0 +1,245 @@
+"""One send of a call to one upstream, and what is certain about its fate."""
+
+import enum
+from collections.abc import AsyncIterator, Callable
+from typing import NamedTuple, TypeAlias
+
+import anyio
+
+from cowslippond_core._clock import Clock, Millis, seconds_of
+from cowslippond_core._connection import Connection
+from cowslippond_core._exchange import Exchange, ExchangeFault
+from cowslippond_core._framing import encode_head, end_to_end, is_chunked
+from cowslippond_core._headers import (
+    NOT_RUN,
+    NOT_RUN_DRAINING,
+    NOT_RUN_SHED,
+)
+from cowslippond_core._messages import (
+    CallAnswer,
+    CallRequest,
+    TruncatedAnswerError,
+)
+from cowslippond_core._upstreams import Upstream
+
+_UNAVAILABLE_STATUS = 503
+_NOT_RUN = NOT_RUN.encode()
+_PROMISES = frozenset((NOT_RUN_SHED.encode(), NOT_RUN_DRAINING.encode()))
+_HEAD_METHOD = b'HEAD'
+
+# A larger body is sent while the answer may already arrive.
+_INLINE_BODY_BYTES = 16384
+
+#: How long an upstream may stay silent in the middle of an answer after the
+#: caller's deadline, in milliseconds.
+BODY_SILENCE: Millis = 5000
+
+
+class NotRunReason(enum.StrEnum):
+    """Why it is certain that an upstream did not run a call."""
+
+    CONNECT_FAILED = 'connect_failed'
+    SHED = NOT_RUN_SHED
+    DRAINING = NOT_RUN_DRAINING
+
+
+class Answered(NamedTuple):
+    """The upstream answered."""
+
+    answer: CallAnswer
+
+
+class NotRun(NamedTuple):
+    """The upstream did not run the call and never will."""
+
+    reason: NotRunReason
+
+
+class Lost(NamedTuple):
+    """The upstream may have run the call, but its answer will not come."""
+
+    fault: ExchangeFault
+
+
+AttemptResult: TypeAlias = Answered | NotRun | Lost
+
+
+class AnswerChunks:
+    """The body of an answer, taken by the caller as it arrives.
+
+    :param attempt: the send whose answer it is.
+    """
+
+    def __init__(self, attempt: 'Attempt') -> None:
+        self.attempt = attempt
+
+    def __aiter__(self) -> 'AnswerChunks':
+        """Return the body itself."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Return the next bytes.
+
+        :raises TruncatedAnswerError: if the upstream breaks off.
+        """
+        attempt = self.attempt
+        exchange = attempt.exchange
+        chunk = await attempt.next_chunk()
+        if chunk:
+            return chunk
+        attempt.end()
+        if exchange.is_complete:
+            raise StopAsyncIteration
+        raise TruncatedAnswerError(attempt.upstream.address)
+
+    async def aclose(self) -> None:
+        """Stop taking the body; what still runs is cancelled."""
+        self.attempt.end()
+
+
+class Attempt:
+    """One send of a call to one upstream.
+
+    :param upstream: where it goes.
+    :param request: the call.
+    :param number: the value of the ``x-attempt`` header.
+    :param clock: bounds the waits.
+    """
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        request: CallRequest,
+        number: int,
+        clock: Clock,
+    ) -> None:
+        self.upstream = upstream
+        self.request = request
+        self.number = number
+        self.clock = clock
+        self.sent_at: Millis = clock.now()
+        self.connection: Connection | None = None
+        self.is_reused = False
+        self.is_ended = False
+        self.on_end: Callable[[], None] | None = None
+        self.exchange = Exchange(is_head=request.method == _HEAD_METHOD)
+        upstream.in_flight += 1
+
+    async def start(self) -> NotRun | None:
+        """Send the call; return why it was certainly not run, if it wasn't."""
+        request = self.request
+        try:
+            taken = await self.upstream.connections.take(
+                is_fresh=not request.is_idempotent
+            )
+        except BaseException:
+            self.end()
+            raise
+        if taken.is_error():
+            self.end()
+            return NotRun(NotRunReason.CONNECT_FAILED)
+        connection = taken.ok
+        self.connection = connection
+        self.is_reused = connection.calls > 0
+        connection.begin(self.exchange)
+        try:
+            await self._send(connection)
+        except BaseException:
+            self.end()
+            raise
+        return None
+
+    async def wait(self, until: Millis) -> AttemptResult | None:
+        """Wait for the answer's headers.
+
+        :param until: when to stop waiting, on the clock, in milliseconds.
+        :return: the result, or ``None`` if it is still open.
+        """
+        span = until - self.clock.now()
+        with anyio.move_on_after(seconds_of(max(span, 0))):
+            await self.exchange.wait_head()
+        if self.exchange.is_headed:
+            return self._read_head()
+        if self.exchange.fault is not None:
+            self.end()
+            return Lost(self.exchange.fault)
+        return None
+
+    async def next_chunk(self) -> bytes:
+        """Return the next bytes of the answer's body; none at its end."""
+        exchange = self.exchange
+        if exchange.chunks or exchange.is_complete:
+            return await exchange.next_chunk()
+        silence = max(self.request.deadline - self.clock.now(), BODY_SILENCE)
+        try:
+            with anyio.fail_after(seconds_of(silence)):
+                return await exchange.next_chunk()
+        except TimeoutError:
+            exchange.lose(ExchangeFault.TIMEOUT)
+        except BaseException:
+            self.end()
+            raise
+        return b''
+
+    def end(self) -> None:
+        """Free the connection; one whose answer is not whole is closed."""
+        if self.is_ended:
+            return
+        self.is_ended = True
+        self.upstream.in_flight -= 1
+        if self.connection is not None and self.connection.end_call():
+            self.upstream.connections.give_back(self.connection)
+        if self.on_end is not None:
+            self.on_end()
+
+    def when_ended(self, callback: Callable[[], None]) -> None:
+        """Call back once, when the answer is whole or given up."""
+        if self.is_ended:
+            callback()
+            return
+        self.on_end = callback
+
+    async def _send(self, connection: Connection) -> None:
+        request = self.request
+        self.sent_at = self.clock.now()
+        remaining = request.deadline - self.sent_at
+        head = encode_head(request, remaining, self.number)
+        if request.rest is None and len(request.body) <= _INLINE_BODY_BYTES:
+            await connection.send(head + request.body)
+            return
+        await connection.send(head)
+        connection.send_rest(
+            self.upstream.connections.tasks,
+            _whole_body(request),
+            is_chunked=is_chunked(request),
+        )
+
+    def _read_head(self) -> Answered | NotRun:
+        exchange = self.exchange
+        promise = _not_run_promise(exchange)
+        if promise is not None:
+            self.end()
+            return NotRun(promise)
+        if exchange.is_complete:
+            self.end()
+        headers = end_to_end(exchange.headers)
+        return Answered(
+            CallAnswer(exchange.status, headers, AnswerChunks(self))
+        )
+
+
+def _not_run_promise(exchange: Exchange) -> NotRunReason | None:
+    if exchange.status != _UNAVAILABLE_STATUS:
+        return None
+    for name, text in exchange.headers:
+        if name == _NOT_RUN and text in _PROMISES:
+            return NotRunReason(text.decode())
+    return None
+
+
+async def _whole_body(request: CallRequest) -> AsyncIterator[bytes]:
+    yield request.body
+    if request.rest is None:
+        return
+    async for part in request.rest:
+        yield part
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_connection.py
@@ -0,0 +1,151 @@
+"""One connection to an upstream, read by a task of its own."""
+
+import contextlib
+import logging
+import select
+from collections.abc import AsyncIterator, Callable
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+
+from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._exchange import Exchange, ExchangeFault
+from cowslippond_core._framing import encode_chunk
+
+_logger = logging.getLogger(__name__)
+
+_READ_SIZE = 65536
+_LOST = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+)
+
+
+class Connection:
+    """A connection that carries one call at a time.
+
+    Its task reads all the time, so that bytes or an end that arrive while no
+    call is under way close it.
+
+    :param stream: the open stream.
+    :param clock: tells the connection's age.
+    """
+
+    def __init__(self, stream: SocketStream, clock: Clock) -> None:
+        self.stream = stream
+        self.clock = clock
+        self.opened_at: Millis = clock.now()
+        self.received_at: Millis = self.opened_at
+        self.idle_since: Millis = self.opened_at
+        self.calls = 0
+        self.exchange: Exchange | None = None
+        self.is_closed = False
+        self.is_sending = False
+        self.is_suspect = False
+        self.scope = anyio.CancelScope()
+        self.pump_scope = anyio.CancelScope()
+
+    async def run(self, on_closed: Callable[['Connection'], None]) -> None:
+        """Read until the connection ends.
+
+        :param on_closed: called once, when it has ended.
+        """
+        with contextlib.ExitStack() as at_end:
+            at_end.callback(on_closed, self)
+            at_end.callback(self._finish)
+            async with self.stream:
+                with self.scope:
+                    await self._read()
+
+    def begin(self, exchange: Exchange) -> None:
+        """Start a call, whose answer goes to ``exchange``."""
+        self.calls += 1
+        self.exchange = exchange
+
+    async def send(self, sent: bytes) -> None:
+        """Send bytes of the call.
+
+        A broken connection is not reported here but by its reading task, which
+        may still hold the upstream's answer.
+        """
+        try:
+            await self.stream.send(sent)
+        except _LOST:
+            return
+
+    def send_rest(
+        self, tasks: TaskGroup, rest: AsyncIterator[bytes], *, is_chunked: bool
+    ) -> None:
+        """Send the rest of a body while the answer may already arrive.
+
+        :param rest: the parts of the body.
+        :param is_chunked: whether each part is framed as a chunk.
+        """
+        self.is_sending = True
+        tasks.start_soon(self._pump, rest, is_chunked)
+
+    def end_call(self) -> bool:
+        """End the call under way; tell whether another one may follow."""
+        exchange = self.exchange
+        self.exchange = None
+        if self.is_sending or exchange is None or not exchange.is_complete:
+            self.close()
+        elif not exchange.is_reusable:
+            self.close()
+        return not self.is_closed
+
+    def is_quiet(self) -> bool:
+        """Tell whether nothing waits to be read."""
+        poll = select.poll()
+        poll.register(self.stream.extra(SocketAttribute.raw_socket))
+        return not any(
+            event & (select.POLLIN | select.POLLHUP | select.POLLERR)
+            for _, event in poll.poll(0)
+        )
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._finish()
+        self.scope.cancel()
+
+    def _finish(self) -> None:
+        self.is_closed = True
+        self.pump_scope.cancel()
+        if self.exchange is not None:
+            self.exchange.lose(ExchangeFault.CLOSED)
+
+    async def _read(self) -> None:
+        while not self.is_closed:
+            try:
+                received = await self.stream.receive(_READ_SIZE)
+            except _LOST:
+                return
+            self.received_at = self.clock.now()
+            if self.exchange is None:
+                return
+            exchange = self.exchange
+            exchange.feed(received)
+            if exchange.fault is not None:
+                return
+            await exchange.wait_room()
+
+    async def _pump(self, rest: AsyncIterator[bytes], is_chunked: bool) -> None:
+        with self.pump_scope:
+            try:
+                await self._send_parts(rest, is_chunked)
+            except Exception:
+                _logger.info('a caller broke off its body', exc_info=True)
+        if self.is_sending:
+            self.close()
+
+    async def _send_parts(
+        self, rest: AsyncIterator[bytes], is_chunked: bool
+    ) -> None:
+        async for part in rest:
+            if part:
+                await self.send(encode_chunk(part) if is_chunked else part)
+        if is_chunked:
+            await self.send(encode_chunk(b''))
+        self.is_sending = False
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_connections.py
@@ -0,0 +1,136 @@
+"""The connections of this process to one upstream."""
+
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import SocketStream, TaskGroup
+from expression import Error, Ok, Result
+
+from cowslippond_core._clock import Clock, Millis, seconds_of
+from cowslippond_core._connection import Connection
+
+#: The longest wait for a new connection, in milliseconds.
+CONNECT_TIMEOUT: Millis = 250
+
+#: How long a connection may stay idle, in milliseconds.
+IDLE_EXPIRY: Millis = 4000
+
+
+class Connections:
+    """Open, keep and close the connections to one upstream.
+
+    :param address: ``host:port`` of the upstream.
+    :param tasks: runs the reading task of each connection.
+    :param clock: tells idle times.
+    :param limit: the most connections that this process may have open.
+    """
+
+    def __init__(
+        self, address: str, tasks: TaskGroup, clock: Clock, limit: int
+    ) -> None:
+        self.address = address
+        self.tasks = tasks
+        self.clock = clock
+        self.limit = limit
+        self.open: set[Connection] = set()
+        self.idle: list[Connection] = []
+        self.opening = 0
+
+    def has_room(self) -> bool:
+        """Tell whether one more call can have a connection."""
+        busy = len(self.open) - len(self.idle)
+        return busy + self.opening < self.limit
+
+    async def take(self, *, is_fresh: bool) -> Result[Connection, str]:
+        """Return a connection for one call, or why there is none.
+
+        :param is_fresh: whether the connection must not have carried a call.
+        """
+        if not is_fresh:
+            await anyio.lowlevel.checkpoint()
+            reused = self._take_idle()
+            if reused is not None:
+                return Ok(reused)
+        self._make_room()
+        return await self._connect()
+
+    def give_back(self, connection: Connection) -> None:
+        """Keep a connection whose call has ended for the next call."""
+        if connection.is_suspect:
+            connection.close()
+        if not connection.is_closed:
+            connection.idle_since = self.clock.now()
+            self.idle.append(connection)
+
+    def suspect_silent(self, since: Millis) -> None:
+        """Stop using connections that have brought nothing since a time.
+
+        Idle ones are closed at once, busy ones when their call has ended.
+
+        :param since: on the clock, in milliseconds.
+        """
+        for connection in self.open:
+            if connection.received_at < since:
+                connection.is_suspect = True
+        self._close_idle(_is_suspect)
+
+    def expire(self) -> None:
+        """Close the connections that have been idle for too long."""
+        oldest = self.clock.now() - IDLE_EXPIRY
+        self._close_idle(lambda idle: idle.idle_since < oldest)
+
+    def close_idle(self) -> None:
+        """Close all connections that carry no call."""
+        self._close_idle(lambda _: True)
+
+    def _take_idle(self) -> Connection | None:
+        oldest = self.clock.now() - IDLE_EXPIRY
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_closed:
+                continue
+            if connection.idle_since >= oldest and connection.is_quiet():
+                return connection
+            connection.close()
+        return None
+
+    def _make_room(self) -> None:
+        if self.idle and len(self.open) + self.opening >= self.limit:
+            self.idle.pop(0).close()
+
+    async def _connect(self) -> Result[Connection, str]:
+        self.opening += 1
+        try:
+            stream = await _open_stream(self.address)
+        except (OSError, TimeoutError) as refused:
+            return Error(repr(refused))
+        finally:
+            self.opening -= 1
+        connection = Connection(stream, self.clock)
+        self.open.add(connection)
+        self.tasks.start_soon(connection.run, self._forget)
+        return Ok(connection)
+
+    def _forget(self, connection: Connection) -> None:
+        self.open.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def _close_idle(self, is_wanted: Callable[[Connection], bool]) -> None:
+        kept = []
+        for connection in self.idle:
+            if is_wanted(connection):
+                connection.close()
+                continue
+            kept.append(connection)
+        self.idle = kept
+
+
+def _is_suspect(connection: Connection) -> bool:
+    return connection.is_suspect
+
+
+async def _open_stream(address: str) -> SocketStream:
+    host, _, port = address.rpartition(':')
+    with anyio.fail_after(seconds_of(CONNECT_TIMEOUT)):
+        return await anyio.connect_tcp(host.strip('[]'), int(port))
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_framing.py
@@ -0,0 +1,93 @@
+"""What of a call and of its answer is passed on, and how a call is framed."""
+
+from collections.abc import Iterable
+
+from cowslippond_core._clock import Millis
+from cowslippond_core._headers import ATTEMPT, DEADLINE
+from cowslippond_core._messages import CallRequest, HeaderList
+
+_HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'expect',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+_CONNECTION = b'connection'
+_CONTENT_LENGTH = b'content-length'
+_DEADLINE = DEADLINE.encode()
+_ATTEMPT = ATTEMPT.encode()
+_OWN_REQUEST_HEADERS = frozenset((_CONTENT_LENGTH, _DEADLINE, _ATTEMPT))
+_BODILESS_METHODS = frozenset((b'GET', b'HEAD', b'OPTIONS', b'DELETE'))
+
+
+def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> HeaderList:
+    """Return the headers that are meant for the other end of the call.
+
+    Those that concern one connection only are left out, and so are those that
+    the ``connection`` header names.
+    """
+    kept = []
+    named: set[bytes] = set()
+    for name, text in headers:
+        lower = name.lower()
+        if lower == _CONNECTION:
+            named.update(part.strip().lower() for part in text.split(b','))
+        if lower not in _HOP_BY_HOP:
+            kept.append((lower, text))
+    if not named:
+        return tuple(kept)
+    return tuple(header for header in kept if header[0] not in named)
+
+
+def content_length(headers: HeaderList) -> int | None:
+    """Return the stated length of a body in bytes, if it is stated."""
+    for name, text in headers:
+        if name.lower() == _CONTENT_LENGTH:
+            return int(text)
+    return None
+
+
+def is_chunked(request: CallRequest) -> bool:
+    """Tell whether the call's body is sent in chunks of its own framing."""
+    return request.rest is not None and content_length(request.headers) is None
+
+
+def encode_head(request: CallRequest, remaining: Millis, attempt: int) -> bytes:
+    """Return a call's request line and headers as they go to an upstream.
+
+    :param remaining: how long the caller still waits, in milliseconds.
+    :param attempt: the value of the ``x-attempt`` header.
+    """
+    lines = [b'%b %b HTTP/1.1\r\n' % (request.method, request.target)]
+    for name, text in end_to_end(request.headers):
+        if name not in _OWN_REQUEST_HEADERS:
+            lines.append(b'%b: %b\r\n' % (name, text))
+    lines.append(b'%b: %d\r\n' % (_DEADLINE, max(remaining, 0)))
+    lines.append(b'%b: %d\r\n' % (_ATTEMPT, attempt))
+    lines.append(_encode_framing(request))
+    lines.append(b'\r\n')
+    return b''.join(lines)
+
+
+def encode_chunk(chunk: bytes) -> bytes:
+    """Return a part of a body in chunked framing; an empty one ends it."""
+    return b'%x\r\n%b\r\n' % (len(chunk), chunk)
+
+
+def _encode_framing(request: CallRequest) -> bytes:
+    if is_chunked(request):
+        return b'transfer-encoding: chunked\r\n'
+    length: int | None = len(request.body)
+    if request.rest is not None:
+        length = content_length(request.headers)
+    if not length and request.method in _BODILESS_METHODS:
+        return b''
+    return b'content-length: %d\r\n' % (length or 0)
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_routing.py
@@ -0,0 +1,77 @@
+"""The choice of the upstream that a call is sent to."""
+
+import random
+from collections.abc import Sequence
+from functools import singledispatch
+from typing import NamedTuple
+
+from cowslippond_core._upstreams import Upstream
+
+
+class LeastInFlight(NamedTuple):
+    """Choose the upstream with the fewest calls of this process."""
+
+
+class RandomChoice(NamedTuple):
+    """Choose any upstream."""
+
+
+class TwoChoices(NamedTuple):
+    """Choose the better of two upstreams drawn at random."""
+
+
+class RoundRobin(NamedTuple):
+    """Choose the upstream that was chosen longest ago."""
+
+
+@singledispatch
+def pick(
+    policy: object, candidates: Sequence[Upstream], rng: random.Random
+) -> Upstream:
+    """Return the upstream to send to.
+
+    :param policy: how to choose.
+    :param candidates: at least one.
+    :param rng: breaks ties.
+    """
+    raise TypeError(f'{policy!r} is no routing policy')
+
+
+@pick.register
+def _pick_least(
+    policy: LeastInFlight, candidates: Sequence[Upstream], rng: random.Random
+) -> Upstream:
+    fewest = min(upstream.in_flight for upstream in candidates)
+    return rng.choice(
+        [upstream for upstream in candidates if upstream.in_flight == fewest]
+    )
+
+
+@pick.register
+def _pick_random(
+    policy: RandomChoice, candidates: Sequence[Upstream], rng: random.Random
+) -> Upstream:
+    return rng.choice(candidates)
+
+
+@pick.register
+def _pick_two(
+    policy: TwoChoices, candidates: Sequence[Upstream], rng: random.Random
+) -> Upstream:
+    drawn = rng.sample(candidates, min(2, len(candidates)))
+    return min(drawn, key=_in_flight)
+
+
+@pick.register
+def _pick_round_robin(
+    policy: RoundRobin, candidates: Sequence[Upstream], rng: random.Random
+) -> Upstream:
+    return min(candidates, key=_last_chosen)
+
+
+def _in_flight(upstream: Upstream) -> int:
+    return upstream.in_flight
+
+
+def _last_chosen(upstream: Upstream) -> float:
+    return upstream.chosen_at
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_service_state.py
@@ -0,0 +1,74 @@
+"""What a daemon keeps for each service while calls pass."""
+
+from collections.abc import Iterable
+
+from anyio.abc import TaskGroup
+
+from cowslippond_core._clock import Clock
+from cowslippond_core._document import ServiceDocument
+from cowslippond_core._limits import Limiter
+from cowslippond_core._upstreams import UpstreamSet
+from cowslippond_core._vm_list import Vm
+
+_MAX_TOKENS = 10.0
+
+
+class RetryTokens:
+    """Allow repeated sends as a share of first sends.
+
+    :param share: repeated sends for each first send.
+    """
+
+    def __init__(self, share: float) -> None:
+        self.share = share
+        self.tokens = _MAX_TOKENS
+
+    def note_call(self) -> None:
+        """Count a first send."""
+        self.tokens = min(self.tokens + self.share, _MAX_TOKENS)
+
+    def take(self) -> bool:
+        """Take the right to one repeated send, if there is one."""
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class ServiceState:
+    """The state of one service: document, upstreams, limits and budgets.
+
+    :param document: the version in force.
+    :param tasks: a task group that outlives the service; it runs the
+        connections' reading tasks.
+    :param clock: the process's clock.
+    :param daemons: by how many daemons an upstream's connections are shared.
+    """
+
+    def __init__(
+        self,
+        document: ServiceDocument,
+        tasks: TaskGroup,
+        clock: Clock,
+        daemons: int,
+    ) -> None:
+        self.document = document
+        self.daemons = daemons
+        self.limiter = Limiter(document.limits, clock)
+        self.budget = RetryTokens(document.retries.share_of_calls)
+        self.upstreams = UpstreamSet(tasks, clock, self._connection_limit())
+
+    def replace_document(self, document: ServiceDocument) -> None:
+        """Put a newer version in force; calls under way are kept."""
+        self.document = document
+        self.budget.share = document.retries.share_of_calls
+        self.limiter.policy = document.limits
+        self.upstreams.limit_connections(self._connection_limit())
+
+    def update_upstreams(self, vms: Iterable[Vm]) -> None:
+        """Take over the VM list; entries of other services are left out."""
+        service = self.document.service
+        self.upstreams.update(vm for vm in vms if vm.service == service)
+
+    def _connection_limit(self) -> int:
+        return max(self.document.upstreams.max_connections // self.daemons, 1)
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -0,0 +1,105 @@
+"""The upstreams of a service, as one daemon sees them."""
+
+from collections.abc import Iterable
+
+from anyio.abc import TaskGroup
+
+from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._connections import Connections
+from cowslippond_core._vm_list import Vm, VmState
+
+_LATENCY_WEIGHT = 0.2
+
+
+class Upstream:
+    """One upstream VM and what this daemon has seen of it.
+
+    ``latency`` is a moving average in milliseconds; ``reported_in_flight`` is
+    the upstream's own, late report.
+
+    :param vm: the entry of the VM list.
+    :param connections: the connections to it.
+    :param now: when it was first seen, in milliseconds.
+    """
+
+    def __init__(self, vm: Vm, connections: Connections, now: Millis) -> None:
+        self.vm = vm
+        self.address = vm.address
+        self.failure_domain = vm.failure_domain
+        self.connections = connections
+        self.first_seen_at: Millis = now
+        self.chosen_at: Millis = 0
+        self.in_flight = 0
+        self.latency: Millis = 0
+        self.answers = 0
+        self.failures_in_row = 0
+        self.ejections = 0
+        self.ejected_until: Millis = 0
+        self.full_until: Millis = 0
+        self.reported_in_flight: float = 0
+        self.is_removed = False
+
+    def note_latency(self, latency: Millis) -> None:
+        """Take the time of a good answer into the moving average."""
+        self.answers += 1
+        self.failures_in_row = 0
+        if self.answers == 1:
+            self.latency = latency
+            return
+        self.latency += _LATENCY_WEIGHT * (latency - self.latency)
+
+
+class UpstreamSet:
+    """The upstreams of one service, kept up with the VM list.
+
+    :param tasks: runs the connections' reading tasks.
+    :param clock: tells when an upstream was first seen.
+    :param connection_limit: the most connections to one upstream.
+    """
+
+    def __init__(
+        self, tasks: TaskGroup, clock: Clock, connection_limit: int
+    ) -> None:
+        self.tasks = tasks
+        self.clock = clock
+        self.connection_limit = connection_limit
+        self.by_address: dict[str, Upstream] = {}
+
+    def update(self, vms: Iterable[Vm]) -> None:
+        """Take over the VM list's live and leaving upstreams of the service.
+
+        An address that comes back with another incarnation is a new upstream.
+
+        :param vms: the entries of this service only.
+        """
+        known = self.by_address
+        self.by_address = {}
+        for vm in vms:
+            if vm.state is not VmState.LIVE:
+                continue
+            upstream = known.pop(vm.address, None)
+            if upstream and upstream.vm.incarnation == vm.incarnation:
+                self.by_address[vm.address] = upstream
+                continue
+            if upstream is not None:
+                _retire(upstream)
+            self.by_address[vm.address] = self._make(vm)
+        for gone in known.values():
+            _retire(gone)
+
+    def limit_connections(self, limit: int) -> None:
+        """Change the most connections to one upstream."""
+        self.connection_limit = limit
+        for upstream in self.by_address.values():
+            upstream.connections.limit = limit
+
+    def _make(self, vm: Vm) -> Upstream:
+        connections = Connections(
+            vm.address, self.tasks, self.clock, self.connection_limit
+        )
+        return Upstream(vm, connections, self.clock.now())
+
+
+def _retire(upstream: Upstream) -> None:
+    upstream.is_removed = True
+    upstream.connections.close_idle()
