--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -43,6 +43,7 @@
 from cowslippond_core._fingerprint import (
     fingerprint_request as fingerprint_request,
 )
+from cowslippond_core._messages import AnswerChunks as AnswerChunks
 from cowslippond_core._messages import CallAnswer as CallAnswer
 from cowslippond_core._messages import CallRefusal as CallRefusal
 from cowslippond_core._messages import CallRequest as CallRequest
@@ -58,10 +59,10 @@
 from cowslippond_core._quarantine import Quarantine as Quarantine
 from cowslippond_core._reasons import RefusalReason as RefusalReason
 from cowslippond_core._reasons import RetryReason as RetryReason
-from cowslippond_core._suspects import CrashMark as CrashMark
-from cowslippond_core._suspects import Suspect as Suspect
 from cowslippond_core._sender import Sender as Sender
 from cowslippond_core._service_state import ServiceState as ServiceState
+from cowslippond_core._suspects import CrashMark as CrashMark
+from cowslippond_core._suspects import Suspect as Suspect
 from cowslippond_core._table import Condition as Condition
 from cowslippond_core._table import ItemKey as ItemKey
 from cowslippond_core._table import Put as Put
--- a/packages/cowslippond-core/src/cowslippond_core/_claim_flow.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_claim_flow.py
@@ -1,6 +1,6 @@
 """The way of a keyed call: claim it, send it once, settle its claim."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, ExitStack
 from typing import NamedTuple, Protocol, TypeAlias, runtime_checkable
 
@@ -28,6 +28,7 @@
 from cowslippond_core._claims import Claims
 from cowslippond_core._clock import Clock, seconds_of
 from cowslippond_core._messages import (
+    AnswerChunks,
     CallAnswer,
     CallRequest,
     Outcome,
@@ -155,8 +156,8 @@
 
 
 async def _resume(
-    first: bytes, rest: AsyncIterator[bytes]
-) -> AsyncIterator[bytes]:
+    first: bytes, rest: AnswerChunks
+) -> AsyncGenerator[bytes, None]:
     async with AsyncExitStack() as closing:
         closing.push_async_callback(_close, rest)
         yield first
--- a/packages/cowslippond-core/src/cowslippond_core/_messages.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_messages.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections.abc import AsyncIterator
-from typing import NamedTuple, TypeAlias
+from typing import NamedTuple, Protocol, TypeAlias
 
 from cowslippond_core._clock import Millis
 from cowslippond_core._reasons import RefusalReason
@@ -10,6 +10,13 @@
 HeaderList: TypeAlias = tuple[tuple[bytes, bytes], ...]
 
 
+class AnswerChunks(AsyncIterator[bytes], Protocol):
+    """The body of an answer; closing it cancels what still runs."""
+
+    async def aclose(self) -> None:
+        """Give up the rest of the body."""
+
+
 class Outcome(enum.StrEnum):
     """What is certain about a call that has no answer of an upstream.
 
@@ -52,7 +59,7 @@
 
     status: int
     headers: HeaderList
-    chunks: AsyncIterator[bytes]
+    chunks: AnswerChunks
 
 
 class CallRefusal(NamedTuple):
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
@@ -59,7 +59,7 @@
         self.parts = parts
         self.count_refusal = count_refusal
 
-    async def handle(self, call: IncomingCall) -> CallAnswer | CallRefusal:
+    async def decide(self, call: IncomingCall) -> CallAnswer | CallRefusal:
         """Return the answer of an upstream, or a refusal."""
         host = (call.header(b'host') or b'').decode('latin-1')
         in_force = self.parts.catalogue.find(host, call.path)
@@ -86,9 +86,7 @@
         if in_force is None:
             return _refuse(RefusalReason.NO_SERVICE)
         request = self._make_request(call, in_force)
-        suspect = self.parts.quarantine.check(
-            request.fingerprint, self.parts.clock.now()
-        )
+        suspect = self.parts.quarantine.check(request.fingerprint)
         if suspect is not None:
             return suspect
         return await self._run(call, in_force, request)
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
@@ -1,8 +1,17 @@
 """The caller-facing edge: reads calls and writes answers over ASGI."""
 
+import contextlib
+import http
 import logging
 import uuid
-from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterator,
+    MutableMapping,
+)
+from types import MappingProxyType
 from typing import Any, NamedTuple, Protocol, TypeAlias
 
 import anyio
@@ -21,6 +30,7 @@
 
 _log = logging.getLogger(__name__)
 
+_OUTCOME = b'x-outcome'
 _KEPT_BODY_BYTES = 65536
 _MILLIS_PER_SECOND = 1000
 _DROPPED_HEADERS = frozenset(
@@ -34,17 +44,21 @@
         b'trailer',
     )
 )
-_STATUS_OF_REASON = {
-    RefusalReason.NO_SERVICE: 404,
-    RefusalReason.BAD_REQUEST: 400,
-    RefusalReason.KEY_REUSED: 422,
-    RefusalReason.KEY_IN_PROGRESS: 409,
-}
-_STATUS_OF_OUTCOME = {
-    Outcome.NOT_RUN: 503,
-    Outcome.FAILED: 502,
-    Outcome.UNKNOWN: 504,
-}
+_STATUS_OF_REASON = MappingProxyType(
+    {
+        RefusalReason.NO_SERVICE: http.HTTPStatus.NOT_FOUND,
+        RefusalReason.BAD_REQUEST: http.HTTPStatus.BAD_REQUEST,
+        RefusalReason.KEY_REUSED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
+        RefusalReason.KEY_IN_PROGRESS: http.HTTPStatus.CONFLICT,
+    }
+)
+_STATUS_OF_OUTCOME = MappingProxyType(
+    {
+        Outcome.NOT_RUN: http.HTTPStatus.SERVICE_UNAVAILABLE,
+        Outcome.FAILED: http.HTTPStatus.BAD_GATEWAY,
+        Outcome.UNKNOWN: http.HTTPStatus.GATEWAY_TIMEOUT,
+    }
+)
 
 
 class IncomingCall(NamedTuple):
@@ -73,23 +87,23 @@
         return None
 
 
-class CallHandler(Protocol):
+class CallDecider(Protocol):
     """Whatever decides on a call."""
 
-    async def handle(self, call: IncomingCall) -> CallAnswer | CallRefusal:
+    async def decide(self, call: IncomingCall) -> CallAnswer | CallRefusal:
         """Return the answer of an upstream, or a refusal."""
 
 
 class Edge:
     """The ASGI application that callers talk to.
 
-    :param handler: decides on each call.
+    :param router: decides on each call.
     :param keep_alive_seconds: how long an idle connection stays open at least,
         announced to callers.
     """
 
-    def __init__(self, handler: CallHandler, keep_alive_seconds: int) -> None:
-        self.handler = handler
+    def __init__(self, router: CallDecider, keep_alive_seconds: int) -> None:
+        self.router = router
         self.is_leaving = False
         self.running = 0
         self.keep_alive = b'timeout=%d' % keep_alive_seconds
@@ -100,11 +114,18 @@
         """Serve one call."""
         if scope['type'] != 'http':
             return
-        self.running += 1
-        try:
+        with self._counted():
             await self._serve(scope, receive, send)
-        finally:
-            self.running -= 1
+
+    @contextlib.contextmanager
+    def _counted(self) -> Iterator[None]:
+        self.running += 1
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._end_call)
+            yield
+
+    def _end_call(self) -> None:
+        self.running -= 1
 
     async def _serve(
         self, scope: Message, receive: Receive, send: Send
@@ -135,16 +156,12 @@
             _log.info('caller left', extra={'request_id': call.request_id})
 
     async def _answer(self, call: IncomingCall, send: Send) -> None:
-        reply = await self.handler.handle(call)
+        reply = await self.router.decide(call)
         if isinstance(reply, CallRefusal):
             await self._send_refusal(call, reply, send)
             return
-        try:
+        async with contextlib.aclosing(reply.chunks):
             await self._send_answer(call, reply, send)
-        finally:
-            close = getattr(reply.chunks, 'aclose', None)
-            if close is not None:
-                await close()
 
     async def _send_answer(
         self, call: IncomingCall, reply: CallAnswer, send: Send
@@ -177,7 +194,7 @@
         headers = (
             (b'content-type', b'text/plain'),
             (b'content-length', b'%d' % len(text)),
-            (b'x-outcome', refusal.outcome.encode()),
+            (_OUTCOME, refusal.outcome.encode()),
             (b'x-reason', refusal.reason.encode()),
             (b'retry-after', b'%d' % seconds),
         )
@@ -262,6 +279,17 @@
     return call._replace(request_id=request_id)
 
 
+def _mark_failure(status: int, headers: HeaderList) -> HeaderList:
+    """Return the headers of an upstream's answer with its true outcome.
+
+    An upstream that answered ran the call, whatever it claims itself.
+    """
+    kept = tuple(pair for pair in headers if pair[0].lower() != _OUTCOME)
+    if status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
+        return kept
+    return (*kept, (_OUTCOME, Outcome.FAILED.encode()))
+
+
 async def _cancel_on_disconnect(
     receive: Receive, scope: anyio.CancelScope
 ) -> None:
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_logs.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_logs.py
@@ -33,10 +33,10 @@
     :param log_format: ``json`` or ``text``.
     :param level: the lowest level to show, such as ``info``.
     """
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(_make_formatter(log_format))
+    stream = logging.StreamHandler(sys.stderr)
+    stream.setFormatter(_make_formatter(log_format))
     root = logging.getLogger()
-    root.handlers = [handler]
+    root.handlers = [stream]
     root.setLevel(level.upper())
     for name in _QUIET_LOGGERS:
         logging.getLogger(name).setLevel(logging.CRITICAL)
