--- /dev/null
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Run the daemon by ``python -m cowslippond_daemon``."""
+
+from cowslippond_daemon._program import main
+
+main()
--- /dev/null
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_program.py
@@ -0,0 +1,82 @@
+"""The command line of the daemon."""
+
+import os
+import pathlib
+import sys
+
+import anyio
+import defopt
+from cowslippond_core import (
+    Finding,
+    Settings,
+    format_finding,
+    read_settings,
+)
+from expression import Result
+
+from cowslippond_daemon._daemon import Daemon
+from cowslippond_daemon._logs import configure_logs
+
+#: The exit code for settings that cannot be used.
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> None:
+    """Run the ``cowslippond`` command."""
+    sys.exit(defopt.run(_run))
+
+
+def _run(
+    *,
+    settings: pathlib.Path,
+    check: bool = False,
+    vm: str | None = None,
+    failure_domain: str | None = None,
+    caller_address: str | None = None,
+    admin_address: str | None = None,
+    peer_address: str | None = None,
+) -> int:
+    """Balance the load of the services in force.
+
+    :param settings: file of settings, JSON with comments.
+    :param check: check the settings, print the findings and stop.
+    :param vm: name of this VM, in place of the one in the file.
+    :param failure_domain: where this VM stands, in place of the file's.
+    :param caller_address: address for callers, in place of the file's.
+    :param admin_address: address for health checks and status, in place of
+        the file's.
+    :param peer_address: address for other daemons, in place of the file's.
+    """
+    given = {
+        'vm': vm,
+        'failure_domain': failure_domain,
+        'caller_address': caller_address,
+        'admin_address': admin_address,
+        'peer_address': peer_address,
+    }
+    overrides = {name: text for name, text in given.items() if text}
+    match _read(settings):
+        case Result(tag='ok', ok=found):
+            if check:
+                return 0
+            return _serve(found._replace(**overrides))
+        case Result(error=findings):
+            for finding in findings:
+                sys.stderr.write(f'{format_finding(finding)}\n')
+    return EXIT_BAD_SETTINGS
+
+
+def _read(path: pathlib.Path) -> Result[Settings, tuple[Finding, ...]]:
+    try:
+        text = path.read_text(encoding='utf-8')
+    except OSError as failed:
+        sys.exit(f'{path}: {failed.strerror}')
+    return read_settings(text, str(path))
+
+
+def _serve(settings: Settings) -> int:
+    configure_logs(settings.log.format, settings.log.level)
+    # The event loop's library must not use io_uring.
+    os.environ['UV_USE_IO_URING'] = '0'
+    anyio.run(Daemon(settings).run, backend_options={'use_uvloop': True})
+    return 0
