--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -59,6 +59,11 @@
 from cowslippond_core._quarantine import Quarantine as Quarantine
 from cowslippond_core._reasons import RefusalReason as RefusalReason
 from cowslippond_core._reasons import RetryReason as RetryReason
+from cowslippond_core._settings import LogSettings as LogSettings
+from cowslippond_core._settings import PlatformSettings as PlatformSettings
+from cowslippond_core._settings import RetireSettings as RetireSettings
+from cowslippond_core._settings import Settings as Settings
+from cowslippond_core._settings import read_settings as read_settings
 from cowslippond_core._sender import Sender as Sender
 from cowslippond_core._service_state import ServiceState as ServiceState
 from cowslippond_core._suspects import CrashMark as CrashMark
