--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -1,5 +1,9 @@
 """Coordination parts of a load balancer whose nodes act together."""
 
+from cowslippond_core._catalogue import FRESHNESS_BOUND as FRESHNESS_BOUND
+from cowslippond_core._catalogue import Catalogue as Catalogue
+from cowslippond_core._catalogue import DocumentReader as DocumentReader
+from cowslippond_core._catalogue import InForce as InForce
 from cowslippond_core._catalogue_reader import read_changes as read_changes
 from cowslippond_core._catalogue_reader import read_document as read_document
 from cowslippond_core._catalogue_reader import read_documents as read_documents
@@ -23,6 +27,13 @@
 from cowslippond_core._findings import Finding as Finding
 from cowslippond_core._findings import Place as Place
 from cowslippond_core._findings import format_finding as format_finding
+from cowslippond_core._gossip_table import GossipRow as GossipRow
+from cowslippond_core._gossip_table import GossipTable as GossipTable
+from cowslippond_core._leaving import Leaving as Leaving
+from cowslippond_core._leaving import LeavingSource as LeavingSource
+from cowslippond_core._measuring import MeasuringAllowance as MeasuringAllowance
+from cowslippond_core._measuring import budget_of as budget_of
+from cowslippond_core._membership import Daemon as Daemon
 from cowslippond_core._messages import CallAnswer as CallAnswer
 from cowslippond_core._messages import CallRefusal as CallRefusal
 from cowslippond_core._messages import CallRequest as CallRequest
@@ -31,8 +42,15 @@
 from cowslippond_core._messages import (
     TruncatedAnswerError as TruncatedAnswerError,
 )
+from cowslippond_core._metrics import Metric as Metric
+from cowslippond_core._metrics import Metrics as Metrics
+from cowslippond_core._metrics import refusal_name as refusal_name
+from cowslippond_core._metrics import retry_name as retry_name
 from cowslippond_core._reasons import RefusalReason as RefusalReason
 from cowslippond_core._reasons import RetryReason as RetryReason
+from cowslippond_core._spread import Spread as Spread
+from cowslippond_core._spread import SpreadSettings as SpreadSettings
+from cowslippond_core._spread import SpreadStatus as SpreadStatus
 from cowslippond_core._table import Condition as Condition
 from cowslippond_core._table import ItemKey as ItemKey
 from cowslippond_core._table import Put as Put
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_catalogue.py
@@ -0,0 +1,220 @@
+"""The accepted documents that are in force, and how fresh they are."""
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, TypeAlias
+
+from expression import Result
+
+from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._document import AcceptedDocument, ServiceDocument
+from cowslippond_core._findings import Finding, format_finding
+
+#: The longest time a version is served after it was last known to be the
+#: newest, in milliseconds. It stays below the 9 s within which a change has
+#: to be in force everywhere.
+FRESHNESS_BOUND: Millis = 8000
+
+_ANY_HOST = '*'
+
+DocumentReader: TypeAlias = Callable[
+    [str, str], Result[ServiceDocument, tuple[Finding, ...]]
+]
+
+_logger = logging.getLogger(__name__)
+
+
+class InForce(NamedTuple):
+    """A version that is in force, as accepted and as read."""
+
+    accepted: AcceptedDocument
+    document: ServiceDocument
+
+
+class _Route(NamedTuple):
+    prefix: str
+    target: InForce
+
+
+class Catalogue:
+    """The newest known version of each service document.
+
+    Versions of a service only go up. ``revision`` is the revision up to which
+    no change of any service is missing; single documents may be newer.
+
+    :param clock: the clock of freshness.
+    :param read_document: reads a text; its second argument names the text in
+        findings.
+    """
+
+    def __init__(self, clock: Clock, read_document: DocumentReader) -> None:
+        self.clock = clock
+        self.read_document = read_document
+        self.revision = 0
+        self.confirmed_at: Millis | None = None
+        self.unreadable = 0
+        self.known: dict[str, AcceptedDocument] = {}
+        self.in_force: dict[str, InForce] = {}
+        self.routes: dict[str, tuple[_Route, ...]] = {}
+        self.listeners: list[Callable[[], None]] = []
+        self.bridges_outage: Callable[[Millis], bool] = _never
+
+    @property
+    def versions(self) -> dict[str, int]:
+        """The version in force of each service."""
+        return {
+            service: entry.accepted.version
+            for service, entry in self.in_force.items()
+        }
+
+    def offer(self, accepted: AcceptedDocument) -> bool:
+        """Put a version in force if it is newer than the known one.
+
+        A version that cannot be read is known from then on, so that it is
+        passed on and not fetched again, but the earlier one stays in force.
+
+        :returns: whether the version is now in force.
+        """
+        known = self.known.get(accepted.service)
+        if known is not None and known.version >= accepted.version:
+            return False
+        self.known[accepted.service] = accepted
+        if accepted.revision == self.revision + 1:
+            self.revision = accepted.revision
+        is_in_force = self._put_in_force(accepted)
+        self._notify()
+        return is_in_force
+
+    def advance(self, revision: int) -> None:
+        """Note that no change up to a revision is missing.
+
+        :param revision: ignored if it is not above the known one.
+        """
+        if revision <= self.revision:
+            return
+        self.revision = revision
+        self._notify()
+
+    def confirm(self, at: Millis, revision: int) -> None:
+        """Note that a revision was the newest at a time.
+
+        :param at: when the reading of the head began, in milliseconds on the
+            clock.
+        :param revision: the head revision that was read; one that is not the
+            catalogue's own confirms nothing.
+        """
+        if revision != self.revision:
+            return
+        if self.confirmed_at is None or self.confirmed_at < at:
+            self.confirmed_at = at
+
+    def is_fresh(self, now: Millis) -> bool:
+        """Return whether the versions in force may be served.
+
+        They may if they were lately the newest, or if ``bridges_outage``
+        holds, which is asked only after the newest was known at least once.
+
+        :param now: in milliseconds.
+        """
+        if self.confirmed_at is None:
+            return False
+        if now - self.confirmed_at <= FRESHNESS_BOUND:
+            return True
+        return self.bridges_outage(now)
+
+    def find(self, host: str, path: str) -> InForce | None:
+        """Return the service that a call belongs to.
+
+        The longest path prefix wins, ending at a segment of the path; at
+        equal length a named host goes before ``*``.
+
+        :param host: the host of the call, with or without its port.
+        :param path: the path of the call, with or without its query.
+        """
+        bare_path = path.partition('?')[0]
+        named = self._longest(_bare_host(host), bare_path)
+        wildcard = self._longest(_ANY_HOST, bare_path)
+        if named is None or wildcard is None:
+            best = named or wildcard
+        elif len(wildcard.prefix) > len(named.prefix):
+            best = wildcard
+        else:
+            best = named
+        return None if best is None else best.target
+
+    def newer_than(self, revision: int) -> list[AcceptedDocument]:
+        """Return the known documents above a revision, lowest first."""
+        newer = [
+            accepted
+            for accepted in self.known.values()
+            if accepted.revision > revision
+        ]
+        return sorted(newer, key=lambda accepted: accepted.revision)
+
+    def _put_in_force(self, accepted: AcceptedDocument) -> bool:
+        place = f'{accepted.service}@{accepted.version}'
+        match self.read_document(accepted.text, place):
+            case Result(tag='ok', ok=document):
+                self.in_force[accepted.service] = InForce(accepted, document)
+                self.routes = _build_routes(self.in_force.values())
+                return True
+            case Result(error=findings):
+                self.unreadable += 1
+                _log_unreadable(accepted, findings)
+        return False
+
+    def _longest(self, host: str, path: str) -> _Route | None:
+        for route in self.routes.get(host, ()):
+            if _has_prefix(path, route.prefix):
+                return route
+        return None
+
+    def _notify(self) -> None:
+        for listener in self.listeners:
+            listener()
+
+
+def _never(_: Millis) -> bool:
+    return False
+
+
+def _log_unreadable(
+    accepted: AcceptedDocument, findings: Iterable[Finding]
+) -> None:
+    _logger.error(
+        'accepted document cannot be read; the earlier version stays',
+        extra={
+            'service': accepted.service,
+            'version': accepted.version,
+            'findings': [format_finding(finding) for finding in findings],
+        },
+    )
+
+
+def _build_routes(
+    entries: Iterable[InForce],
+) -> dict[str, tuple[_Route, ...]]:
+    by_host: dict[str, list[_Route]] = {}
+    for entry in sorted(entries, key=lambda known: known.accepted.service):
+        for match in entry.document.matches:
+            route = _Route(match.path_prefix, entry)
+            by_host.setdefault(match.host.lower(), []).append(route)
+    return {
+        host: tuple(sorted(routes, key=lambda route: -len(route.prefix)))
+        for host, routes in by_host.items()
+    }
+
+
+def _bare_host(host: str) -> str:
+    lower = host.lower()
+    if lower.startswith('['):
+        return lower.partition(']')[0].lstrip('[')
+    return lower.partition(':')[0]
+
+
+def _has_prefix(path: str, prefix: str) -> bool:
+    if not path.startswith(prefix):
+        return False
+    if prefix.endswith('/') or len(path) == len(prefix):
+        return True
+    return path[len(prefix)] == '/'
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_contact.py
@@ -0,0 +1,134 @@
+"""Whether a daemon is in contact with most of its fleet.
+
+While the platform's table answers nobody, no change can be read by anybody,
+and the version in force may be served on. A daemon that is cut off cannot
+tell an outage for all from an outage for itself, so it needs recent news from
+every failure domain and from most of the daemons it tried to reach.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from cowslippond_core._clock import Millis
+from cowslippond_core._wire import Witness
+
+#: How long the last outcome of reaching a peer counts, in milliseconds.
+ATTEMPT_WINDOW: Millis = 60_000
+
+_MAX_ATTEMPTS = 256
+_MAX_DOMAINS = 64
+
+
+class _Attempt(NamedTuple):
+    at: Millis
+    is_success: bool
+
+
+class Contact:
+    """Recent news of failure domains, and which peers could be reached.
+
+    News of a domain is evidence of what a daemon there knew. It is taken over
+    only from peers whose revision is not above one's own, so no daemon behind
+    the evidence knew of a change that this one lacks.
+
+    :param failure_domain: that of this daemon.
+    """
+
+    def __init__(self, failure_domain: str) -> None:
+        self.failure_domain = failure_domain
+        self.heard_at: dict[str, Millis] = {}
+        self.peer_heard_at: Millis | None = None
+        self.attempts: OrderedDict[str, _Attempt] = OrderedDict()
+
+    def hear(
+        self,
+        failure_domain: str,
+        witnesses: Iterable[Witness],
+        asked_at: Millis,
+    ) -> None:
+        """Take over the news of a peer.
+
+        :param failure_domain: that of the peer.
+        :param witnesses: what the peer heard of other domains.
+        :param asked_at: when the peer was asked, in milliseconds. Ages count
+            from then, so that a pause or a slow answer never makes news look
+            more recent than it is.
+        """
+        self.peer_heard_at = asked_at
+        self._hear_of(failure_domain, asked_at)
+        for witness in witnesses:
+            self._hear_of(witness.failure_domain, asked_at - witness.age)
+
+    def note_attempt(self, address: str, at: Millis, is_success: bool) -> None:
+        """Note whether a peer answered.
+
+        :param at: in milliseconds.
+        """
+        self.attempts[address] = _Attempt(at, is_success)
+        self.attempts.move_to_end(address)
+        if len(self.attempts) > _MAX_ATTEMPTS:
+            self.attempts.popitem(last=False)
+
+    def witnesses(self, now: Millis) -> tuple[Witness, ...]:
+        """Return the age of the news of each domain, this one's included."""
+        heard = [
+            Witness(failure_domain, now - at)
+            for failure_domain, at in self.heard_at.items()
+            if failure_domain != self.failure_domain
+        ]
+        return (Witness(self.failure_domain, 0), *heard)
+
+    def missing(
+        self, domains: Iterable[str], now: Millis, bound: Millis
+    ) -> list[str]:
+        """Return the domains without recent news.
+
+        :param domains: where daemons are known to run.
+        :param now: in milliseconds.
+        :param bound: the greatest age of recent news, in milliseconds.
+        """
+        return [
+            failure_domain
+            for failure_domain in domains
+            if failure_domain != self.failure_domain
+            and not _is_recent(self.heard_at.get(failure_domain), now, bound)
+        ]
+
+    def is_wide(
+        self, domains: Iterable[str], now: Millis, bound: Millis
+    ) -> bool:
+        """Return whether this daemon is in contact with most of its fleet.
+
+        A daemon that hears no peer at all is not, also if it knows of none.
+
+        :param domains: where daemons are known to run.
+        :param now: in milliseconds.
+        :param bound: the greatest age of recent news, in milliseconds.
+        """
+        if not _is_recent(self.peer_heard_at, now, bound):
+            return False
+        if self.missing(domains, now, bound):
+            return False
+        return self._reaches_most(now)
+
+    def _hear_of(self, failure_domain: str, at: Millis) -> None:
+        known = self.heard_at.get(failure_domain)
+        if known is not None:
+            self.heard_at[failure_domain] = max(known, at)
+            return
+        if len(self.heard_at) < _MAX_DOMAINS:
+            self.heard_at[failure_domain] = at
+
+    def _reaches_most(self, now: Millis) -> bool:
+        recent = [
+            attempt
+            for attempt in self.attempts.values()
+            if now - attempt.at <= ATTEMPT_WINDOW
+        ]
+        reached = sum(attempt.is_success for attempt in recent)
+        return reached * 2 >= len(recent)
+
+
+def _is_recent(at: Millis | None, now: Millis, bound: Millis) -> bool:
+    return at is not None and now - at <= bound
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_conversation.py
@@ -0,0 +1,68 @@
+"""Messages on one connection between two daemons."""
+
+import anyio
+from anyio.abc import ByteStream
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from cowslippond_core._byte_budget import ByteBudget
+from cowslippond_core._metrics import Metric, Metrics
+from cowslippond_core._wire import (
+    MAX_FRAME,
+    Message,
+    WireError,
+    decode_message,
+    encode_message,
+)
+
+#: How a conversation ends when the other daemon or the way to it fails.
+BROKEN_CONVERSATION = (
+    OSError,
+    TimeoutError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    anyio.IncompleteRead,
+    anyio.DelimiterNotFound,
+    WireError,
+)
+
+_LENGTH_BYTES = 4
+
+
+class Conversation:
+    """A connection to a peer whose bytes are counted.
+
+    :param stream: the connection.
+    :param budget: charged with the bytes of both directions.
+    :param metrics: counts the bytes of each direction.
+    """
+
+    def __init__(
+        self, stream: ByteStream, budget: ByteBudget, metrics: Metrics
+    ) -> None:
+        self.stream = stream
+        self.buffered = BufferedByteReceiveStream(stream)
+        self.budget = budget
+        self.metrics = metrics
+
+    async def send(self, message: Message) -> None:
+        """Send a message."""
+        frame = encode_message(message)
+        self.budget.spend(len(frame))
+        self.metrics.count(Metric.GOSSIP_BYTES_SENT, len(frame))
+        await self.stream.send(frame)
+
+    async def receive(self) -> Message:
+        """Wait for a message.
+
+        :raises WireError: if the peer sends something else.
+        """
+        head = await self.buffered.receive_exactly(_LENGTH_BYTES)
+        length = int.from_bytes(head, 'big')
+        if length > MAX_FRAME:
+            raise WireError(f'a frame of {length} bytes')
+        packed = await self.buffered.receive_exactly(length)
+        size = len(head) + length
+        self.budget.spend(size)
+        self.metrics.count(Metric.GOSSIP_BYTES_RECEIVED, size)
+        return decode_message(packed)
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_gossip.py
@@ -0,0 +1,199 @@
+"""What a daemon tells its peers, and what it learns from them."""
+
+from collections.abc import Iterable
+from functools import singledispatchmethod
+
+from cowslippond_core._byte_budget import ByteBudget
+from cowslippond_core._catalogue import Catalogue
+from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._contact import Contact
+from cowslippond_core._document import AcceptedDocument
+from cowslippond_core._gossip_table import GossipTable
+from cowslippond_core._wire import (
+    Digest,
+    Documents,
+    Exchange,
+    Message,
+    Pull,
+    TableRows,
+    WireError,
+)
+
+#: The bytes a second that gossip may take, both directions together. New
+#: documents are passed on also beyond it.
+GOSSIP_RATE = 20_000
+GOSSIP_DEPTH = 65_536
+
+#: The most rows in a message, and those among them that are not news.
+MESSAGE_ROWS = 16
+FILLER_ROWS = 3
+
+#: How often a daemon sends a row as news.
+NEWS_SENDS = 3
+
+#: The most rows that a daemon which has just started may ask for.
+MAX_ROWS = 1024
+
+# Documents in one message, by their text in bytes; at least one is sent.
+_BATCH_BYTES = 131_072
+
+
+class Gossip:
+    """The state of a daemon as seen by its conversations with peers.
+
+    :param fleet: daemons of other fleets are not talked to.
+    :param address: the peer address of this daemon.
+    :param catalogue: the documents in force.
+    :param contact: the news of failure domains.
+    :param tables: the rows to pass on, those that matter most first.
+    :param clock: the clock of ages.
+    """
+
+    def __init__(
+        self,
+        fleet: str,
+        address: str,
+        catalogue: Catalogue,
+        contact: Contact,
+        tables: Iterable[GossipTable],
+        clock: Clock,
+    ) -> None:
+        self.fleet = fleet
+        self.address = address
+        self.catalogue = catalogue
+        self.contact = contact
+        self.tables = {table.name: table for table in tables}
+        self.clock = clock
+        self.budget = ByteBudget(clock, GOSSIP_RATE, GOSSIP_DEPTH)
+
+    def compose(self, room: int, fillers: int, wanted: int) -> Exchange:
+        """Return the state of this daemon.
+
+        :param room: the most rows to tell.
+        :param fillers: the most rows among them that are not news.
+        :param wanted: the most rows wanted in the answer.
+        """
+        now = self.clock.now()
+        confirmed_at = self.catalogue.confirmed_at
+        digest = Digest(
+            self.catalogue.revision,
+            None if confirmed_at is None else now - confirmed_at,
+            self.contact.witnesses(now),
+        )
+        return Exchange(
+            self.fleet,
+            self.address,
+            self.contact.failure_domain,
+            digest,
+            self._take_rows(room, fillers),
+            wanted,
+        )
+
+    def ask(self, is_new: bool) -> Exchange:
+        """Return the message that opens a round with a peer.
+
+        :param is_new: whether this daemon still lacks what peers know.
+        """
+        if is_new:
+            return self.compose(MESSAGE_ROWS, FILLER_ROWS, MAX_ROWS)
+        if self.budget.has_room():
+            return self.compose(MESSAGE_ROWS, FILLER_ROWS, MESSAGE_ROWS)
+        return self.compose(0, 0, 0)
+
+    def learn(self, theirs: Exchange, asked_at: Millis) -> None:
+        """Take over what a peer confirms, after its documents.
+
+        :param theirs: the peer's answer.
+        :param asked_at: when it was asked, in milliseconds; ages in the
+            answer count from then.
+        """
+        digest = theirs.digest
+        if digest.revision > self.catalogue.revision:
+            return
+        self.contact.hear(theirs.failure_domain, digest.witnesses, asked_at)
+        if digest.confirmed_age is not None:
+            confirmed_at = asked_at - digest.confirmed_age
+            self.catalogue.confirm(confirmed_at, digest.revision)
+
+    def merge_rows(self, theirs: Exchange) -> None:
+        """Take over rows; those of unknown tables are passed over."""
+        for told in theirs.tables:
+            table = self.tables.get(told.table)
+            if table is None:
+                continue
+            for row in told.rows:
+                table.merge(row)
+
+    def check_fleet(self, theirs: Exchange) -> None:
+        """Refuse a daemon of another fleet.
+
+        :raises WireError: if it is one.
+        """
+        if theirs.fleet != self.fleet:
+            raise WireError(f'a daemon of fleet {theirs.fleet!r}')
+
+    def take_documents(self, told: Documents) -> None:
+        """Put documents in force that are newer."""
+        for accepted in told.documents:
+            self.catalogue.offer(accepted)
+        if told.is_last:
+            self.catalogue.advance(told.revision)
+
+    def documents_after(self, revision: int) -> Documents:
+        """Return the next documents above a revision."""
+        newer = self.catalogue.newer_than(revision)
+        batch = _first_batch(newer)
+        is_last = len(batch) == len(newer)
+        return Documents(tuple(batch), is_last, self.catalogue.revision)
+
+    @singledispatchmethod
+    def answer(self, message: Message) -> Message:
+        """Return the answer to a message of a peer.
+
+        Nothing a peer says unasked confirms the catalogue, since it may have
+        been on its way for any time.
+
+        :raises WireError: if the message has no answer.
+        """
+        raise WireError(f'no answer to {message!r}')
+
+    @answer.register
+    def _answer_exchange(self, message: Exchange) -> Message:
+        self.check_fleet(message)
+        self.merge_rows(message)
+        wanted = min(max(message.row_limit, 0), MAX_ROWS)
+        if wanted > MESSAGE_ROWS:
+            return self.compose(wanted, wanted, 0)
+        if self.budget.has_room():
+            return self.compose(wanted, FILLER_ROWS, 0)
+        return self.compose(0, 0, 0)
+
+    @answer.register
+    def _answer_pull(self, message: Pull) -> Message:
+        return self.documents_after(message.after)
+
+    @answer.register
+    def _answer_documents(self, message: Documents) -> Message:
+        self.take_documents(message)
+        return Pull(self.catalogue.revision)
+
+    def _take_rows(self, room: int, fillers: int) -> tuple[TableRows, ...]:
+        told = []
+        for table in self.tables.values():
+            rows = table.take(room, fillers, NEWS_SENDS)
+            if not rows:
+                continue
+            room -= len(rows)
+            told.append(TableRows(table.name, tuple(rows)))
+        return tuple(told)
+
+
+def _first_batch(newer: list[AcceptedDocument]) -> list[AcceptedDocument]:
+    size = 0
+    batch: list[AcceptedDocument] = []
+    for accepted in newer:
+        size += len(accepted.text.encode())
+        if batch and size > _BATCH_BYTES:
+            break
+        batch.append(accepted)
+    return batch
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_membership.py
@@ -0,0 +1,175 @@
+"""The daemons of the fleet, from the VM list, the settings and from peers."""
+
+import random
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+import orjson
+
+from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._gossip_table import GossipRow, GossipTable
+from cowslippond_core._vm_list import ENTRY_SERVICE, Vm, VmState
+
+#: The least time between two heartbeats of a daemon, in milliseconds.
+HEARTBEAT_INTERVAL: Millis = 5000
+
+#: How much the interval grows with each known daemon, in milliseconds, so
+#: that the heartbeats of a fleet stay at ten a second.
+HEARTBEAT_PER_DAEMON: Millis = 100
+
+_MISSED_HEARTBEATS = 6
+_MAX_DAEMONS = 2048
+
+
+class Daemon(NamedTuple):
+    """A daemon of the fleet.
+
+    ``failure_domain`` is empty while only the address is known.
+    """
+
+    address: str
+    incarnation: str
+    failure_domain: str
+    admin_address: str
+    is_leaving: bool
+
+
+class Membership:
+    """Which daemons there are.
+
+    A daemon is known by its heartbeats, which peers pass on, by the VM list
+    or by the settings. Its failure domain counts as populated until it is
+    certain that it left: it said so itself, or its heartbeats ended and a VM
+    list fetched since does not hold it. A daemon that merely falls silent may
+    be on the other side of a cut.
+
+    :param clock: the clock of heartbeats.
+    :param table: passes the heartbeats on.
+    :param own: this daemon.
+    :param seeds: peer addresses of the settings.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        table: GossipTable,
+        own: Daemon,
+        seeds: Sequence[str] = (),
+    ) -> None:
+        self.clock = clock
+        self.table = table
+        self.own = own
+        self.seeds = tuple(seeds)
+        self.listed: dict[str, Daemon] = {}
+        self.met: dict[str, Daemon] = {}
+        self.has_list = False
+        table.listeners.append(self._hear)
+
+    def beat(self) -> None:
+        """Tell all peers that this daemon runs."""
+        text = orjson.dumps(self.own[1:]).decode()
+        lifetime = self.heartbeat_interval() * _MISSED_HEARTBEATS
+        self.table.put(self.own.address, text, lifetime)
+
+    def leave(self) -> None:
+        """Tell all peers that this daemon stops soon."""
+        self.own = self.own._replace(is_leaving=True)
+        self.beat()
+
+    def heartbeat_interval(self) -> Millis:
+        """Return the time between two heartbeats, in milliseconds."""
+        scaled = HEARTBEAT_PER_DAEMON * self.count()
+        return max(HEARTBEAT_INTERVAL, scaled)
+
+    def apply_list(self, vms: Iterable[Vm]) -> None:
+        """Take over a list of VMs."""
+        self.has_list = True
+        self.listed = {
+            vm.address: Daemon(
+                vm.address,
+                vm.incarnation,
+                vm.failure_domain,
+                vm.admin_address,
+                vm.state is VmState.LEAVING,
+            )
+            for vm in vms
+            if vm.service == ENTRY_SERVICE
+        }
+        for address in tuple(self.met):
+            if address in self.listed or self._has_heartbeat(address):
+                continue
+            self.met.pop(address)
+
+    def known(self) -> list[Daemon]:
+        """Return the daemons known to run, without this one."""
+        daemons = {address: _seed(address) for address in self.seeds}
+        daemons.update(self.listed)
+        for address, daemon in self.met.items():
+            if address in self.listed or self._has_heartbeat(address):
+                daemons[address] = daemon
+        daemons.pop(self.own.address, None)
+        return list(daemons.values())
+
+    def count(self) -> int:
+        """Return the number of daemons known, this one included."""
+        return len(self.known()) + 1
+
+    def domains(self) -> set[str]:
+        """Return where daemons run or may still run, apart from this one."""
+        staying = [
+            daemon
+            for daemon in (*self.listed.values(), *self.met.values())
+            if daemon.address != self.own.address
+            and not self._is_leaving(daemon.address)
+        ]
+        named = {daemon.failure_domain for daemon in staying}
+        named.discard('')
+        return named
+
+    def choose(self, draw: random.Random, busy: set[str]) -> str | None:
+        """Choose a random peer.
+
+        :param busy: addresses that are talked to already.
+        """
+        idle = [
+            daemon.address
+            for daemon in self.known()
+            if daemon.address not in busy
+        ]
+        return draw.choice(idle) if idle else None
+
+    def _is_leaving(self, address: str) -> bool:
+        listed = self.listed.get(address)
+        met = self.met.get(address)
+        if met is not None and met.is_leaving:
+            return listed is None or listed.incarnation == met.incarnation
+        return listed is not None and listed.is_leaving
+
+    def _has_heartbeat(self, address: str) -> bool:
+        return self.table.text_of(address) is not None
+
+    def _hear(self, row: GossipRow) -> None:
+        daemon = _read_row(row)
+        if daemon is None or row.key == self.own.address:
+            return
+        if row.key not in self.met and len(self.met) >= _MAX_DAEMONS:
+            self.met.pop(next(iter(self.met)))
+        self.met[row.key] = daemon
+
+
+def _seed(address: str) -> Daemon:
+    return Daemon(address, '', '', '', is_leaving=False)
+
+
+def _read_row(row: GossipRow) -> Daemon | None:
+    try:
+        incarnation, domain, admin_address, is_leaving = orjson.loads(row.text)
+    except (ValueError, TypeError):
+        return None
+    return Daemon(
+        row.key,
+        str(incarnation),
+        str(domain),
+        str(admin_address),
+        is_leaving=bool(is_leaving),
+    )
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_metrics.py
@@ -0,0 +1,121 @@
+"""Counters, sent to statsd in batches and kept for the status page."""
+
+import enum
+from collections import Counter
+
+from statsd import StatsClient
+
+from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._reasons import RefusalReason, RetryReason
+
+#: The time between two batches, in milliseconds.
+FLUSH_INTERVAL: Millis = 1000
+
+# Timings of one name in one batch; further ones are left out of the batch.
+_MAX_TIMINGS = 200
+
+
+class Metric(enum.StrEnum):
+    """Counters and gauges besides those of refusals and retries."""
+
+    CALLS = 'calls'
+    CALL_MS = 'call_ms'
+    STORE_READS = 'store.reads'
+    STORE_ERRORS = 'store.errors'
+    VM_LIST_READS = 'vm_list.reads'
+    VM_LIST_ERRORS = 'vm_list.errors'
+    DOCUMENTS_IN_FORCE = 'catalogue.documents'
+    DOCUMENTS_UNREADABLE = 'catalogue.unreadable'
+    REVISION = 'catalogue.revision'
+    CONFIRMED_AGE_MS = 'catalogue.confirmed_age_ms'
+    GOSSIP_EXCHANGES = 'gossip.exchanges'
+    GOSSIP_FAILURES = 'gossip.failures'
+    GOSSIP_BYTES_SENT = 'gossip.bytes_sent'
+    GOSSIP_BYTES_RECEIVED = 'gossip.bytes_received'
+    DAEMONS_KNOWN = 'gossip.daemons_known'
+    UPSTREAMS_LEAVING = 'upstreams.leaving'
+    MEASURING_CALLS = 'measuring.calls'
+
+
+def refusal_name(reason: RefusalReason) -> str:
+    """Return the counter of a refusal reason."""
+    return f'refusals.{reason.value}'
+
+
+def retry_name(reason: RetryReason) -> str:
+    """Return the counter of a retry reason."""
+    return f'retries.{reason.value}'
+
+
+class _UnblockedStatsClient(StatsClient):
+    """A statsd client that drops a packet rather than wait."""
+
+    def __init__(self, host: str, port: int, prefix: str) -> None:
+        super().__init__(host, port, prefix)
+        self._sock.setblocking(False)
+
+
+class Metrics:
+    """Counters, gauges and timings of one daemon.
+
+    Counts and gauges are kept in the process and sent once a batch, so the
+    cost of a call doesn't grow with their number.
+
+    :param address: ``ip:port`` of statsd; empty sends nothing.
+    :param prefix: the first part of each name.
+    """
+
+    def __init__(self, address: str, prefix: str = 'cowslippond') -> None:
+        self.totals: Counter[str] = Counter()
+        self.gauges: dict[str, float] = {}
+        self.unsent: Counter[str] = Counter()
+        self.timings: dict[str, list[Millis]] = {}
+        self.client: StatsClient | None = None
+        if address:
+            host, _, port = address.rpartition(':')
+            self.client = _UnblockedStatsClient(host, int(port), prefix)
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Add to a counter."""
+        self.totals[name] += by
+        self.unsent[name] += by
+
+    def refused(self, reason: RefusalReason) -> None:
+        """Count a final answer of the load balancer itself."""
+        self.count(refusal_name(reason))
+
+    def retried(self, reason: RetryReason) -> None:
+        """Count a call that was sent again, or a copy."""
+        self.count(retry_name(reason))
+
+    def gauge(self, name: str, level: float) -> None:
+        """Set a gauge."""
+        self.gauges[name] = level
+
+    def timing(self, name: str, span: Millis) -> None:
+        """Record a time span, in milliseconds."""
+        spans = self.timings.setdefault(name, [])
+        if len(spans) < _MAX_TIMINGS:
+            spans.append(span)
+
+    def flush(self) -> None:
+        """Send what has gathered since the last batch."""
+        counts, self.unsent = self.unsent, Counter()
+        timings, self.timings = self.timings, {}
+        if self.client is None:
+            return
+        batch = self.client.pipeline()
+        for name, by in counts.items():
+            batch.incr(name, by)
+        for gauge, level in self.gauges.items():
+            batch.gauge(gauge, level)
+        for timed, spans in timings.items():
+            for span in spans:
+                batch.timing(timed, span)
+        batch.send()
+
+    async def run(self, clock: Clock) -> None:
+        """Send batches until cancelled."""
+        while True:
+            await clock.sleep(FLUSH_INTERVAL)
+            self.flush()
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_peers.py
@@ -0,0 +1,227 @@
+"""Conversations with peers: those this daemon opens and those it answers."""
+
+import logging
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import anyio
+from anyio.abc import SocketStream
+
+from cowslippond_core._clock import Clock, Millis, seconds_of
+from cowslippond_core._conversation import BROKEN_CONVERSATION, Conversation
+from cowslippond_core._gossip import Gossip
+from cowslippond_core._membership import Membership
+from cowslippond_core._metrics import Metric, Metrics
+from cowslippond_core._wire import Documents, Exchange, Pull, WireError
+
+#: The most conversations that a daemon opens at a time.
+ACTIVE_PEERS = 8
+
+#: The time between two rounds of a daemon over all its conversations, in
+#: milliseconds.
+ROUND_INTERVAL: Millis = 500
+
+#: The longest wait for a connection and for an answer, in milliseconds.
+CONNECT_TIMEOUT: Millis = 1000
+ANSWER_TIMEOUT: Millis = 2000
+
+#: How long a daemon talks with one peer before it chooses another, in
+#: milliseconds on average.
+CONVERSATION_TIME: Millis = 30_000
+
+#: The least time between two rounds of one conversation, in milliseconds.
+LEAST_PAUSE: Millis = 200
+
+# Waits in milliseconds: for a peer to become known, after a failed
+# conversation, and for the next message of a peer.
+_IDLE_WAIT: Millis = 200
+_RETRY_WAIT: Millis = 500
+_SILENCE_LIMIT: Millis = 60_000
+
+# A wait is drawn from this part of it up to half of it more.
+_LEAST_JITTER = 0.75
+
+# The most conversations that a daemon answers at a time.
+_MAX_ANSWERED = 256
+
+_logger = logging.getLogger(__name__)
+
+
+class Peers:
+    """The conversations of one daemon.
+
+    Each conversation that it opens has one task: connect, exchange state in
+    rounds, move on to another random peer. The number of conversations and
+    of rounds a second doesn't grow with the fleet.
+
+    :param gossip: what is told and learnt.
+    :param membership: whom to talk to.
+    :param clock: the clock of waits.
+    :param draw: draws peers and waits.
+    :param metrics: counts rounds, failures and bytes.
+    """
+
+    def __init__(
+        self,
+        gossip: Gossip,
+        membership: Membership,
+        clock: Clock,
+        draw: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self.gossip = gossip
+        self.membership = membership
+        self.clock = clock
+        self.draw = draw
+        self.metrics = metrics
+        self.busy: set[str] = set()
+        self.news = anyio.Event()
+        self.is_new = True
+        self.answered = 0
+
+    def announce(self) -> None:
+        """Start a round in each conversation at once."""
+        self.news.set()
+        self.news = anyio.Event()
+
+    def announce_rows(self) -> None:
+        """Start a round at once unless gossip has used up its bytes."""
+        if self.gossip.budget.has_room():
+            self.announce()
+
+    async def run(self) -> None:
+        """Keep up the conversations until cancelled."""
+        async with anyio.create_task_group() as slots:
+            for _ in range(ACTIVE_PEERS):
+                slots.start_soon(self._keep_talking)
+
+    async def serve(self, stream: SocketStream) -> None:
+        """Answer a peer until it ends the conversation or falls silent."""
+        async with stream:
+            if self.answered >= _MAX_ANSWERED:
+                return
+            with self._count_answered():
+                await self._answer_all(stream)
+
+    async def _answer_all(self, stream: SocketStream) -> None:
+        talk = Conversation(stream, self.gossip.budget, self.metrics)
+        try:
+            while True:
+                await self._answer_next(talk)
+        except BROKEN_CONVERSATION as broken:
+            _logger.debug('conversation ended', extra={'why': repr(broken)})
+
+    async def _answer_next(self, talk: Conversation) -> None:
+        with anyio.fail_after(seconds_of(_SILENCE_LIMIT)):
+            message = await talk.receive()
+        with anyio.fail_after(seconds_of(ANSWER_TIMEOUT)):
+            await talk.send(self.gossip.answer(message))
+
+    async def _keep_talking(self) -> None:
+        while True:
+            address = self.membership.choose(self.draw, self.busy)
+            if address is None:
+                await self.clock.sleep(_IDLE_WAIT)
+                continue
+            with self._hold(address):
+                is_success = await self._talk(address)
+            if not is_success:
+                await self.clock.sleep(self._jitter(_RETRY_WAIT))
+
+    async def _talk(self, address: str) -> bool:
+        try:
+            await self._talk_in_rounds(address)
+        except BROKEN_CONVERSATION as broken:
+            self.metrics.count(Metric.GOSSIP_FAILURES)
+            self.gossip.contact.note_attempt(
+                address, self.clock.now(), is_success=False
+            )
+            _logger.debug(
+                'peer cannot be reached',
+                extra={'peer': address, 'why': repr(broken)},
+            )
+            return False
+        return True
+
+    async def _talk_in_rounds(self, address: str) -> None:
+        host, _, port = address.rpartition(':')
+        ends_at = self.clock.now() + self._jitter(CONVERSATION_TIME)
+        with anyio.fail_after(seconds_of(CONNECT_TIMEOUT)):
+            stream = await anyio.connect_tcp(host, int(port))
+        async with stream:
+            talk = Conversation(stream, self.gossip.budget, self.metrics)
+            while self.clock.now() < ends_at:
+                news = self.news
+                await self._hold_round(talk, address)
+                await self._pause(news)
+
+    async def _hold_round(self, talk: Conversation, address: str) -> None:
+        asked_at = self.clock.now()
+        with anyio.fail_after(seconds_of(ANSWER_TIMEOUT)):
+            await talk.send(self.gossip.ask(self.is_new))
+            theirs = await talk.receive()
+        if not isinstance(theirs, Exchange):
+            raise WireError(f'no exchange: {theirs!r}')
+        self.gossip.check_fleet(theirs)
+        self.gossip.merge_rows(theirs)
+        await self._even_out(talk, theirs.digest.revision)
+        self.gossip.learn(theirs, asked_at)
+        self.gossip.contact.note_attempt(address, asked_at, is_success=True)
+        self.metrics.count(Metric.GOSSIP_EXCHANGES)
+        self.is_new = False
+
+    async def _even_out(self, talk: Conversation, revision: int) -> None:
+        if revision > self.gossip.catalogue.revision:
+            await self._pull(talk, self.gossip.catalogue.revision)
+            return
+        if revision < self.gossip.catalogue.revision:
+            await self._push(talk, revision)
+
+    async def _pull(self, talk: Conversation, after: int) -> None:
+        while True:
+            with anyio.fail_after(seconds_of(ANSWER_TIMEOUT)):
+                await talk.send(Pull(after))
+                told = await talk.receive()
+            if not isinstance(told, Documents):
+                raise WireError(f'no documents: {told!r}')
+            self.gossip.take_documents(told)
+            if told.is_last or not told.documents:
+                return
+            after = told.documents[-1].revision
+
+    async def _push(self, talk: Conversation, after: int) -> None:
+        while True:
+            told = self.gossip.documents_after(after)
+            with anyio.fail_after(seconds_of(ANSWER_TIMEOUT)):
+                await talk.send(told)
+                await talk.receive()
+            if told.is_last:
+                return
+            after = told.documents[-1].revision
+
+    async def _pause(self, news: anyio.Event) -> None:
+        await self.clock.sleep(LEAST_PAUSE)
+        talks = max(len(self.busy), 1)
+        rest = self._jitter(ROUND_INTERVAL * talks) - LEAST_PAUSE
+        with anyio.move_on_after(seconds_of(max(rest, 0))):
+            await news.wait()
+
+    def _jitter(self, span: Millis) -> Millis:
+        return span * (_LEAST_JITTER + self.draw.random() / 2)
+
+    @contextmanager
+    def _hold(self, address: str) -> Iterator[None]:
+        self.busy.add(address)
+        try:
+            yield
+        finally:
+            self.busy.discard(address)
+
+    @contextmanager
+    def _count_answered(self) -> Iterator[None]:
+        self.answered += 1
+        try:
+            yield
+        finally:
+            self.answered -= 1
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_poller.py
@@ -0,0 +1,154 @@
+"""Reads of the catalogue from the platform's table."""
+
+import logging
+import random
+
+from cowslippond_core._catalogue import FRESHNESS_BOUND, Catalogue
+from cowslippond_core._catalogue_reader import (
+    read_changes,
+    read_documents,
+    read_head,
+)
+from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._membership import Membership
+from cowslippond_core._metrics import Metric, Metrics
+from cowslippond_core._table import Table, TableError
+
+#: The reads of the head that all daemons together do in a second.
+FLEET_READS = 20
+
+#: The least time between two reads of a daemon, in milliseconds.
+LEAST_INTERVAL: Millis = 1000
+
+# Changes above which the newest documents are read instead.
+_MAX_CHANGES = 100
+
+# A daemon whose confirmation is older than this doesn't wait for its turn.
+_STALE_AGE: Millis = FRESHNESS_BOUND / 2
+
+_MILLIS_PER_SECOND = 1000
+_TICK: Millis = 100
+_MAX_DOUBLINGS = 6
+
+_logger = logging.getLogger(__name__)
+
+
+class Poller:
+    """Keeps the catalogue up to date with the table.
+
+    Daemons take turns: the time between two reads grows with their number,
+    and peers pass on what one of them read. A daemon that peers don't confirm
+    reads sooner, and less often after each failure.
+
+    :param table: the platform's table.
+    :param catalogue: is offered what was read.
+    :param membership: gives the number of daemons.
+    :param clock: the clock of waits and confirmations.
+    :param draw: spreads the reads of daemons that started together.
+    :param metrics: counts reads and errors.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        catalogue: Catalogue,
+        membership: Membership,
+        clock: Clock,
+        draw: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self.table = table
+        self.catalogue = catalogue
+        self.membership = membership
+        self.clock = clock
+        self.draw = draw
+        self.metrics = metrics
+        self.polled_at: Millis | None = None
+        self.errors = 0
+        self.last_error: TableError | None = None
+
+    async def run(self) -> None:
+        """Read in turn until cancelled."""
+        while True:
+            if self.is_due():
+                await self.poll()
+            await self.clock.sleep(_TICK * (self.draw.random() + 1 / 2))
+
+    def interval(self) -> Millis:
+        """Return the time between two turns, in milliseconds."""
+        scaled = self.membership.count() * _MILLIS_PER_SECOND / FLEET_READS
+        return max(LEAST_INTERVAL, scaled)
+
+    def is_due(self) -> bool:
+        """Return whether it is time to read the head."""
+        if self.polled_at is None:
+            return True
+        waited = self.clock.now() - self.polled_at
+        if waited >= self.interval():
+            return True
+        backoff = LEAST_INTERVAL * 2 ** min(self.errors, _MAX_DOUBLINGS)
+        return waited >= backoff and self._is_unconfirmed()
+
+    async def poll(self) -> None:
+        """Read the head, and the changes if it is newer."""
+        asked_at = self.clock.now()
+        self.polled_at = asked_at
+        self.metrics.count(Metric.STORE_READS)
+        answer = await read_head(self.table)
+        if answer.is_error():
+            self._note_error(answer.error)
+            return
+        self.errors = 0
+        self.last_error = None
+        head = answer.ok
+        if head > self.catalogue.revision:
+            await self._catch_up(head)
+        # A head below the catalogue's revision comes from a stale read.
+        if head == self.catalogue.revision:
+            self.catalogue.confirm(asked_at, head)
+
+    async def _catch_up(self, head: int) -> None:
+        if head - self.catalogue.revision <= _MAX_CHANGES:
+            await self._read_changes()
+        if self.catalogue.revision < head:
+            await self._read_documents(head)
+
+    async def _read_changes(self) -> None:
+        self.metrics.count(Metric.STORE_READS)
+        answer = await read_changes(
+            self.table, self.catalogue.revision, _MAX_CHANGES
+        )
+        if answer.is_error():
+            self._note_error(answer.error)
+            return
+        for accepted in answer.ok:
+            self.catalogue.offer(accepted)
+
+    async def _read_documents(self, head: int) -> None:
+        self.metrics.count(Metric.STORE_READS)
+        answer = await read_documents(self.table)
+        if answer.is_error():
+            self._note_error(answer.error)
+            return
+        newest = 0
+        for accepted in answer.ok:
+            self.catalogue.offer(accepted)
+            newest = max(newest, accepted.revision)
+        # Pages that lack the head's own change come from a stale read.
+        if newest >= head:
+            self.catalogue.advance(head)
+
+    def _is_unconfirmed(self) -> bool:
+        confirmed_at = self.catalogue.confirmed_at
+        if confirmed_at is None:
+            return True
+        return self.clock.now() - confirmed_at > _STALE_AGE
+
+    def _note_error(self, error: TableError) -> None:
+        self.errors += 1
+        self.metrics.count(Metric.STORE_ERRORS)
+        if self.last_error is None:
+            _logger.warning(
+                'the table cannot be read', extra={'why': error.detail}
+            )
+        self.last_error = error
