--- /dev/null
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_call_rules.py
@@ -0,0 +1,82 @@
+"""What a service document says about one call."""
+
+from fnmatch import fnmatchcase
+from functools import lru_cache
+
+from cowslippond_core import CallIdentity, Millis, NeverRepeat, ServiceDocument
+
+from cowslippond_daemon._edge import IncomingCall
+
+_IDEMPOTENT_METHODS = frozenset(
+    (
+        'GET',
+        'HEAD',
+        'OPTIONS',
+        'TRACE',
+        'PUT',
+        'DELETE',
+    )
+)
+_RULE_CACHE_SIZE = 4096
+
+
+@lru_cache(maxsize=_RULE_CACHE_SIZE)
+def find_rule(
+    rules: tuple[NeverRepeat, ...], method: str, path: str
+) -> NeverRepeat | None:
+    """Return the first rule that a call falls under, or ``None``."""
+    for rule in rules:
+        if method not in rule.methods:
+            continue
+        if fnmatchcase(path, rule.path):
+            return rule
+    return None
+
+
+def is_idempotent(document: ServiceDocument, method: str, path: str) -> bool:
+    """Tell whether a call may be sent more than once."""
+    if method not in _IDEMPOTENT_METHODS:
+        return False
+    return find_rule(document.never_repeat, method, path) is None
+
+
+def identify_call(
+    document: ServiceDocument, call: IncomingCall
+) -> CallIdentity | None:
+    """Return the identity under which a call is claimed.
+
+    It is ``None`` for a call without a key: that one gets a single try.
+    """
+    rule = find_rule(document.never_repeat, call.method, call.path)
+    if rule is None:
+        return None
+    key = call.header(rule.key_header.lower().encode())
+    if not key:
+        return None
+    caller = call.header(rule.caller_header.lower().encode()) or b''
+    return CallIdentity(
+        document.service, caller.decode('latin-1'), key.decode('latin-1')
+    )
+
+
+def call_timeout(document: ServiceDocument, given: bytes | None) -> Millis:
+    """Return how long a caller waits, in milliseconds.
+
+    :param given: the caller's own deadline header; one that is no number is
+        ignored, and the ceiling of the service bounds it.
+    """
+    policy = document.deadline
+    try:
+        asked = float(given) if given else policy.default_ms
+    except ValueError:
+        asked = policy.default_ms
+    if not asked > 0:
+        return 0
+    return min(asked, policy.ceiling_ms)
+
+
+def attempt_number(given: bytes | None) -> int:
+    """Return how often outer levels of the call chain sent a call before."""
+    if given is None or not given.isdigit():
+        return 0
+    return int(given[:4])
--- /dev/null
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
@@ -0,0 +1,131 @@
+"""Decides on a call: which service it is for, and how it may run."""
+
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cowslippond_core import (
+    CallAnswer,
+    CallRefusal,
+    CallRequest,
+    Catalogue,
+    ClaimFlow,
+    Clock,
+    InForce,
+    Outcome,
+    Quarantine,
+    RefusalReason,
+    Sender,
+    fingerprint_request,
+)
+
+from cowslippond_daemon._call_rules import (
+    attempt_number,
+    call_timeout,
+    identify_call,
+    is_idempotent,
+)
+from cowslippond_daemon._edge import IncomingCall
+from cowslippond_daemon._services import Services
+
+_log = logging.getLogger(__name__)
+
+_RETRY_AFTER_MS = 1000
+
+
+class CallParts(NamedTuple):
+    """What a decision about a call rests on."""
+
+    catalogue: Catalogue
+    services: Services
+    sender: Sender
+    claims: ClaimFlow
+    quarantine: Quarantine
+    clock: Clock
+
+
+class CallRouter:
+    """Takes a call through admission, claim, sending and answer.
+
+    :param parts: the parts that decide.
+    :param count_refusal: counts a refusal of a service by its reason.
+    """
+
+    def __init__(
+        self,
+        parts: CallParts,
+        count_refusal: Callable[[str, RefusalReason], None],
+    ) -> None:
+        self.parts = parts
+        self.count_refusal = count_refusal
+
+    async def decide(self, call: IncomingCall) -> CallAnswer | CallRefusal:
+        """Return the answer of an upstream, or a refusal."""
+        host = (call.header(b'host') or b'').decode('latin-1')
+        in_force = self.parts.catalogue.find(host, call.path)
+        service = in_force.document.service if in_force else ''
+        reply = await self._decide(call, in_force)
+        if isinstance(reply, CallRefusal):
+            self.count_refusal(service, reply.reason)
+            _log.info(
+                'call refused',
+                extra={
+                    'request_id': call.request_id,
+                    'service': service,
+                    'reason': reply.reason,
+                    'outcome': reply.outcome,
+                },
+            )
+        return reply
+
+    async def _decide(
+        self, call: IncomingCall, in_force: InForce | None
+    ) -> CallAnswer | CallRefusal:
+        if not self.parts.catalogue.is_fresh(self.parts.clock.now()):
+            return _refuse(RefusalReason.STALE_CONFIGURATION)
+        if in_force is None:
+            return _refuse(RefusalReason.NO_SERVICE)
+        request = self._make_request(call, in_force)
+        suspect = self.parts.quarantine.check(request.fingerprint)
+        if suspect is not None:
+            return suspect
+        return await self._run(call, in_force, request)
+
+    async def _run(
+        self, call: IncomingCall, in_force: InForce, request: CallRequest
+    ) -> CallAnswer | CallRefusal:
+        state = self.parts.services.state_of(in_force)
+        identity = identify_call(in_force.document, call)
+        if identity is None:
+            return await self.parts.sender.send(state, request)
+        return await self.parts.claims.run(
+            request,
+            identity,
+            lambda: self.parts.sender.send(state, request),
+        )
+
+    def _make_request(
+        self, call: IncomingCall, in_force: InForce
+    ) -> CallRequest:
+        document = in_force.document
+        timeout = call_timeout(document, call.header(b'x-deadline-ms'))
+        identity = identify_call(document, call)
+        method = call.method.encode()
+        return CallRequest(
+            request_id=call.request_id,
+            method=method,
+            target=call.target,
+            headers=call.headers,
+            body=call.body,
+            rest=call.rest,
+            is_idempotent=is_idempotent(document, call.method, call.path),
+            deadline=self.parts.clock.now() + timeout,
+            attempt=attempt_number(call.header(b'x-attempt')),
+            fingerprint=fingerprint_request(
+                method, call.target, identity.key if identity else '', call.body
+            ),
+        )
+
+
+def _refuse(reason: RefusalReason) -> CallRefusal:
+    return CallRefusal(Outcome.NOT_RUN, reason, _RETRY_AFTER_MS)
