--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -2,6 +2,10 @@
 
 from cowslippond_core._apply_errors import ApplyError as ApplyError
 from cowslippond_core._apply_errors import ApplyFault as ApplyFault
+from cowslippond_core._catalogue import FRESHNESS_BOUND as FRESHNESS_BOUND
+from cowslippond_core._catalogue import Catalogue as Catalogue
+from cowslippond_core._catalogue import DocumentReader as DocumentReader
+from cowslippond_core._catalogue import InForce as InForce
 from cowslippond_core._budgets import BudgetSettings as BudgetSettings
 from cowslippond_core._budgets import ShareBudget as ShareBudget
 from cowslippond_core._budgets import is_first_attempt as is_first_attempt
@@ -42,6 +46,13 @@
 from cowslippond_core._findings import Finding as Finding
 from cowslippond_core._findings import Place as Place
 from cowslippond_core._findings import format_finding as format_finding
+from cowslippond_core._gossip_table import GossipRow as GossipRow
+from cowslippond_core._gossip_table import GossipTable as GossipTable
+from cowslippond_core._leaving import Leaving as Leaving
+from cowslippond_core._leaving import LeavingSource as LeavingSource
+from cowslippond_core._measuring import MeasuringAllowance as MeasuringAllowance
+from cowslippond_core._measuring import budget_of as budget_of
+from cowslippond_core._membership import Daemon as Daemon
 from cowslippond_core._fingerprint import (
     FINGERPRINT_BODY_BYTES as FINGERPRINT_BODY_BYTES,
 )
@@ -57,6 +68,15 @@
 from cowslippond_core._messages import (
     TruncatedAnswerError as TruncatedAnswerError,
 )
+from cowslippond_core._metrics import Metric as Metric
+from cowslippond_core._metrics import Metrics as Metrics
+from cowslippond_core._metrics import refusal_name as refusal_name
+from cowslippond_core._metrics import retry_name as retry_name
+from cowslippond_core._reasons import RefusalReason as RefusalReason
+from cowslippond_core._reasons import RetryReason as RetryReason
+from cowslippond_core._spread import Spread as Spread
+from cowslippond_core._spread import SpreadSettings as SpreadSettings
+from cowslippond_core._spread import SpreadStatus as SpreadStatus
 from cowslippond_core._objects import ObjectError as ObjectError
 from cowslippond_core._objects import ObjectFault as ObjectFault
 from cowslippond_core._objects import ObjectStore as ObjectStore
