--- a/packages/cowslippond-core/src/cowslippond_core/_catalogue_reader.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_catalogue_reader.py
@@ -7,6 +7,7 @@
     DOCUMENTS,
     HEAD,
     REVISION,
+    CatalogueRow,
     change_key,
     decode_row,
     document_key,
@@ -38,6 +39,14 @@
     :param after_revision: the newest revision that is known already.
     :param limit: the most changes to return.
     """
+    rows = await read_change_rows(table, after_revision, limit)
+    return rows.map(_documents_of)
+
+
+async def read_change_rows(
+    table: Table, after_revision: int, limit: int
+) -> Result[list[CatalogueRow], TableError]:
+    """Return changes as :func:`read_changes`, with their tokens."""
     answer = await table.query(CHANGES, change_key(after_revision).sort, limit)
     return answer.bind(_decode_page)
 
@@ -54,7 +63,7 @@
     after = ''
     while True:
         answer = await table.query(DOCUMENTS, after, _PAGE_ROWS)
-        page = answer.bind(_decode_page)
+        page = answer.bind(_decode_page).map(_documents_of)
         if page.is_error():
             return page
         if not page.ok:
@@ -75,35 +84,36 @@
     return 0 if found is None else int(found[REVISION])
 
 
+def _documents_of(rows: list[CatalogueRow]) -> list[AcceptedDocument]:
+    return [row.document for row in rows]
+
+
 def _decode_found(
     found: Attributes | None,
 ) -> Result[AcceptedDocument | None, TableError]:
     if found is None:
         return Ok(None)
-    decoded = _decode_document(found)
+    decoded = _decode_row(found)
     if decoded.is_error():
         return Error(decoded.error)
-    return Ok(decoded.ok)
+    return Ok(decoded.ok.document)
 
 
 def _decode_page(
-    rows: list[tuple[ItemKey, Attributes]],
-) -> Result[list[AcceptedDocument], TableError]:
-    documents = []
-    for _, attributes in rows:
-        decoded = _decode_document(attributes)
+    found: list[tuple[ItemKey, Attributes]],
+) -> Result[list[CatalogueRow], TableError]:
+    rows = []
+    for _, attributes in found:
+        decoded = _decode_row(attributes)
         if decoded.is_error():
             return Error(decoded.error)
-        documents.append(decoded.ok)
-    return Ok(documents)
+        rows.append(decoded.ok)
+    return Ok(rows)
 
 
-def _decode_document(
-    attributes: Attributes,
-) -> Result[AcceptedDocument, TableError]:
+def _decode_row(attributes: Attributes) -> Result[CatalogueRow, TableError]:
     try:
-        row = decode_row(attributes)
+        return Ok(decode_row(attributes))
     except (KeyError, ValueError) as fault:
         detail = f'malformed row {attributes!r}: {fault!r}'
         return Error(TableError(TableFault.UNAVAILABLE, detail))
-    return Ok(row.document)
--- /dev/null
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/__main__.py
@@ -0,0 +1,5 @@
+"""Run the operator tool by ``python -m cowslippond_ctl``."""
+
+from cowslippond_ctl._program import main
+
+main()
--- /dev/null
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_apply.py
@@ -0,0 +1,163 @@
+"""The command ``apply``: make documents accepted."""
+
+import pathlib
+from collections.abc import Sequence
+
+from cowslippond_core import (
+    ApplyError,
+    ApplyFault,
+    Clock,
+    Finding,
+    Table,
+    accept_document,
+    read_document,
+)
+from cowslippond_core._route_overlap import Overlap
+from rich.console import RenderableType
+
+from cowslippond_ctl._check import findings_outcome
+from cowslippond_ctl._exit_codes import ExitCode
+from cowslippond_ctl._outcome import Outcome, Record, fail, record_of
+from cowslippond_ctl._platform import read_file
+from cowslippond_ctl._times import show_time
+
+
+class Change:
+    """The change that one run of ``apply`` makes.
+
+    :param author: who makes it, for the history.
+    :param expected_version: the version it was made from, ``None`` for the
+        newest one.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        clock: Clock,
+        author: str,
+        expected_version: int | None,
+    ) -> None:
+        self.table = table
+        self.clock = clock
+        self.author = author
+        self.expected_version = expected_version
+
+    async def apply(self, paths: Sequence[pathlib.Path]) -> Outcome:
+        """Apply files in turn, and stop at the first that is refused.
+
+        All files are checked before the first one is sent.
+        """
+        texts: list[str] = []
+        findings: list[Finding] = []
+        for path in paths:
+            read = read_file(path)
+            if read.is_error():
+                findings.append(read.error)
+                continue
+            checked = read_document(read.ok, str(path))
+            if checked.is_error():
+                findings.extend(checked.error)
+                continue
+            texts.append(read.ok)
+        if findings:
+            return findings_outcome(findings)
+        return await self._apply_texts(texts)
+
+    async def _apply_texts(self, texts: Sequence[str]) -> Outcome:
+        records: list[Record] = []
+        lines: list[RenderableType] = []
+        for text in texts:
+            answer = await accept_document(
+                self.table, text, self.author, self.expected_version, self.clock
+            )
+            if answer.is_error():
+                refused = _refusal(answer.error)
+                record = {**refused.record, 'accepted': records}
+                return Outcome(refused.code, record, [*lines, *refused.views])
+            accepted = answer.ok
+            records.append(record_of(accepted))
+            lines.append(
+                f'{accepted.service}: version {accepted.version} accepted '
+                f'(revision {accepted.revision})'
+            )
+        return Outcome(ExitCode.DONE, {'accepted': records}, lines)
+
+
+def _refusal(error: ApplyError) -> Outcome:
+    match error.fault:
+        case ApplyFault.INVALID:
+            return findings_outcome(error.findings)
+        case ApplyFault.OVERLAP:
+            return _overlap_refusal(error)
+        case ApplyFault.CONFLICT:
+            return _conflict_refusal(error)
+        case ApplyFault.UNKNOWN:
+            return _unknown_outcome(error)
+        case ApplyFault.CONTENTION:
+            message = (
+                'not accepted: other services changed at every try; apply again'
+            )
+            return fail(ExitCode.CONFLICT, 'contention', message)
+        case ApplyFault.UNAVAILABLE:
+            message = (
+                'not accepted: the platform table cannot be reached '
+                f'({error.detail}); apply again later'
+            )
+            return fail(ExitCode.UNAVAILABLE, 'unavailable', message)
+
+
+def _overlap_refusal(error: ApplyError) -> Outcome:
+    lines = [_overlap_line(overlap) for overlap in error.overlaps]
+    record = {
+        'fault': 'overlap',
+        'overlaps': [
+            {
+                **overlap.match._asdict(),
+                'service': overlap.service,
+                'reason': overlap.reason,
+            }
+            for overlap in error.overlaps
+        ],
+    }
+    return Outcome(ExitCode.CONFLICT, record, lines)
+
+
+def _overlap_line(overlap: Overlap) -> str:
+    host, prefix = overlap.match
+    return (
+        f'not accepted: match {host}{prefix} clashes with '
+        f'{overlap.service}: {overlap.reason}'
+    )
+
+
+def _conflict_refusal(error: ApplyError) -> Outcome:
+    newest = error.newest
+    if newest is None:
+        message = 'not accepted: the service has no version yet'
+        return fail(ExitCode.CONFLICT, 'conflict', message)
+    message = (
+        f'not accepted: {newest.author} changed {newest.service} to version '
+        f'{newest.version} at {show_time(newest.accepted_at)}; look at it with '
+        f'"cowslippondctl diff", then apply with '
+        f'--expected-version {newest.version}'
+    )
+    record = {'fault': 'conflict', 'newest': record_of(newest)}
+    return Outcome(ExitCode.CONFLICT, record, [message])
+
+
+def _unknown_outcome(error: ApplyError) -> Outcome:
+    revisions = ', '.join(str(revision) for revision in error.revisions)
+    message = (
+        f'unknown: the answers of the platform table were lost '
+        f'({error.detail}). The change may be accepted, now or late, as '
+        f'revision {revisions}. Run "cowslippondctl history SERVICE": it was '
+        f'accepted if a row shows token {error.token}, and never will be if '
+        f'that revision shows another token'
+    )
+    record = {
+        'fault': 'unknown',
+        'revisions': error.revisions,
+        'token': error.token,
+        'message': message,
+    }
+    return Outcome(ExitCode.UNKNOWN, record, [message])
--- /dev/null
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_changes.py
@@ -0,0 +1,74 @@
+"""The changes of one service, newest first."""
+
+from cowslippond_core import Table, TableError, read_head
+from cowslippond_core._catalogue_layout import CatalogueRow
+from cowslippond_core._catalogue_reader import read_change_rows
+from expression import Error, Ok, Result
+
+# Revisions, of all services, read in one step back.
+_WINDOW = 200
+
+
+async def find_changes(
+    table: Table, service: str, limit: int
+) -> Result[list[CatalogueRow], TableError]:
+    """Return the newest changes of a service, newest first.
+
+    :param limit: the most changes to return.
+    """
+    head = await read_head(table)
+    if head.is_error():
+        return Error(head.error)
+    found: list[CatalogueRow] = []
+    upper = head.ok
+    while upper > 0 and len(found) < limit:
+        lower = max(upper - _WINDOW, 0)
+        window = await _read_window(table, lower, upper)
+        if window.is_error():
+            return Error(window.error)
+        found.extend(
+            row
+            for row in reversed(window.ok)
+            if row.document.service == service
+        )
+        upper = lower
+    return Ok(found[:limit])
+
+
+async def find_version(
+    table: Table, service: str, version: int
+) -> Result[CatalogueRow | None, TableError]:
+    """Return one version of a service, ``None`` if there is none."""
+    newest = await find_changes(table, service, 1)
+    if newest.is_error():
+        return Error(newest.error)
+    if not newest.ok or newest.ok[0].document.version < version:
+        return Ok(None)
+    count = newest.ok[0].document.version - version + 1
+    changes = await find_changes(table, service, count)
+    if changes.is_error():
+        return Error(changes.error)
+    for row in changes.ok:
+        if row.document.version == version:
+            return Ok(row)
+    return Ok(None)
+
+
+async def _read_window(
+    table: Table, lower: int, upper: int
+) -> Result[list[CatalogueRow], TableError]:
+    """Return the changes above a revision, up to another one.
+
+    The table may answer with fewer rows than asked for.
+    """
+    rows: list[CatalogueRow] = []
+    after = lower
+    while after < upper:
+        page = await read_change_rows(table, after, upper - after)
+        if page.is_error():
+            return Error(page.error)
+        if not page.ok:
+            break
+        rows.extend(page.ok)
+        after = page.ok[-1].document.revision
+    return Ok(rows)
--- /dev/null
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_check.py
@@ -0,0 +1,56 @@
+"""The command ``check``: find the faults of documents before they are sent."""
+
+import pathlib
+from collections.abc import Sequence
+
+from cowslippond_core import (
+    Finding,
+    ServiceDocument,
+    format_finding,
+    read_document,
+)
+from expression import Error, Result
+
+from cowslippond_ctl._exit_codes import ExitCode
+from cowslippond_ctl._outcome import Outcome, Record
+from cowslippond_ctl._platform import read_file
+
+
+def check_files(paths: Sequence[pathlib.Path]) -> Outcome:
+    """Check documents, and report the findings of all files together."""
+    findings: list[Finding] = []
+    services: list[str] = []
+    for path in paths:
+        read = read_document_file(path)
+        if read.is_error():
+            findings.extend(read.error)
+            continue
+        services.append(read.ok.service)
+    if findings:
+        return findings_outcome(findings)
+    record = {'findings': [], 'services': services}
+    return Outcome(ExitCode.DONE, record, [f'{len(services)} documents, ok'])
+
+
+def read_document_file(
+    path: pathlib.Path,
+) -> Result[ServiceDocument, tuple[Finding, ...]]:
+    """Return the document in a file, or all findings about it."""
+    read = read_file(path)
+    if read.is_error():
+        return Error((read.error,))
+    return read_document(read.ok, str(path))
+
+
+def findings_outcome(findings: Sequence[Finding]) -> Outcome:
+    """Return the outcome of a command that met faulty files."""
+    record = {
+        'fault': 'invalid',
+        'findings': [_record_of(finding) for finding in findings],
+    }
+    lines = [format_finding(finding) for finding in findings]
+    return Outcome(ExitCode.FAULTY, record, lines)
+
+
+def _record_of(finding: Finding) -> Record:
+    return {**finding.place._asdict(), 'message': finding.message}
--- /dev/null
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_daemons.py
@@ -0,0 +1,126 @@
+"""Ask daemons which versions they have in force."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any, NamedTuple
+
+import anyio
+import httpcore
+import orjson
+from cowslippond_core import Millis, seconds_of
+from cowslippond_core._vm_list import ENTRY_SERVICE, Vm, VmState
+from expression import Error, Ok, Result
+
+_OK_STATUS = 200
+_HTTP_FAULTS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    TimeoutError,
+)
+_MALFORMED = (AttributeError, KeyError, TypeError, ValueError)
+
+
+class DaemonStatus(NamedTuple):
+    """What a daemon says of itself.
+
+    ``versions`` maps each service to its version in force.
+    """
+
+    vm: str
+    state: str
+    is_ready: bool
+    revision: int
+    versions: Mapping[str, int]
+
+
+class DaemonView(NamedTuple):
+    """A daemon as the operator tool sees it.
+
+    ``status`` is ``None`` if it did not answer, and ``fault`` says why.
+    ``is_leaving`` comes from the platform's list of VMs.
+    """
+
+    vm: str
+    failure_domain: str
+    admin_address: str
+    is_leaving: bool
+    status: DaemonStatus | None
+    fault: str
+
+
+def entry_vms(vms: Sequence[Vm]) -> list[Vm]:
+    """Return the VMs that run a daemon, by name."""
+    return sorted(
+        (vm for vm in vms if vm.service == ENTRY_SERVICE and vm.admin_address),
+        key=_name_of,
+    )
+
+
+async def ask_daemons(
+    vms: Sequence[Vm], timeout: Millis
+) -> tuple[DaemonView, ...]:
+    """Ask all daemons at once.
+
+    :param timeout: the longest wait for one answer, in milliseconds.
+    """
+    views: dict[int, DaemonView] = {}
+    async with httpcore.AsyncConnectionPool(retries=0) as pool:
+        async with anyio.create_task_group() as tasks:
+            for index, vm in enumerate(vms):
+                tasks.start_soon(_ask_into, views, index, pool, vm, timeout)
+    return tuple(view for _, view in sorted(views.items()))
+
+
+async def _ask_into(
+    views: dict[int, DaemonView],
+    index: int,
+    pool: httpcore.AsyncConnectionPool,
+    vm: Vm,
+    timeout: Millis,
+) -> None:
+    answer = await _fetch_status(pool, vm.admin_address, timeout)
+    views[index] = DaemonView(
+        vm=vm.name,
+        failure_domain=vm.failure_domain,
+        admin_address=vm.admin_address,
+        is_leaving=vm.state is VmState.LEAVING,
+        status=answer.ok if answer.is_ok() else None,
+        fault=answer.error if answer.is_error() else '',
+    )
+
+
+async def _fetch_status(
+    pool: httpcore.AsyncConnectionPool, address: str, timeout: Millis
+) -> Result[DaemonStatus, str]:
+    try:
+        with anyio.fail_after(seconds_of(timeout)):
+            response = await pool.request('GET', f'http://{address}/status')
+    except _HTTP_FAULTS as failed:
+        return Error(f'no answer ({type(failed).__name__})')
+    if response.status != _OK_STATUS:
+        return Error(f'answered with status {response.status}')
+    return _read_status(response.content)
+
+
+def _read_status(text: bytes) -> Result[DaemonStatus, str]:
+    try:
+        return Ok(_status_of(orjson.loads(text)))
+    except _MALFORMED:
+        return Error('answered with an unknown form of status')
+
+
+def _status_of(record: Mapping[str, Any]) -> DaemonStatus:
+    return DaemonStatus(
+        vm=str(record['vm']),
+        state=str(record['state']),
+        is_ready=bool(record['ready']),
+        revision=int(record['revision']),
+        versions={
+            str(service): int(version)
+            for service, version in record['versions'].items()
+        },
+    )
+
+
+def _name_of(vm: Vm) -> str:
+    return vm.name
--- /dev/null
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_history.py
@@ -0,0 +1,103 @@
+"""The commands ``show`` and ``history``: what was accepted, by whom."""
+
+from cowslippond_core import (
+    AcceptedDocument,
+    Table,
+    read_documents,
+    read_newest_document,
+)
+from cowslippond_core._catalogue_layout import CatalogueRow
+
+from cowslippond_ctl._changes import find_changes, find_version
+from cowslippond_ctl._exit_codes import ExitCode
+from cowslippond_ctl._outcome import Outcome, fail, record_of, table_failed
+from cowslippond_ctl._times import show_time
+from cowslippond_ctl._views import grid
+
+_NO_DOCUMENT = 'not_found'
+
+
+async def list_services(table: Table) -> Outcome:
+    """Show the newest version of every service."""
+    answer = await read_documents(table)
+    if answer.is_error():
+        return table_failed(answer.error)
+    record = {'services': [record_of(accepted) for accepted in answer.ok]}
+    view = grid(
+        ('service', 'version', 'revision', 'accepted', 'author'),
+        (_cells_of(accepted) for accepted in answer.ok),
+    )
+    return Outcome(ExitCode.DONE, record, [view])
+
+
+async def show_newest(table: Table, service: str) -> Outcome:
+    """Show the newest document of a service as its author wrote it."""
+    answer = await read_newest_document(table, service)
+    if answer.is_error():
+        return table_failed(answer.error)
+    if answer.ok is None:
+        return not_found(service)
+    return _text_outcome(answer.ok)
+
+
+async def show_version(table: Table, service: str, version: int) -> Outcome:
+    """Show one version of a service's document."""
+    answer = await find_version(table, service, version)
+    if answer.is_error():
+        return table_failed(answer.error)
+    if answer.ok is None:
+        return not_found(f'{service} version {version}')
+    return _text_outcome(answer.ok.document)
+
+
+async def show_history(table: Table, service: str, limit: int) -> Outcome:
+    """Show the newest changes of a service.
+
+    :param limit: the most changes to show.
+    """
+    answer = await find_changes(table, service, limit)
+    if answer.is_error():
+        return table_failed(answer.error)
+    if not answer.ok:
+        return not_found(service)
+    record = {
+        'changes': [
+            {**record_of(row.document), 'token': row.token} for row in answer.ok
+        ]
+    }
+    view = grid(
+        ('version', 'revision', 'accepted', 'author', 'token'),
+        (_change_cells(row) for row in answer.ok),
+    )
+    return Outcome(ExitCode.DONE, record, [view])
+
+
+def not_found(wanted: str) -> Outcome:
+    """Return the outcome of asking for what was never accepted."""
+    message = (
+        f'{wanted} was never accepted; "cowslippondctl show" lists the services'
+    )
+    return fail(ExitCode.NOT_FOUND, _NO_DOCUMENT, message)
+
+
+def _text_outcome(accepted: AcceptedDocument) -> Outcome:
+    record = {**record_of(accepted), 'text': accepted.text}
+    heading = (
+        f'// {accepted.service} version {accepted.version}, accepted '
+        f'{show_time(accepted.accepted_at)} from {accepted.author}'
+    )
+    return Outcome(ExitCode.DONE, record, [heading, accepted.text])
+
+
+def _cells_of(accepted: AcceptedDocument) -> tuple[str, ...]:
+    return (
+        accepted.service,
+        str(accepted.version),
+        str(accepted.revision),
+        show_time(accepted.accepted_at),
+        accepted.author,
+    )
+
+
+def _change_cells(row: CatalogueRow) -> tuple[str, ...]:
+    return (*_cells_of(row.document)[1:], row.token)
--- /dev/null
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_platform.py
@@ -0,0 +1,68 @@
+"""Where the platform is: the settings of the operator tool."""
+
+import os
+import pathlib
+from typing import Any, NamedTuple
+
+from cowslippond_core import Finding, Millis, Place
+from cowslippond_core._field_reader import read_fields
+from cowslippond_core._settings_fields import PLATFORM_SPEC, report_nothing
+from expression import Error, Result
+
+PLATFORM_VARIABLE = 'COWSLIPPOND_PLATFORM'
+
+
+class PlatformLink(NamedTuple):
+    """The services of the platform that the operator tool uses.
+
+    ``timeout_ms`` bounds the wait for an answer, in milliseconds.
+    """
+
+    table_url: str
+    table_name: str
+    vm_list_url: str
+    timeout_ms: Millis
+
+
+def read_platform(
+    path: pathlib.Path | None,
+) -> Result[PlatformLink, tuple[Finding, ...]]:
+    """Read the file that names the platform's services.
+
+    :param path: the file; ``None`` takes the one that the environment names.
+    """
+    named = path or os.environ.get(PLATFORM_VARIABLE)
+    if not named:
+        message = f'name the platform: --platform FILE or {PLATFORM_VARIABLE}'
+        return Error((_finding('command line', message),))
+    read = read_file(pathlib.Path(named))
+    if read.is_error():
+        return Error((read.error,))
+    fields = read_fields(PLATFORM_SPEC, report_nothing, read.ok, str(named))
+    return fields.map(_link_of)
+
+
+def read_file(path: pathlib.Path) -> Result[str, Finding]:
+    """Return the text of a file.
+
+    :param path: the file, in UTF-8 with or without a byte order mark.
+    """
+    try:
+        return _text_of(path)
+    except UnicodeDecodeError:
+        return Error(_finding(str(path), 'is not UTF-8 text'))
+    except OSError as failed:
+        reason = failed.strerror or repr(failed)
+        return Error(_finding(str(path), f'cannot be read: {reason}'))
+
+
+def _text_of(path: pathlib.Path) -> Result[str, Finding]:
+    return Result.Ok(path.read_text(encoding='utf-8-sig'))
+
+
+def _link_of(fields: dict[str, Any]) -> PlatformLink:
+    return PlatformLink(**fields)
+
+
+def _finding(file: str, message: str) -> Finding:
+    return Finding(Place(file, 1, 1, ''), message)
--- /dev/null
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_times.py
@@ -0,0 +1,35 @@
+"""Times as operators read them."""
+
+import datetime
+
+_MILLIS_PER_SECOND = 1000
+_SECONDS_PER_MINUTE = 60
+_UNITS = (('d', 86_400), ('h', 3600), ('min', _SECONDS_PER_MINUTE))
+
+
+def show_time(wall: int) -> str:
+    """Return a time as text, in universal time.
+
+    :param wall: in milliseconds since the Unix epoch.
+    """
+    moment = datetime.datetime.fromtimestamp(
+        wall / _MILLIS_PER_SECOND, tz=datetime.UTC
+    )
+    return moment.strftime('%Y-%m-%d %H:%M:%SZ')
+
+
+def show_age(span: float) -> str:
+    """Return a time span as text with its largest unit.
+
+    :param span: in milliseconds.
+    """
+    seconds = max(span, 0) / _MILLIS_PER_SECOND
+    if seconds < _SECONDS_PER_MINUTE:
+        return f'{seconds:.1f} s'
+    unit, unit_seconds = next(
+        (unit, unit_seconds)
+        for unit, unit_seconds in _UNITS
+        if seconds >= unit_seconds
+    )
+    count = seconds / unit_seconds
+    return f'{count:.1f} {unit}'
