--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
@@ -1,21 +1,14 @@
 """Decides on a call: which service it is for, and how it may run."""
 
 import logging
-from collections.abc import Callable
-from typing import NamedTuple
 
 from cowslippond_core import (
     CallAnswer,
     CallRefusal,
     CallRequest,
-    Catalogue,
-    ClaimFlow,
-    Clock,
     InForce,
     Outcome,
-    Quarantine,
     RefusalReason,
-    Sender,
     fingerprint_request,
 )
 
@@ -26,38 +19,21 @@
     is_idempotent,
 )
 from cowslippond_daemon._edge import IncomingCall
-from cowslippond_daemon._services import Services
+from cowslippond_daemon._parts import DaemonParts
 
 _log = logging.getLogger(__name__)
 
 _RETRY_AFTER_MS = 1000
 
 
-class CallParts(NamedTuple):
-    """What a decision about a call rests on."""
-
-    catalogue: Catalogue
-    services: Services
-    sender: Sender
-    claims: ClaimFlow
-    quarantine: Quarantine
-    clock: Clock
-
-
 class CallRouter:
     """Takes a call through admission, claim, sending and answer.
 
     :param parts: the parts that decide.
-    :param count_refusal: counts a refusal of a service by its reason.
     """
 
-    def __init__(
-        self,
-        parts: CallParts,
-        count_refusal: Callable[[str, RefusalReason], None],
-    ) -> None:
+    def __init__(self, parts: DaemonParts) -> None:
         self.parts = parts
-        self.count_refusal = count_refusal
 
     async def decide(self, call: IncomingCall) -> CallAnswer | CallRefusal:
         """Return the answer of an upstream, or a refusal."""
@@ -66,7 +42,7 @@
         service = in_force.document.service if in_force else ''
         reply = await self._decide(call, in_force)
         if isinstance(reply, CallRefusal):
-            self.count_refusal(service, reply.reason)
+            self.parts.metrics.refused(reply.reason)
             _log.info(
                 'call refused',
                 extra={
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_program.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_program.py
@@ -3,6 +3,8 @@
 import os
 import pathlib
 import sys
+from collections.abc import Mapping
+from typing import Any
 
 import anyio
 import defopt
@@ -47,7 +49,7 @@
         the file's.
     :param peer_address: address for other daemons, in place of the file's.
     """
-    given = {
+    given: Mapping[str, Any] = {
         'vm': vm,
         'failure_domain': failure_domain,
         'caller_address': caller_address,
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_retirement.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_retirement.py
@@ -36,21 +36,12 @@
     :param clock: the clock of the waits.
     :param lag_ms: how long the balancer may go on sending, in milliseconds.
     :param limit_ms: the longest the whole stop may take, in milliseconds.
-    :param keep_alive_ms: how long an idle connection stays open at most, in
-        milliseconds.
     """
 
-    def __init__(
-        self,
-        clock: Clock,
-        lag_ms: Millis,
-        limit_ms: Millis,
-        keep_alive_ms: Millis,
-    ) -> None:
+    def __init__(self, clock: Clock, lag_ms: Millis, limit_ms: Millis) -> None:
         self.clock = clock
         self.lag_ms = lag_ms
         self.limit_ms = limit_ms
-        self.keep_alive_ms = keep_alive_ms
         self.started_at: Millis | None = None
 
     async def retire(
--- /dev/null
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_status.py
@@ -0,0 +1,21 @@
+"""The status of a daemon, as operators and their tool read it."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from cowslippond_daemon._parts import DaemonParts
+
+
+def describe(parts: DaemonParts) -> Mapping[str, Any]:
+    """Return the state of the parts as a mapping fit for JSON."""
+    spread = parts.spread.status()
+    return {
+        **spread._asdict(),
+        'daemons': [daemon._asdict() for daemon in spread.daemons],
+        'counters': dict(parts.metrics.totals),
+        'upstreams': {
+            service: sorted(state.upstreams.by_address)
+            for service, state in parts.services.states.items()
+        },
+        'unsettled_claims': parts.backlog.unsettled,
+    }
