--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -1,13 +1,13 @@
 """Coordination parts of a load balancer whose nodes act together."""
 
-from cowslippond_core._catalogue import FRESHNESS_BOUND as FRESHNESS_BOUND
-from cowslippond_core._catalogue import Catalogue as Catalogue
-from cowslippond_core._catalogue import DocumentReader as DocumentReader
-from cowslippond_core._catalogue import InForce as InForce
 from cowslippond_core._budgets import BudgetSettings as BudgetSettings
 from cowslippond_core._budgets import ShareBudget as ShareBudget
 from cowslippond_core._budgets import is_first_attempt as is_first_attempt
 from cowslippond_core._call_identity import CallIdentity as CallIdentity
+from cowslippond_core._catalogue import FRESHNESS_BOUND as FRESHNESS_BOUND
+from cowslippond_core._catalogue import Catalogue as Catalogue
+from cowslippond_core._catalogue import DocumentReader as DocumentReader
+from cowslippond_core._catalogue import InForce as InForce
 from cowslippond_core._catalogue_reader import read_changes as read_changes
 from cowslippond_core._catalogue_reader import read_documents as read_documents
 from cowslippond_core._catalogue_reader import read_head as read_head
@@ -41,6 +41,12 @@
 from cowslippond_core._findings import Finding as Finding
 from cowslippond_core._findings import Place as Place
 from cowslippond_core._findings import format_finding as format_finding
+from cowslippond_core._fingerprint import (
+    FINGERPRINT_BODY_BYTES as FINGERPRINT_BODY_BYTES,
+)
+from cowslippond_core._fingerprint import (
+    fingerprint_request as fingerprint_request,
+)
 from cowslippond_core._gossip_table import GossipRow as GossipRow
 from cowslippond_core._gossip_table import GossipTable as GossipTable
 from cowslippond_core._leaving import Leaving as Leaving
@@ -48,12 +54,6 @@
 from cowslippond_core._measuring import MeasuringAllowance as MeasuringAllowance
 from cowslippond_core._measuring import budget_of as budget_of
 from cowslippond_core._membership import Daemon as Daemon
-from cowslippond_core._fingerprint import (
-    FINGERPRINT_BODY_BYTES as FINGERPRINT_BODY_BYTES,
-)
-from cowslippond_core._fingerprint import (
-    fingerprint_request as fingerprint_request,
-)
 from cowslippond_core._messages import AnswerChunks as AnswerChunks
 from cowslippond_core._messages import CallAnswer as CallAnswer
 from cowslippond_core._messages import CallRefusal as CallRefusal
@@ -67,11 +67,6 @@
 from cowslippond_core._metrics import Metrics as Metrics
 from cowslippond_core._metrics import refusal_name as refusal_name
 from cowslippond_core._metrics import retry_name as retry_name
-from cowslippond_core._reasons import RefusalReason as RefusalReason
-from cowslippond_core._reasons import RetryReason as RetryReason
-from cowslippond_core._spread import Spread as Spread
-from cowslippond_core._spread import SpreadSettings as SpreadSettings
-from cowslippond_core._spread import SpreadStatus as SpreadStatus
 from cowslippond_core._objects import ObjectError as ObjectError
 from cowslippond_core._objects import ObjectFault as ObjectFault
 from cowslippond_core._objects import ObjectStore as ObjectStore
@@ -79,13 +74,16 @@
 from cowslippond_core._quarantine import Quarantine as Quarantine
 from cowslippond_core._reasons import RefusalReason as RefusalReason
 from cowslippond_core._reasons import RetryReason as RetryReason
+from cowslippond_core._sender import Sender as Sender
+from cowslippond_core._service_state import ServiceState as ServiceState
 from cowslippond_core._settings import LogSettings as LogSettings
 from cowslippond_core._settings import PlatformSettings as PlatformSettings
 from cowslippond_core._settings import RetireSettings as RetireSettings
 from cowslippond_core._settings import Settings as Settings
 from cowslippond_core._settings import read_settings as read_settings
-from cowslippond_core._sender import Sender as Sender
-from cowslippond_core._service_state import ServiceState as ServiceState
+from cowslippond_core._spread import Spread as Spread
+from cowslippond_core._spread import SpreadSettings as SpreadSettings
+from cowslippond_core._spread import SpreadStatus as SpreadStatus
 from cowslippond_core._suspects import CrashMark as CrashMark
 from cowslippond_core._suspects import Suspect as Suspect
 from cowslippond_core._table import Condition as Condition
--- a/packages/cowslippond-core/src/cowslippond_core/_catalogue.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_catalogue.py
@@ -8,6 +8,7 @@
 
 from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._document import AcceptedDocument, ServiceDocument
+from cowslippond_core._document_reader import read_document
 from cowslippond_core._findings import Finding, format_finding
 
 #: The longest time a version is served after it was last known to be the
@@ -43,13 +44,14 @@
     no change of any service is missing; single documents may be newer.
 
     :param clock: the clock of freshness.
-    :param read_document: reads a text; its second argument names the text in
-        findings.
+    :param read: reads a text; its second argument names it in findings.
     """
 
-    def __init__(self, clock: Clock, read_document: DocumentReader) -> None:
+    def __init__(
+        self, clock: Clock, read: DocumentReader = read_document
+    ) -> None:
         self.clock = clock
-        self.read_document = read_document
+        self.read = read
         self.revision = 0
         self.confirmed_at: Millis | None = None
         self.unreadable = 0
@@ -153,7 +155,7 @@
 
     def _put_in_force(self, accepted: AcceptedDocument) -> bool:
         place = f'{accepted.service}@{accepted.version}'
-        match self.read_document(accepted.text, place):
+        match self.read(accepted.text, place):
             case Result(tag='ok', ok=document):
                 self.in_force[accepted.service] = InForce(accepted, document)
                 self.routes = _build_routes(self.in_force.values())
@@ -200,11 +202,15 @@
             route = _Route(match.path_prefix, entry)
             by_host.setdefault(match.host.lower(), []).append(route)
     return {
-        host: tuple(sorted(routes, key=lambda route: -len(route.prefix)))
+        host: tuple(sorted(routes, key=_prefix_length, reverse=True))
         for host, routes in by_host.items()
     }
 
 
+def _prefix_length(route: _Route) -> int:
+    return len(route.prefix)
+
+
 def _bare_host(host: str) -> str:
     lower = host.lower()
     if lower.startswith('['):
--- a/packages/cowslippond-core/src/cowslippond_core/_gossip_table.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_gossip_table.py
@@ -151,8 +151,8 @@
         if not self.cursor:
             self.drop_expired()
             self.cursor = list(self.kept)
-        turn = self.cursor[-room:]
-        del self.cursor[-room:]
+        turn = self.cursor[:room]
+        self.cursor = self.cursor[room:]
         return [key for key in turn if key in self.kept and key not in seen]
 
     def _trim(self) -> None:
--- a/packages/cowslippond-core/src/cowslippond_core/_messages.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_messages.py
@@ -10,9 +10,15 @@
 HeaderList: TypeAlias = tuple[tuple[bytes, bytes], ...]
 
 
-class AnswerChunks(AsyncIterator[bytes], Protocol):
+class AnswerChunks(Protocol):
     """The body of an answer; closing it cancels what still runs."""
 
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Return the iterator over the chunks."""
+
+    async def __anext__(self) -> bytes:
+        """Return the next chunk."""
+
     async def aclose(self) -> None:
         """Give up the rest of the body."""
 
--- a/packages/cowslippond-core/src/cowslippond_core/_metrics.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_metrics.py
@@ -47,14 +47,6 @@
     return f'retries.{reason.value}'
 
 
-class _UnblockedStatsClient(StatsClient):
-    """A statsd client that drops a packet rather than wait."""
-
-    def __init__(self, host: str, port: int, prefix: str) -> None:
-        super().__init__(host, port, prefix)
-        self._sock.setblocking(False)
-
-
 class Metrics:
     """Counters, gauges and timings of one daemon.
 
@@ -73,7 +65,7 @@
         self.client: StatsClient | None = None
         if address:
             host, _, port = address.rpartition(':')
-            self.client = _UnblockedStatsClient(host, int(port), prefix)
+            self.client = StatsClient(host, int(port), prefix)
 
     def count(self, name: str, by: int = 1) -> None:
         """Add to a counter."""
@@ -100,8 +92,10 @@
 
     def flush(self) -> None:
         """Send what has gathered since the last batch."""
-        counts, self.unsent = self.unsent, Counter()
-        timings, self.timings = self.timings, {}
+        counts = self.unsent
+        timings = self.timings
+        self.unsent = Counter()
+        self.timings = {}
         if self.client is None:
             return
         batch = self.client.pipeline()
--- a/packages/cowslippond-core/src/cowslippond_core/_spread.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_spread.py
@@ -129,7 +129,6 @@
     def status(self) -> SpreadStatus:
         """Return what the status page tells."""
         now = self.clock.now()
-        domains = self.membership.domains()
         error = self.poller.last_error
         return SpreadStatus(
             revision=self.catalogue.revision,
