--- a/packages/cowslippond-core/src/cowslippond_core/_messages.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_messages.py
@@ -14,10 +14,10 @@
     """The body of an answer; closing it cancels what still runs."""
 
     def __aiter__(self) -> AsyncIterator[bytes]:
-        """Return the iterator over the chunks."""
+        """Return the iterator over the body, which can be read once."""
 
     async def __anext__(self) -> bytes:
-        """Return the next chunk."""
+        """Return the next bytes of the body."""
 
     async def aclose(self) -> None:
         """Give up the rest of the body."""
