Copy late calls and distrust silent connections

Cause: a straggler or a connection that went silent held a call until its deadline; a caller that left leaked the send. Ruled out: retrying after the deadline, which keeps the tail.

--- a/packages/cowslippond-core/src/cowslippond_core/_attempt.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_attempt.py
@@ -47,6 +47,7 @@
     """The upstream answered."""
 
     answer: CallAnswer
+    attempt: 'Attempt'
 
 
 class NotRun(NamedTuple):
@@ -104,6 +105,7 @@
     :param request: the call.
     :param number: the value of the ``x-attempt`` header.
     :param clock: bounds the waits.
+    :param is_fresh: whether the call must go on a new connection.
     """
 
     def __init__(
@@ -112,6 +114,8 @@
         request: CallRequest,
         number: int,
         clock: Clock,
+        *,
+        is_fresh: bool,
     ) -> None:
         self.upstream = upstream
         self.request = request
@@ -119,6 +123,7 @@
         self.clock = clock
         self.sent_at: Millis = clock.now()
         self.connection: Connection | None = None
+        self.is_fresh = is_fresh or not request.is_idempotent
         self.is_reused = False
         self.is_ended = False
         self.on_end: Callable[[], None] | None = None
@@ -126,28 +131,17 @@
         upstream.in_flight += 1
 
     async def start(self) -> NotRun | None:
-        """Send the call; return why it was certainly not run, if it wasn't."""
-        request = self.request
-        try:
-            taken = await self.upstream.connections.take(
-                is_fresh=not request.is_idempotent
-            )
-        except BaseException:
-            self.end()
-            raise
-        if taken.is_error():
-            self.end()
-            return NotRun(NotRunReason.CONNECT_FAILED)
-        connection = taken.ok
-        self.connection = connection
-        self.is_reused = connection.calls > 0
-        connection.begin(self.exchange)
+        """Send the call, unless that has been done.
+
+        :return: why the call was certainly not run, if it wasn't.
+        """
+        if self.connection is not None:
+            return None
         try:
-            await self._send(connection)
+            return await self._start()
         except BaseException:
             self.end()
             raise
-        return None
 
     async def wait(self, until: Millis) -> AttemptResult | None:
         """Wait for the answer's headers.
@@ -187,8 +181,8 @@
             return
         self.is_ended = True
         self.upstream.in_flight -= 1
-        if self.connection is not None and self.connection.end_call():
-            self.upstream.connections.give_back(self.connection)
+        if self.connection is not None:
+            self._free(self.connection)
         if self.on_end is not None:
             self.on_end()
 
@@ -199,6 +193,25 @@
             return
         self.on_end = callback
 
+    def _free(self, connection: Connection) -> None:
+        connections = self.upstream.connections
+        if not self.exchange.is_headed:
+            connections.note_silence(connection, self.sent_at)
+        if connection.end_call():
+            connections.give_back(connection)
+
+    async def _start(self) -> NotRun | None:
+        taken = await self.upstream.connections.take(is_fresh=self.is_fresh)
+        if taken.is_error():
+            self.end()
+            return NotRun(NotRunReason.CONNECT_FAILED)
+        connection = taken.ok
+        self.connection = connection
+        self.is_reused = connection.calls > 0
+        connection.begin(self.exchange)
+        await self._send(connection)
+        return None
+
     async def _send(self, connection: Connection) -> None:
         request = self.request
         self.sent_at = self.clock.now()
@@ -223,9 +236,8 @@
         if exchange.is_complete:
             self.end()
         headers = end_to_end(exchange.headers)
-        return Answered(
-            CallAnswer(exchange.status, headers, AnswerChunks(self))
-        )
+        answer = CallAnswer(exchange.status, headers, AnswerChunks(self))
+        return Answered(answer, self)
 
 
 def _not_run_promise(exchange: Exchange) -> NotRunReason | None:
--- a/packages/cowslippond-core/src/cowslippond_core/_connections.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_connections.py
@@ -9,6 +9,8 @@
 from cowslippond_core._clock import Clock, Millis, seconds_of
 from cowslippond_core._connection import Connection
 
+_SILENT_CALLS = 3
+
 #: The longest wait for a new connection, in milliseconds.
 CONNECT_TIMEOUT: Millis = 250
 
@@ -35,6 +37,8 @@
         self.open: set[Connection] = set()
         self.idle: list[Connection] = []
         self.opening = 0
+        self.silent_in_row = 0
+        self.silent_since: Millis = 0
 
     def has_room(self) -> bool:
         """Tell whether one more call can have a connection."""
@@ -56,12 +60,31 @@
 
     def give_back(self, connection: Connection) -> None:
         """Keep a connection whose call has ended for the next call."""
+        if connection.calls > 1:
+            self.silent_in_row = 0
         if connection.is_suspect:
             connection.close()
         if not connection.is_closed:
             connection.idle_since = self.clock.now()
             self.idle.append(connection)
 
+    def note_silence(self, connection: Connection, sent_at: Millis) -> None:
+        """Note a call that was given up before any byte of its answer.
+
+        Several in a row on connections that had worked before mean that
+        something between the two ends may have lost track of the whole set.
+
+        :param sent_at: when the call was sent, in milliseconds.
+        """
+        is_proven = connection.received_at >= sent_at or connection.is_closed
+        if is_proven or connection.calls < 2:
+            return
+        if self.silent_in_row == 0:
+            self.silent_since = sent_at
+        self.silent_in_row += 1
+        if self.silent_in_row >= _SILENT_CALLS:
+            self.suspect_silent(self.silent_since)
+
     def suspect_silent(self, since: Millis) -> None:
         """Stop using connections that have brought nothing since a time.
 
@@ -69,6 +92,7 @@
 
         :param since: on the clock, in milliseconds.
         """
+        self.silent_in_row = 0
         for connection in self.open:
             if connection.received_at < since:
                 connection.is_suspect = True
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_latency.py
@@ -0,0 +1,44 @@
+"""Quantiles of recent latencies."""
+
+from collections import deque
+
+from cowslippond_core._clock import Millis
+
+_WINDOW = 512
+_REFRESH_EVERY = 64
+_FEWEST = 16
+_P50 = 0.5
+_P95 = 0.95
+_P99 = 0.99
+
+
+class LatencyWindow:
+    """Quantiles over the last few hundred latencies, in milliseconds.
+
+    Until a few are known, each quantile is ``initial``.
+
+    :param initial: in milliseconds.
+    """
+
+    def __init__(self, initial: Millis) -> None:
+        self.p50: Millis = initial
+        self.p95: Millis = initial
+        self.p99: Millis = initial
+        self.recent: deque[Millis] = deque(maxlen=_WINDOW)
+        self.until_refresh = _FEWEST
+
+    def note(self, latency: Millis) -> None:
+        """Take in one latency."""
+        self.recent.append(latency)
+        self.until_refresh -= 1
+        if self.until_refresh > 0:
+            return
+        self.until_refresh = _REFRESH_EVERY
+        ordered = sorted(self.recent)
+        self.p50 = _quantile(ordered, _P50)
+        self.p95 = _quantile(ordered, _P95)
+        self.p99 = _quantile(ordered, _P99)
+
+
+def _quantile(ordered: list[Millis], share: float) -> Millis:
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_race.py
@@ -0,0 +1,92 @@
+"""A call and its copy: the first good answer wins, the other is cancelled."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from cowslippond_core._attempt import (
+    Answered,
+    Attempt,
+    AttemptResult,
+    Lost,
+    NotRun,
+)
+from cowslippond_core._observations import is_error
+
+_MAX_COPY_SENDS = 3
+
+
+class Race:
+    """The sends of one call that run side by side.
+
+    :param first: the send that is under way.
+    :param make_copy: returns another send, if an upstream may get one.
+    :param wait: waits for the result of a send until the call's deadline.
+    """
+
+    def __init__(
+        self,
+        first: Attempt,
+        make_copy: Callable[[], Attempt | None],
+        wait: Callable[[Attempt], Awaitable[AttemptResult | None]],
+    ) -> None:
+        self.make_copy = make_copy
+        self.wait = wait
+        self.attempts = [first]
+        self.scope = anyio.CancelScope()
+        self.settled: list[AttemptResult] = []
+
+    async def run(self) -> AttemptResult | None:
+        """Return the result that says most about the call, if there is one.
+
+        A good answer ends the race. Otherwise any answer comes first, then a
+        loss, because the call may have run. All sends but the winning one
+        have ended, and their connections are closed.
+        """
+        try:
+            await self._run_side_by_side()
+        except BaseException:
+            self._end_all_but(None)
+            raise
+        winner = min(self.settled, key=_rank, default=None)
+        self._end_all_but(winner)
+        return winner
+
+    async def _run_side_by_side(self) -> None:
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._run_first)
+                tasks.start_soon(self._run_copies)
+
+    async def _run_first(self) -> None:
+        self._settle(await self.wait(self.attempts[0]))
+
+    async def _run_copies(self) -> None:
+        for _ in range(_MAX_COPY_SENDS):
+            copy = self.make_copy()
+            if copy is None:
+                return
+            self.attempts.append(copy)
+            result = await self.wait(copy)
+            if not isinstance(result, NotRun):
+                self._settle(result)
+                return
+
+    def _settle(self, result: AttemptResult | None) -> None:
+        if result is None:
+            return
+        self.settled.append(result)
+        if isinstance(result, Answered) and not is_error(result):
+            self.scope.cancel()
+
+    def _end_all_but(self, winner: AttemptResult | None) -> None:
+        kept = winner.attempt if isinstance(winner, Answered) else None
+        for attempt in self.attempts:
+            if attempt is not kept:
+                attempt.end()
+
+
+def _rank(result: AttemptResult) -> int:
+    if isinstance(result, Answered):
+        return int(is_error(result))
+    return 2 if isinstance(result, Lost) else 3
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_refusals.py
@@ -0,0 +1,42 @@
+"""The final answers of the load balancer itself."""
+
+import random
+from types import MappingProxyType
+
+from cowslippond_core._attempt import Lost, NotRun, NotRunReason
+from cowslippond_core._clock import Millis
+from cowslippond_core._messages import CallRefusal, Outcome
+from cowslippond_core._reasons import RefusalReason
+
+_SOONEST_RETURN: Millis = 1000
+_LATEST_RETURN: Millis = 3000
+
+_REFUSAL_REASONS = MappingProxyType(
+    {
+        NotRunReason.CONNECT_FAILED: RefusalReason.CONNECT_FAILED,
+        NotRunReason.SHED: RefusalReason.UPSTREAMS_FULL,
+        NotRunReason.DRAINING: RefusalReason.NO_UPSTREAM,
+    }
+)
+
+
+def not_run(reason: RefusalReason, rng: random.Random) -> CallRefusal:
+    """Return the refusal of a call that was not run.
+
+    The time to come back is spread, so that callers that were refused
+    together don't come back together.
+    """
+    return CallRefusal(Outcome.NOT_RUN, reason, _retry_after(rng))
+
+
+def refusal_of(result: Lost | NotRun, rng: random.Random) -> CallRefusal:
+    """Return the refusal that tells the result of a call's last send."""
+    if isinstance(result, NotRun):
+        return not_run(_REFUSAL_REASONS[result.reason], rng)
+    return CallRefusal(
+        Outcome.UNKNOWN, RefusalReason.ANSWER_LOST, _retry_after(rng)
+    )
+
+
+def _retry_after(rng: random.Random) -> Millis:
+    return rng.uniform(_SOONEST_RETURN, _LATEST_RETURN)
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_retries.py
@@ -0,0 +1,69 @@
+"""Whether a call is sent again, and for which reason."""
+
+from types import MappingProxyType
+
+from cowslippond_core._attempt import (
+    Answered,
+    AttemptResult,
+    Lost,
+    NotRun,
+    NotRunReason,
+)
+from cowslippond_core._clock import Millis
+from cowslippond_core._messages import CallRequest
+from cowslippond_core._reasons import RetryReason
+from cowslippond_core._service_state import RetryTokens
+
+_RETRIED_STATUSES = frozenset((502, 503, 504))
+
+_NOT_RUN_REASONS = MappingProxyType(
+    {
+        NotRunReason.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
+        NotRunReason.SHED: RetryReason.SHED,
+        NotRunReason.DRAINING: RetryReason.DRAINING,
+    }
+)
+
+
+def is_repeatable(request: CallRequest) -> bool:
+    """Tell whether a call may run more than once because of this process.
+
+    A call that an outer level of the call chain repeats already is not
+    repeated again, so that retries don't multiply with the depth.
+    """
+    return (
+        request.is_idempotent and request.rest is None and request.attempt == 0
+    )
+
+
+def retry_reason(
+    result: AttemptResult,
+    request: CallRequest,
+    budget: RetryTokens,
+    now: Millis,
+) -> RetryReason | None:
+    """Return why a call is sent again, or ``None`` if it isn't.
+
+    :param result: of the last send.
+    :param budget: pays for sends of a call that may have run.
+    :param now: on the clock, in milliseconds.
+    """
+    if now >= request.deadline:
+        return None
+    if isinstance(result, NotRun):
+        return _sent_on(result, request)
+    if isinstance(result, Answered):
+        if result.answer.status not in _RETRIED_STATUSES:
+            return None
+    if not is_repeatable(request) or not budget.take():
+        return None
+    if isinstance(result, Lost):
+        return RetryReason.ANSWER_LOST
+    return RetryReason.UPSTREAM_ERROR
+
+
+def _sent_on(result: NotRun, request: CallRequest) -> RetryReason | None:
+    is_unsent = result.reason is NotRunReason.CONNECT_FAILED
+    if is_unsent or request.rest is None:
+        return _NOT_RUN_REASONS[result.reason]
+    return None
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -0,0 +1,235 @@
+"""The way of one admitted call through its sends."""
+
+import random
+from typing import NamedTuple
+
+from cowslippond_core._attempt import (
+    Answered,
+    Attempt,
+    AttemptResult,
+    Lost,
+    NotRun,
+    NotRunReason,
+)
+from cowslippond_core._candidates import Candidates, find_candidates
+from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._exchange import ExchangeFault
+from cowslippond_core._hooks import SendingHooks
+from cowslippond_core._messages import CallRefusal, CallRequest
+from cowslippond_core._observations import note_result
+from cowslippond_core._race import Race
+from cowslippond_core._reasons import RefusalReason, RetryReason
+from cowslippond_core._refusals import not_run, refusal_of
+from cowslippond_core._retries import is_repeatable, retry_reason
+from cowslippond_core._routing import pick
+from cowslippond_core._service_state import ServiceState
+from cowslippond_core._upstreams import Upstream
+
+#: The most sends of one call by one process.
+MAX_SENDS = 6
+
+_SILENCE_FACTOR = 4
+_LEAST_SILENCE: Millis = 200
+
+
+class SendingContext(NamedTuple):
+    """What all calls of a sender share."""
+
+    clock: Clock
+    hooks: SendingHooks
+    policy: object
+    rng: random.Random
+
+
+class Sending:
+    """One admitted call on its way.
+
+    :param ctx: what all calls share.
+    :param service: the service of the call.
+    :param request: the call.
+    """
+
+    def __init__(
+        self, ctx: SendingContext, service: ServiceState, request: CallRequest
+    ) -> None:
+        self.ctx = ctx
+        self.clock = ctx.clock
+        self.service = service
+        self.request = request
+        self.tried: set[str] = set()
+        self.sends = 0
+        self.number = request.attempt
+        self.is_repeatable = is_repeatable(request)
+        self.is_fresh = not request.is_idempotent
+        self.best: AttemptResult | None = None
+
+    async def run(self) -> Answered | CallRefusal:
+        """Send the call until it is answered or given up."""
+        try:
+            await self._send_until_settled()
+        except BaseException:
+            self._keep(None)
+            raise
+        if isinstance(self.best, Answered):
+            return self.best
+        if self.best is None:
+            return not_run(RefusalReason.NO_UPSTREAM, self.ctx.rng)
+        return refusal_of(self.best, self.ctx.rng)
+
+    async def _send_until_settled(self) -> None:
+        while self.sends < MAX_SENDS:
+            upstream = await self._choose()
+            if upstream is None:
+                return
+            result = await self._send_to(upstream)
+            retry = retry_reason(
+                result,
+                self.request,
+                self.service.retry_budget,
+                self.clock.now(),
+            )
+            self._keep(result)
+            if retry is None:
+                return
+            self.ctx.hooks.count_retry(retry)
+
+    async def _choose(self) -> Upstream | None:
+        while True:
+            found = self._find()
+            if found.free:
+                return self._pick(found.free)
+            if found.open_at is None or found.open_at >= self.request.deadline:
+                return None
+            await self.clock.sleep(found.open_at - self.clock.now())
+
+    def _find(self) -> Candidates:
+        return find_candidates(
+            self.service.upstreams,
+            self.tried,
+            self.ctx.hooks.is_leaving,
+            self.clock.now(),
+        )
+
+    def _pick(self, free: list[Upstream]) -> Upstream:
+        chosen = pick(self.ctx.policy, free, self.ctx.rng)
+        chosen.chosen_at = self.clock.now()
+        return chosen
+
+    def _make_copy(self) -> Attempt | None:
+        found = self._find()
+        if not found.free:
+            return None
+        upstream = self._pick(found.free)
+        self.tried.add(upstream.address)
+        self.ctx.hooks.count_retry(RetryReason.HEDGE)
+        return self._attempt(upstream, self.number + 1, is_fresh=True)
+
+    def _attempt(
+        self, upstream: Upstream, number: int, *, is_fresh: bool
+    ) -> Attempt:
+        self.sends += 1
+        return Attempt(
+            upstream, self.request, number, self.clock, is_fresh=is_fresh
+        )
+
+    async def _send_to(self, upstream: Upstream) -> AttemptResult:
+        attempt = self._attempt(upstream, self.number, is_fresh=self.is_fresh)
+        try:
+            result = await self._settle(attempt)
+        except BaseException:
+            attempt.end()
+            raise
+        if isinstance(result, Answered):
+            return result
+        if isinstance(result, Lost):
+            self.number += 1
+            self.is_fresh = True
+        is_shed = isinstance(result, NotRun) and (
+            result.reason is NotRunReason.SHED
+        )
+        if not is_shed:
+            self.tried.add(upstream.address)
+        return result
+
+    async def _settle(self, attempt: Attempt) -> AttemptResult:
+        result = None
+        if self.is_repeatable:
+            result = await self._wait(attempt, self._hedge_time())
+        if result is None and self._may_hedge_now():
+            result = await self._hedge(attempt)
+        elif result is None:
+            result = await self._wait_while_trusted(attempt)
+        if result is None:
+            attempt.end()
+            result = Lost(ExchangeFault.TIMEOUT)
+            note_result(self.service, self.ctx.hooks, attempt, result)
+        return result
+
+    def _hedge_time(self) -> Millis:
+        hedging = self.service.document.hedging
+        delay = max(hedging.delay_ms, self.service.latency.p95)
+        return min(self.clock.now() + delay, self.request.deadline)
+
+    def _may_hedge_now(self) -> bool:
+        if not self.is_repeatable or self.clock.now() >= self.request.deadline:
+            return False
+        has_upstream = bool(self._find().free)
+        return has_upstream and self.service.hedge_budget.take()
+
+    async def _wait_while_trusted(
+        self, attempt: Attempt
+    ) -> AttemptResult | None:
+        """Wait for the answer; give an old connection less time.
+
+        An answer that stays away on a connection that had worked before may
+        mean that the connection went silent for good.
+        """
+        until = self._trusted_until(attempt)
+        result = await self._wait(attempt, until)
+        if result is not None or until >= self.request.deadline:
+            return result
+        attempt.upstream.connections.suspect_silent(attempt.sent_at)
+        if self.service.retry_budget.has_token():
+            return None
+        return await self._wait(attempt, self.request.deadline)
+
+    def _trusted_until(self, attempt: Attempt) -> Millis:
+        if not attempt.is_reused or not self.is_repeatable:
+            return self.request.deadline
+        silence = self.service.latency.p99 * _SILENCE_FACTOR
+        trusted = attempt.sent_at + max(silence, _LEAST_SILENCE)
+        return min(trusted, self.request.deadline)
+
+    async def _hedge(self, first: Attempt) -> AttemptResult | None:
+        self.tried.add(first.upstream.address)
+        race = Race(first, self._make_copy, self._wait_while_trusted)
+        winner = await race.run()
+        for attempt in race.attempts:
+            if not attempt.exchange.is_headed:
+                # The time of a cancelled send is the least that it would have
+                # taken; left out, latencies would look better than they are.
+                waited = self.clock.now() - attempt.sent_at
+                self.service.latency.note(waited)
+        return winner
+
+    async def _wait(
+        self, attempt: Attempt, until: Millis
+    ) -> AttemptResult | None:
+        result = await attempt.start() or await attempt.wait(until)
+        if result is not None:
+            note_result(self.service, self.ctx.hooks, attempt, result)
+        return result
+
+    def _keep(self, result: AttemptResult | None) -> None:
+        """Keep the result that is certain to be said to the caller.
+
+        Once a send may have run, a later 'not run' doesn't change that.
+        """
+        known = self.best
+        if isinstance(known, Answered | Lost) and isinstance(result, NotRun):
+            return
+        if isinstance(known, Answered) and isinstance(result, Lost):
+            return
+        if isinstance(known, Answered):
+            known.attempt.end()
+        self.best = result
--- a/packages/cowslippond-core/src/cowslippond_core/_service_state.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_service_state.py
@@ -6,6 +6,7 @@
 
 from cowslippond_core._clock import Clock
 from cowslippond_core._document import ServiceDocument
+from cowslippond_core._latency import LatencyWindow
 from cowslippond_core._limits import Limiter
 from cowslippond_core._upstreams import UpstreamSet
 from cowslippond_core._vm_list import Vm
@@ -27,6 +28,10 @@
         """Count a first send."""
         self.tokens = min(self.tokens + self.share, _MAX_TOKENS)
 
+    def has_token(self) -> bool:
+        """Tell whether one more repeated send is allowed."""
+        return self.tokens >= 1
+
     def take(self) -> bool:
         """Take the right to one repeated send, if there is one."""
         if self.tokens < 1:
@@ -55,13 +60,16 @@
         self.document = document
         self.daemons = daemons
         self.limiter = Limiter(document.limits, clock)
-        self.budget = RetryTokens(document.retries.share_of_calls)
+        self.latency = LatencyWindow(document.upstreams.mean_service_ms)
+        self.retry_budget = RetryTokens(document.retries.share_of_calls)
+        self.hedge_budget = RetryTokens(document.hedging.share_of_calls)
         self.upstreams = UpstreamSet(tasks, clock, self._connection_limit())
 
     def replace_document(self, document: ServiceDocument) -> None:
         """Put a newer version in force; calls under way are kept."""
         self.document = document
-        self.budget.share = document.retries.share_of_calls
+        self.retry_budget.share = document.retries.share_of_calls
+        self.hedge_budget.share = document.hedging.share_of_calls
         self.limiter.policy = document.limits
         self.upstreams.limit_connections(self._connection_limit())
 
--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -11,11 +11,33 @@
 _LATENCY_WEIGHT = 0.2
 
 
+class Health:
+    """How calls on an upstream have failed lately."""
+
+    def __init__(self) -> None:
+        self.failure_weight = 0
+        self.ejections = 0
+        self.ejected_until: Millis = 0
+        self.is_on_probation = False
+
+
+class Load:
+    """What an upstream says about its load.
+
+    ``reported_in_flight`` is its own, late count of its running calls.
+    """
+
+    def __init__(self) -> None:
+        self.sheds_in_row = 0
+        self.full_until: Millis = 0
+        self.reported_in_flight: float = 0
+        self.reported_at: Millis = 0
+
+
 class Upstream:
     """One upstream VM and what this daemon has seen of it.
 
-    ``latency`` is a moving average in milliseconds; ``reported_in_flight`` is
-    the upstream's own, late report.
+    ``latency`` is a moving average in milliseconds.
 
     :param vm: the entry of the VM list.
     :param connections: the connections to it.
@@ -32,17 +54,13 @@
         self.in_flight = 0
         self.latency: Millis = 0
         self.answers = 0
-        self.failures_in_row = 0
-        self.ejections = 0
-        self.ejected_until: Millis = 0
-        self.full_until: Millis = 0
-        self.reported_in_flight: float = 0
+        self.health = Health()
+        self.load = Load()
         self.is_removed = False
 
     def note_latency(self, latency: Millis) -> None:
         """Take the time of a good answer into the moving average."""
         self.answers += 1
-        self.failures_in_row = 0
         if self.answers == 1:
             self.latency = latency
             return
--- /dev/null
+++ b/tests/core/test_hedging.py
@@ -0,0 +1,105 @@
+"""Tests of copies, silent connections and cancellation."""
+
+import anyio
+import pytest
+from core.scripted_upstream import (
+    DOCUMENT,
+    Bench,
+    ScriptedUpstream,
+    answer_bytes,
+    bench_of,
+    plays,
+)
+from cowslippond_core import CallAnswer, RetryReason
+from cowslippond_core._document import HedgePolicy, RetryBudget
+
+pytestmark = pytest.mark.anyio
+
+_OK = plays(answer_bytes(b'ok'))
+_LATE = plays(400.0, answer_bytes(b'late'))
+_SILENT = plays(60000.0)
+_HEDGED = DOCUMENT._replace(hedging=HedgePolicy(0.5, 30))
+_UNHEDGED = DOCUMENT._replace(
+    hedging=HedgePolicy(0, 30), retries=RetryBudget(0.5)
+)
+
+
+def _in_flight(bench: Bench) -> int:
+    upstreams = bench.service.upstreams.by_address.values()
+    return sum(upstream.in_flight for upstream in upstreams)
+
+
+async def _until_cut(upstream: ScriptedUpstream) -> None:
+    with anyio.fail_after(5):
+        while not upstream.cut:
+            await anyio.sleep(0.01)
+
+
+class TestHedge:
+    async def test_copy_wins_over_a_late_answer(self) -> None:
+        upstreams = ScriptedUpstream(_LATE), ScriptedUpstream(_OK)
+        async with bench_of(*upstreams, document=_HEDGED) as bench:
+            answers = [await bench.call() for _ in range(4)]
+            assert _in_flight(bench) == 0
+        assert set(answers) == {b'ok'}
+        assert RetryReason.HEDGE in bench.retries
+
+    async def test_loser_is_cancelled(self) -> None:
+        slow = ScriptedUpstream(_LATE)
+        async with bench_of(
+            slow, ScriptedUpstream(_OK), document=_HEDGED
+        ) as bench:
+            while not slow.calls:
+                assert await bench.call() == b'ok'
+            await _until_cut(slow)
+
+    async def test_non_idempotent_call_is_never_copied(self) -> None:
+        upstreams = ScriptedUpstream(_LATE), ScriptedUpstream(_LATE)
+        async with bench_of(*upstreams, document=_HEDGED) as bench:
+            assert await bench.call(is_idempotent=False) == b'late'
+        assert sum(len(upstream.calls) for upstream in upstreams) == 1
+
+
+class TestSilentConnections:
+    async def test_whole_older_set_is_given_up(self) -> None:
+        upstream = ScriptedUpstream(
+            plays(50.0, answer_bytes(b'ok')),
+            plays(50.0, answer_bytes(b'ok')),
+            _SILENT,
+            _OK,
+        )
+        async with bench_of(upstream, document=_UNHEDGED) as bench:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(bench.call)
+                tasks.start_soon(bench.call)
+            assert upstream.connections == 2
+            bench.service.retry_budget.tokens = 2
+            await bench.call()
+            connections = next(
+                iter(bench.service.upstreams.by_address.values())
+            ).connections
+            assert await bench.call() == b'ok'
+            assert upstream.connections == 3
+            assert len(connections.open) == 1
+
+
+class TestCancellation:
+    async def test_caller_that_leaves_cancels_the_call(self) -> None:
+        upstream = ScriptedUpstream(_SILENT)
+        async with bench_of(upstream) as bench:
+            with anyio.move_on_after(0.2):
+                await bench.call()
+            assert len(upstream.calls) == 1
+            assert _in_flight(bench) == 0
+            assert bench.service.limiter.running == 0
+
+    async def test_body_that_is_closed_early_frees_the_call(self) -> None:
+        head = b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab'
+        upstream = ScriptedUpstream(plays(head, 60000.0))
+        async with bench_of(upstream) as bench:
+            answer = await bench.sender.send(bench.service, bench.request())
+            assert isinstance(answer, CallAnswer)
+            assert bench.service.limiter.running == 1
+            await answer.chunks.aclose()
+            assert _in_flight(bench) == 0
+            assert bench.service.limiter.running == 0
