--- /dev/null
+++ b/tests/core/test_answers.py
@@ -0,0 +1,212 @@
+"""Tests that each caller gets its own answer, whole or visibly broken."""
+
+import hashlib
+from collections.abc import AsyncIterator
+
+import anyio
+import pytest
+from anyio.abc import SocketStream
+from core.scripted_upstream import (
+    Script,
+    ScriptedUpstream,
+    answer_bytes,
+    bench_of,
+    plays,
+)
+from cowslippond_core import (
+    CallAnswer,
+    CallRefusal,
+    Outcome,
+    TruncatedAnswerError,
+)
+
+pytestmark = pytest.mark.anyio
+
+_OK = plays(answer_bytes(b'ok'))
+_HEAD = b'HTTP/1.1 200 OK\r\n'
+_MEGABYTE = 1048576
+_LARGE = 64 * _MEGABYTE
+
+
+async def _send_large(stream: SocketStream, head: bytes) -> None:
+    await stream.send(_HEAD)
+    await stream.send(b'content-length: %d\r\n\r\n' % _LARGE)
+    for index in range(64):
+        await stream.send(bytes([index]) * _MEGABYTE)
+
+
+async def _send_chunked(stream: SocketStream, head: bytes) -> None:
+    await stream.send(_HEAD + b'transfer-encoding: chunked\r\n\r\n')
+    for index in range(64):
+        part = bytes([index]) * _MEGABYTE
+        await stream.send(b'%x\r\n%b\r\n' % (len(part), part))
+    await stream.send(b'0\r\n\r\n')
+
+
+async def _read_chunked(stream: SocketStream, head: bytes) -> None:
+    received = head.partition(b'\r\n\r\n')[2]
+    while not received.endswith(b'\r\n0\r\n\r\n'):
+        received += await stream.receive()
+    await stream.send(answer_bytes(b'%d' % len(received)))
+
+
+async def _parts() -> AsyncIterator[bytes]:
+    for _ in range(3):
+        yield b'b' * 1000
+
+
+def _expected_digest() -> str:
+    digest = hashlib.sha256()
+    for index in range(64):
+        digest.update(bytes([index]) * _MEGABYTE)
+    return digest.hexdigest()
+
+
+class TestBodies:
+    @pytest.mark.parametrize('script', [_send_large, _send_chunked])
+    async def test_large_answer_is_whole(self, script: Script) -> None:
+        upstream = ScriptedUpstream(script)
+        digest = hashlib.sha256()
+        async with bench_of(upstream) as bench:
+            answer = await bench.sender.send(bench.service, bench.request())
+            async for chunk in answer.chunks:
+                digest.update(chunk)
+            assert await bench.call(method=b'HEAD') == b''
+        assert digest.hexdigest() == _expected_digest()
+
+    async def test_slow_reader_holds_little(self) -> None:
+        upstream = ScriptedUpstream(_send_large)
+        async with bench_of(upstream) as bench:
+            request = bench.request()
+            answer = await bench.sender.send(bench.service, request)
+            await anyio.sleep(0.3)
+            exchange = answer.chunks.attempt.exchange
+            assert exchange.buffered <= 2 * 65536
+            await answer.chunks.aclose()
+
+    async def test_body_that_arrives_in_parts_is_sent_chunked(self) -> None:
+        upstream = ScriptedUpstream(_read_chunked)
+        async with bench_of(upstream) as bench:
+            length = await bench.call(
+                method=b'PUT', body=b'a' * 1000, rest=_parts()
+            )
+        framed = 4 * (1000 + len(b'3e8\r\n\r\n')) + len(b'0\r\n\r\n')
+        assert length == b'%d' % framed
+
+    @pytest.mark.parametrize('status', [b'204 No Content', b'304 Not Modified'])
+    async def test_bodiless_answer_ends(self, status: bytes) -> None:
+        upstream = ScriptedUpstream(plays(b'HTTP/1.1 %b\r\n\r\n' % status))
+        async with bench_of(upstream) as bench:
+            assert await bench.call() == b''
+            assert await bench.call() == b''
+        assert upstream.connections == 1
+
+    async def test_interim_answer_is_skipped(self) -> None:
+        interim = b'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n'
+        upstream = ScriptedUpstream(plays(interim + answer_bytes(b'ok')))
+        async with bench_of(upstream) as bench:
+            assert await bench.call() == b'ok'
+
+
+class TestTruncation:
+    @pytest.mark.parametrize(
+        'head',
+        [
+            b'content-length: 9\r\n\r\nab',
+            b'transfer-encoding: chunked\r\n\r\n9\r\nab',
+        ],
+    )
+    async def test_cut_answer_raises(self, head: bytes) -> None:
+        upstream = ScriptedUpstream(plays(_HEAD + head, 20.0, -1.0))
+        async with bench_of(upstream) as bench:
+            with pytest.raises(TruncatedAnswerError):
+                await bench.call()
+
+    async def test_answer_without_a_marked_end_is_refused(self) -> None:
+        upstream = ScriptedUpstream(plays(b'HTTP/1.1 200 OK\r\n\r\nab', -1.0))
+        async with bench_of(upstream) as bench:
+            refusal = await bench.call(is_idempotent=False)
+        assert isinstance(refusal, CallRefusal)
+        assert refusal.outcome is Outcome.UNKNOWN
+
+
+class TestForeignBytes:
+    async def test_second_answer_reaches_nobody(self) -> None:
+        twice = answer_bytes(b'ok') + answer_bytes(b'other')
+        upstream = ScriptedUpstream(plays(twice))
+        async with bench_of(upstream) as bench:
+            answers = [await bench.call() for _ in range(4)]
+        assert set(answers) == {b'ok'}
+        assert upstream.connections == 4
+
+    async def test_late_second_answer_closes_the_idle_connection(self) -> None:
+        upstream = ScriptedUpstream(
+            plays(answer_bytes(b'ok'), 20.0, answer_bytes(b'other'))
+        )
+        async with bench_of(upstream) as bench:
+            for _ in range(3):
+                assert await bench.call() == b'ok'
+                await anyio.sleep(0.1)
+        assert upstream.connections == 3
+
+    async def test_answer_after_the_deadline_reaches_nobody(self) -> None:
+        upstream = ScriptedUpstream(
+            _OK, plays(200.0, answer_bytes(b'late')), _OK
+        )
+        async with bench_of(upstream) as bench:
+            assert await bench.call() == b'ok'
+            refusal = await bench.call(deadline=bench.clock.now() + 100)
+            assert isinstance(refusal, CallRefusal)
+            await anyio.sleep(0.2)
+            assert await bench.call() == b'ok'
+        assert upstream.connections == 2
+
+    @pytest.mark.parametrize(
+        'headers',
+        [
+            b'content-length: 2\r\ntransfer-encoding: chunked',
+            b'content-length: 2\r\ncontent-length: 3',
+            b'transfer-encoding: chunked, gzip',
+            b'x: 1\r\n folded\r\ncontent-length: 2',
+            b'content-length: +2',
+            b'content-length : 2',
+        ],
+    )
+    async def test_ambiguous_framing_is_refused(self, headers: bytes) -> None:
+        upstream = ScriptedUpstream(plays(_HEAD, headers, b'\r\n\r\nok'))
+        async with bench_of(upstream) as bench:
+            refusal = await bench.call(is_idempotent=False)
+        assert isinstance(refusal, CallRefusal)
+        assert refusal.outcome is Outcome.UNKNOWN
+
+
+class TestHeaders:
+    async def test_hop_by_hop_headers_are_dropped(self) -> None:
+        upstream = ScriptedUpstream(
+            plays(
+                answer_bytes(
+                    b'ok',
+                    b'HTTP/1.1 200 OK\r\nconnection: x-own\r\nx-own: 1\r\nx: 2',
+                )
+            )
+        )
+        headers = (
+            (b'host', b'shop.example'),
+            (b'connection', b'x-mine'),
+            (b'x-mine', b'1'),
+            (b'te', b'trailers'),
+            (b'x-deadline-ms', b'999999'),
+        )
+        async with bench_of(upstream) as bench:
+            request = bench.request(headers=headers)
+            answer = await bench.sender.send(bench.service, request)
+            assert isinstance(answer, CallAnswer)
+            await answer.chunks.aclose()
+        assert dict(answer.headers) == {b'x': b'2', b'content-length': b'2'}
+        lines = upstream.calls[0].split(b'\r\n')
+        assert b'host: shop.example' in lines
+        assert b'x-attempt: 0' in lines
+        assert not {b'x-mine: 1', b'te: trailers'} & set(lines)
+        stated = [line for line in lines if line.startswith(b'x-deadline-ms')]
+        assert len(stated) == 1
+        assert 0 < int(stated[0].partition(b':')[2]) <= 1500
