Add the open-loop load generator

Change: callbacks of the event loop, requests encoded before the start, histograms built at the end.

--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load generator: a fixed, seeded schedule of calls."""
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/load/_audit.py
@@ -0,0 +1,83 @@
+"""Compare what callers were told with what the upstreams ran."""
+
+import collections
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any, NamedTuple
+
+from cowslippond_standins.load import _outcomes
+from cowslippond_standins.load._report import Told
+
+
+class Audit(NamedTuple):
+    """The breaches found; every count but the first two must be zero.
+
+    ``duplicated`` lists order keys that ran more than once, ``lost`` those
+    answered but not run, ``ran_after_not_run`` the calls that ran although
+    their caller was told otherwise, ``cut`` the calls whose connection broke,
+    ``wrong`` those that got another answer than their own.
+    """
+
+    orders_sent: int
+    orders_run: int
+    duplicated: list[str]
+    lost: list[str]
+    ran_after_not_run: list[str]
+    cut: int
+    wrong: int
+
+    def is_clean(self) -> bool:
+        """Tell whether nothing was lost, duplicated or cut."""
+        breaches = (self.duplicated, self.lost, self.ran_after_not_run)
+        return not any(breaches) and self.cut == 0 and self.wrong == 0
+
+
+def audit(told: Sequence[Told], runs: Iterable[Mapping[str, Any]]) -> Audit:
+    """Check the calls of a run against the ledgers of all upstreams.
+
+    :param runs: the runs of every ledger, as the control port tells them.
+    """
+    run_keys: collections.Counter[str] = collections.Counter()
+    run_ids = set()
+    run_nonces = set()
+    for run in runs:
+        run_ids.add(run['request_id'])
+        run_nonces.add(run['nonce'])
+        if run['order_key']:
+            run_keys[run['order_key']] += 1
+    orders = [one for one in told if one.call.key]
+    outcomes = collections.Counter(one.outcome for one in told)
+    broken = (_outcomes.CUT, _outcomes.NOT_CONNECTED, _outcomes.TIMED_OUT)
+    return Audit(
+        orders_sent=len({one.call.key for one in orders}),
+        orders_run=len(run_keys),
+        duplicated=[key for key, count in run_keys.items() if count > 1],
+        lost=_lost(told, run_nonces),
+        ran_after_not_run=_ran_after_not_run(told, run_ids, run_nonces),
+        cut=sum(outcomes[outcome] for outcome in broken),
+        wrong=outcomes[_outcomes.WRONG_ANSWER],
+    )
+
+
+def _lost(told: Sequence[Told], run_nonces: set[str]) -> list[str]:
+    return [
+        one.call.nonce
+        for one in told
+        if one.outcome == _outcomes.ANSWERED
+        and one.call.nonce not in run_nonces
+    ]
+
+
+def _ran_after_not_run(
+    told: Sequence[Told], run_ids: set[str], run_nonces: set[str]
+) -> list[str]:
+    sendings = collections.Counter(one.call.nonce for one in told)
+    breaches = []
+    for one in told:
+        if one.outcome != _outcomes.NOT_RUN:
+            continue
+        is_only_sending = sendings[one.call.nonce] == 1
+        if is_only_sending and one.call.nonce in run_nonces:
+            breaches.append(one.call.nonce)
+        elif one.request_id and one.request_id in run_ids:
+            breaches.append(one.call.nonce)
+    return breaches
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/load/_plan.py
@@ -0,0 +1,118 @@
+"""Plan a run: which calls are sent, when, and what their answers must be."""
+
+import random
+from collections.abc import Iterator, Sequence
+from typing import NamedTuple
+from urllib.parse import urlencode
+
+from cowslippond_core import Millis
+
+_SECOND: Millis = 1000
+_NONCE_BITS = 64
+_CALLERS = 100
+_WORK_DIGITS = 3
+
+
+class Phase(NamedTuple):
+    """A stretch of a run with a constant rate.
+
+    ``duration_ms`` is in milliseconds, ``rate`` in calls a second.
+    """
+
+    duration_ms: Millis
+    rate: float
+
+
+class Mix(NamedTuple):
+    """The calls of one service.
+
+    ``weight`` is its part of all calls. ``order_share`` of its calls are
+    orders with a key; ``repeat_share`` of the orders are sent a second time
+    after ``repeat_after_ms``. ``mean_work_ms`` is the mean of the exponential
+    work of a call, and ``sizes`` the sizes of answers in bytes.
+    """
+
+    host: str
+    lookup_path: str
+    order_path: str = ''
+    weight: float = 1
+    order_share: float = 0
+    repeat_share: float = 0
+    repeat_after_ms: Millis = 50
+    mean_work_ms: Millis = 8
+    sizes: tuple[int, ...] = (256,)
+    deadline_ms: Millis = 0
+
+
+class PlannedCall(NamedTuple):
+    """One call of a plan.
+
+    ``at`` is its intended start, in milliseconds from the start of the run.
+    ``key`` is empty for a lookup. ``is_repeat`` marks the second sending of an
+    order.
+    """
+
+    at: Millis
+    host: str
+    method: str
+    target: str
+    key: str
+    caller: str
+    nonce: str
+    size: int
+    deadline_ms: Millis
+    is_repeat: bool = False
+
+
+def plan_calls(
+    phases: Sequence[Phase], mixes: Sequence[Mix], seed: int
+) -> list[PlannedCall]:
+    """Return the calls of a run, in order of their start.
+
+    :param seed: the same seed gives the same plan.
+    """
+    draw = random.Random(seed)
+    calls = []
+    weights = [mix.weight for mix in mixes]
+    for at in _arrivals(phases, draw):
+        mix = draw.choices(mixes, weights)[0]
+        call = _plan_call(at, mix, draw)
+        calls.append(call)
+        if call.key and draw.random() < mix.repeat_share:
+            again = at + mix.repeat_after_ms
+            calls.append(call._replace(at=again, is_repeat=True))
+    calls.sort(key=lambda call: call.at)
+    return calls
+
+
+def _arrivals(phases: Sequence[Phase], draw: random.Random) -> Iterator[Millis]:
+    start: Millis = 0
+    for phase in phases:
+        end = start + phase.duration_ms
+        at = start + draw.expovariate(phase.rate / _SECOND)
+        while at < end:
+            yield at
+            at += draw.expovariate(phase.rate / _SECOND)
+        start = end
+
+
+def _plan_call(at: Millis, mix: Mix, draw: random.Random) -> PlannedCall:
+    nonce = format(draw.getrandbits(_NONCE_BITS), '016x')
+    size = draw.choice(mix.sizes)
+    work = round(draw.expovariate(1 / mix.mean_work_ms), _WORK_DIGITS)
+    query = urlencode({'nonce': nonce, 'size': size, 'work': work})
+    caller = draw.randrange(_CALLERS)
+    is_order = draw.random() < mix.order_share
+    path = mix.order_path if is_order else mix.lookup_path
+    key = f'key-{nonce}' if is_order else ''
+    return PlannedCall(
+        at=at,
+        host=mix.host,
+        method='POST' if is_order else 'GET',
+        target='?'.join((path, query)),
+        key=key,
+        caller=f'caller-{caller}',
+        nonce=nonce,
+        size=size,
+        deadline_ms=mix.deadline_ms,
+    )
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/load/_report.py
@@ -0,0 +1,110 @@
+"""What callers were told, and how long they waited."""
+
+import collections
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+from cowslippond_core import Millis
+from hdrh.histogram import HdrHistogram
+
+from cowslippond_standins.load import _outcomes
+from cowslippond_standins.load._connection import NO_CONNECTION, WholeAnswer
+from cowslippond_standins.load._plan import PlannedCall
+from cowslippond_standins.upstream._request import body_of
+
+_HIGHEST_MICROS = 120_000_000
+_DIGITS = 3
+_MICROS_PER_MILLI = 1000
+_HTTP_OK = 200
+
+PERCENTILES = (50, 90, 99, 99.9)
+
+
+class Told(NamedTuple):
+    """What one call was told.
+
+    ``outcome`` is ``answered``, the value of ``x-outcome``, ``status_NNN``,
+    or what the caller saw of a broken connection. ``took`` is in milliseconds
+    from the intended start, ``ended`` a time on the clock.
+    """
+
+    call: PlannedCall
+    outcome: str
+    reason: str
+    request_id: str
+    took: Millis
+    ended: Millis
+
+
+def judge(call: PlannedCall, answer: WholeAnswer) -> str:
+    """Return the outcome that an answer tells a caller."""
+    if answer == NO_CONNECTION:
+        return _outcomes.NOT_CONNECTED
+    if not answer.is_whole:
+        return _outcomes.CUT
+    outcome = answer.headers.get('x-outcome', '')
+    if outcome:
+        return outcome
+    if answer.status != _HTTP_OK:
+        return f'status_{answer.status}'
+    if answer.body != body_of(call.nonce, call.size):
+        return _outcomes.WRONG_ANSWER
+    return _outcomes.ANSWERED
+
+
+def histogram_of(spans: Iterable[Millis]) -> HdrHistogram:
+    """Return a histogram, in microseconds, of times in milliseconds."""
+    histogram = HdrHistogram(1, _HIGHEST_MICROS, _DIGITS)
+    for span in spans:
+        micros = max(int(span * _MICROS_PER_MILLI), 1)
+        histogram.record_value(min(micros, _HIGHEST_MICROS))
+    return histogram
+
+
+def percentiles_of(histogram: HdrHistogram) -> dict[str, Millis]:
+    """Return the percentiles of a histogram by name, in milliseconds."""
+    return {
+        f'p{percent}': histogram.get_value_at_percentile(percent)
+        / _MICROS_PER_MILLI
+        for percent in PERCENTILES
+    }
+
+
+class Report:
+    """Everything that the callers of a run were told."""
+
+    def __init__(self) -> None:
+        self.told: list[Told] = []
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.reasons: collections.Counter[str] = collections.Counter()
+        self.late_starts: list[Millis] = []
+        self.stray_bytes = 0
+        self.connections = 0
+
+    def add(self, told: Told) -> None:
+        """Record what one call was told."""
+        self.told.append(told)
+        self.outcomes[told.outcome] += 1
+        if told.reason:
+            self.reasons[told.reason] += 1
+
+    def latency(self, outcome: str = _outcomes.ANSWERED) -> HdrHistogram:
+        """Return the histogram of the calls with an outcome."""
+        return histogram_of(
+            told.took for told in self.told if told.outcome == outcome
+        )
+
+    def summary(self) -> dict[str, Any]:
+        """Return the report's figures by name."""
+        orders = [told for told in self.told if told.call.key]
+        return {
+            'calls': len(self.told),
+            'outcomes': dict(self.outcomes),
+            'reasons': dict(self.reasons),
+            'latency_ms': percentiles_of(self.latency()),
+            'late_start_ms': percentiles_of(histogram_of(self.late_starts)),
+            'orders': len({told.call.key for told in orders}),
+            'order_calls': len(orders),
+            'stray_bytes': self.stray_bytes,
+            'connections': self.connections,
+        }
