--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
@@ -1,21 +1,15 @@
 """Decides on a call: which service it is for, and how it may run."""
 
 import logging
-from collections.abc import Callable
-from typing import NamedTuple
 
 from cowslippond_core import (
     CallAnswer,
     CallRefusal,
     CallRequest,
-    Catalogue,
-    ClaimFlow,
-    Clock,
+    HeaderList,
     InForce,
     Outcome,
-    Quarantine,
     RefusalReason,
-    Sender,
     fingerprint_request,
 )
 
@@ -26,38 +20,22 @@
     is_idempotent,
 )
 from cowslippond_daemon._edge import IncomingCall
-from cowslippond_daemon._services import Services
+from cowslippond_daemon._parts import DaemonParts
 
 _log = logging.getLogger(__name__)
 
 _RETRY_AFTER_MS = 1000
-
-
-class CallParts(NamedTuple):
-    """What a decision about a call rests on."""
-
-    catalogue: Catalogue
-    services: Services
-    sender: Sender
-    claims: ClaimFlow
-    quarantine: Quarantine
-    clock: Clock
+_REQUEST_ID = b'x-request-id'
 
 
 class CallRouter:
     """Takes a call through admission, claim, sending and answer.
 
     :param parts: the parts that decide.
-    :param count_refusal: counts a refusal of a service by its reason.
     """
 
-    def __init__(
-        self,
-        parts: CallParts,
-        count_refusal: Callable[[str, RefusalReason], None],
-    ) -> None:
+    def __init__(self, parts: DaemonParts) -> None:
         self.parts = parts
-        self.count_refusal = count_refusal
 
     async def decide(self, call: IncomingCall) -> CallAnswer | CallRefusal:
         """Return the answer of an upstream, or a refusal."""
@@ -66,7 +44,7 @@
         service = in_force.document.service if in_force else ''
         reply = await self._decide(call, in_force)
         if isinstance(reply, CallRefusal):
-            self.count_refusal(service, reply.reason)
+            self.parts.metrics.refused(reply.reason)
             _log.info(
                 'call refused',
                 extra={
@@ -115,7 +93,7 @@
             request_id=call.request_id,
             method=method,
             target=call.target,
-            headers=call.headers,
+            headers=_with_request_id(call),
             body=call.body,
             rest=call.rest,
             is_idempotent=is_idempotent(document, call.method, call.path),
@@ -127,5 +105,11 @@
         )
 
 
+def _with_request_id(call: IncomingCall) -> HeaderList:
+    if call.header(_REQUEST_ID) is not None:
+        return call.headers
+    return (*call.headers, (_REQUEST_ID, call.request_id.encode()))
+
+
 def _refuse(reason: RefusalReason) -> CallRefusal:
     return CallRefusal(Outcome.NOT_RUN, reason, _RETRY_AFTER_MS)
