Count only daemons that stay when judging contact, pass on the quarantine

Cause: read through the outage rule with dead seeds, departed daemons and a failed pull in mind: each could tip it the wrong way. Change: attempts and domains count only of daemons that run or may still run; a revision heard of but not held ends the rule; a daemon doesn't talk to itself; the suspects of the quarantine have a gossip table.

--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -72,6 +72,9 @@
 from cowslippond_core._objects import ObjectStore as ObjectStore
 from cowslippond_core._objects import S3ObjectStore as S3ObjectStore
 from cowslippond_core._quarantine import Quarantine as Quarantine
+from cowslippond_core._quarantine_gossip import (
+    QuarantineGossip as QuarantineGossip,
+)
 from cowslippond_core._reasons import RefusalReason as RefusalReason
 from cowslippond_core._reasons import RetryReason as RetryReason
 from cowslippond_core._sender import Sender as Sender
--- a/packages/cowslippond-core/src/cowslippond_core/_catalogue.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_catalogue.py
@@ -53,6 +53,7 @@
         self.clock = clock
         self.read = read
         self.revision = 0
+        self.heard_revision = 0
         self.confirmed_at: Millis | None = None
         self.unreadable = 0
         self.known: dict[str, AcceptedDocument] = {}
@@ -77,12 +78,12 @@
 
         :returns: whether the version is now in force.
         """
+        if accepted.revision == self.revision + 1:
+            self.revision = accepted.revision
         known = self.known.get(accepted.service)
         if known is not None and known.version >= accepted.version:
             return False
         self.known[accepted.service] = accepted
-        if accepted.revision == self.revision + 1:
-            self.revision = accepted.revision
         is_in_force = self._put_in_force(accepted)
         self._notify()
         return is_in_force
@@ -97,6 +98,10 @@
         self.revision = revision
         self._notify()
 
+    def hear_of(self, revision: int) -> None:
+        """Note that a revision exists, though its changes may be missing."""
+        self.heard_revision = max(self.heard_revision, revision)
+
     def confirm(self, at: Millis, revision: int) -> None:
         """Note that a revision was the newest at a time.
 
@@ -113,8 +118,8 @@
     def is_fresh(self, now: Millis) -> bool:
         """Return whether the versions in force may be served.
 
-        They may if they were lately the newest, or if ``bridges_outage``
-        holds, which is asked only after the newest was known at least once.
+        They may if they were lately the newest. Otherwise ``bridges_outage``
+        is asked, unless the newest was never known or a newer one exists.
 
         :param now: in milliseconds.
         """
@@ -122,6 +127,8 @@
             return False
         if now - self.confirmed_at <= FRESHNESS_BOUND:
             return True
+        if self.heard_revision > self.revision:
+            return False
         return self.bridges_outage(now)
 
     def find(self, host: str, path: str) -> InForce | None:
--- a/packages/cowslippond-core/src/cowslippond_core/_contact.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_contact.py
@@ -7,10 +7,11 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from cowslippond_core._clock import Millis
+from cowslippond_core._membership import Daemon
 from cowslippond_core._wire import Witness
 
 #: How long the last outcome of reaching a peer counts, in milliseconds.
@@ -80,37 +81,38 @@
         return (Witness(self.failure_domain, 0), *heard)
 
     def missing(
-        self, domains: Iterable[str], now: Millis, bound: Millis
+        self, daemons: Iterable[Daemon], now: Millis, bound: Millis
     ) -> list[str]:
         """Return the domains without recent news.
 
-        :param domains: where daemons are known to run.
+        :param daemons: those that run or may still run.
         :param now: in milliseconds.
         :param bound: the greatest age of recent news, in milliseconds.
         """
-        return [
+        domains = {daemon.failure_domain for daemon in daemons}
+        domains.discard(self.failure_domain)
+        return sorted(
             failure_domain
             for failure_domain in domains
-            if failure_domain != self.failure_domain
-            and not _is_recent(self.heard_at.get(failure_domain), now, bound)
-        ]
+            if not _is_recent(self.heard_at.get(failure_domain), now, bound)
+        )
 
     def is_wide(
-        self, domains: Iterable[str], now: Millis, bound: Millis
+        self, daemons: Collection[Daemon], now: Millis, bound: Millis
     ) -> bool:
         """Return whether this daemon is in contact with most of its fleet.
 
         A daemon that hears no peer at all is not, also if it knows of none.
 
-        :param domains: where daemons are known to run.
+        :param daemons: those that run or may still run.
         :param now: in milliseconds.
         :param bound: the greatest age of recent news, in milliseconds.
         """
         if not _is_recent(self.peer_heard_at, now, bound):
             return False
-        if self.missing(domains, now, bound):
+        if self.missing(daemons, now, bound):
             return False
-        return self._reaches_most(now)
+        return self._reaches_most(daemons, now)
 
     def _hear_of(self, failure_domain: str, at: Millis) -> None:
         known = self.heard_at.get(failure_domain)
@@ -120,11 +122,12 @@
         if len(self.heard_at) < _MAX_DOMAINS:
             self.heard_at[failure_domain] = at
 
-    def _reaches_most(self, now: Millis) -> bool:
+    def _reaches_most(self, daemons: Iterable[Daemon], now: Millis) -> bool:
+        addresses = {daemon.address for daemon in daemons}
         recent = [
             attempt
-            for attempt in self.attempts.values()
-            if now - attempt.at <= ATTEMPT_WINDOW
+            for address, attempt in self.attempts.items()
+            if address in addresses and now - attempt.at <= ATTEMPT_WINDOW
         ]
         reached = sum(attempt.is_success for attempt in recent)
         return reached * 2 >= len(recent)
--- a/packages/cowslippond-core/src/cowslippond_core/_gossip.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_gossip.py
@@ -32,7 +32,7 @@
 NEWS_SENDS = 3
 
 #: The most rows that a daemon which has just started may ask for.
-MAX_ROWS = 1024
+MAX_ROWS = 700
 
 # Documents in one message, by their text in bytes; at least one is sent.
 _BATCH_BYTES = 131_072
@@ -89,6 +89,17 @@
             wanted,
         )
 
+    def compose_all(self, room: int) -> Exchange:
+        """Return the state of this daemon with all rows that it holds.
+
+        :param room: the most rows of one table.
+        """
+        told = [
+            TableRows(table.name, tuple(table.rows()[-room:]))
+            for table in self.tables.values()
+        ]
+        return self.compose(0, 0, 0)._replace(tables=tuple(told))
+
     def ask(self, is_new: bool) -> Exchange:
         """Return the message that opens a round with a peer.
 
@@ -125,12 +136,14 @@
                 table.merge(row)
 
     def check_fleet(self, theirs: Exchange) -> None:
-        """Refuse a daemon of another fleet.
+        """Refuse a daemon of another fleet, and this one itself.
 
         :raises WireError: if it is one.
         """
         if theirs.fleet != self.fleet:
             raise WireError(f'a daemon of fleet {theirs.fleet!r}')
+        if theirs.sender == self.address:
+            raise WireError('this daemon itself')
 
     def take_documents(self, told: Documents) -> None:
         """Put documents in force that are newer."""
@@ -160,10 +173,11 @@
     @answer.register
     def _answer_exchange(self, message: Exchange) -> Message:
         self.check_fleet(message)
+        self.catalogue.hear_of(message.digest.revision)
         self.merge_rows(message)
         wanted = min(max(message.row_limit, 0), MAX_ROWS)
         if wanted > MESSAGE_ROWS:
-            return self.compose(wanted, wanted, 0)
+            return self.compose_all(wanted)
         if self.budget.has_room():
             return self.compose(wanted, FILLER_ROWS, 0)
         return self.compose(0, 0, 0)
--- a/packages/cowslippond-core/src/cowslippond_core/_gossip_table.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_gossip_table.py
@@ -14,8 +14,8 @@
 #: How many rows a table holds unless it is told otherwise.
 DEFAULT_CAPACITY = 4096
 
-# Keys and texts above this many characters are refused.
-_MAX_TEXT = 512
+# The largest key and text together, in bytes.
+_MAX_ROW = 480
 
 
 class GossipRow(NamedTuple):
@@ -78,7 +78,7 @@
 
         :returns: whether the row was news.
         """
-        if len(row.key) > _MAX_TEXT or len(row.text) > _MAX_TEXT:
+        if len(f'{row.key}{row.text}'.encode()) > _MAX_ROW:
             return False
         kept = self.kept.get(row.key)
         if row.remaining <= 0 or not _is_later(row, kept):
--- a/packages/cowslippond-core/src/cowslippond_core/_membership.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_membership.py
@@ -114,17 +114,15 @@
         """Return the number of daemons known, this one included."""
         return len(self.known()) + 1
 
-    def domains(self) -> set[str]:
-        """Return where daemons run or may still run, apart from this one."""
-        staying = [
+    def staying(self) -> list[Daemon]:
+        """Return the others that run or may still run and did not leave."""
+        daemons = {**self.listed, **self.met}
+        daemons.pop(self.own.address, None)
+        return [
             daemon
-            for daemon in (*self.listed.values(), *self.met.values())
-            if daemon.address != self.own.address
-            and not self._is_leaving(daemon.address)
+            for daemon in daemons.values()
+            if not self._is_leaving(daemon.address)
         ]
-        named = {daemon.failure_domain for daemon in staying}
-        named.discard('')
-        return named
 
     def choose(self, draw: random.Random, busy: set[str]) -> str | None:
         """Choose a random peer.
@@ -136,13 +134,19 @@
             for daemon in self.known()
             if daemon.address not in busy
         ]
-        return draw.choice(idle) if idle else None
+        staying = [address for address in idle if not self._is_leaving(address)]
+        preferred = staying or idle
+        return draw.choice(preferred) if preferred else None
+
+    def disown(self, address: str) -> None:
+        """Note that a seed is another name of this daemon."""
+        self.seeds = tuple(seed for seed in self.seeds if seed != address)
 
     def _is_leaving(self, address: str) -> bool:
-        listed = self.listed.get(address)
         met = self.met.get(address)
-        if met is not None and met.is_leaving:
-            return listed is None or listed.incarnation == met.incarnation
+        if met is not None:
+            return met.is_leaving
+        listed = self.listed.get(address)
         return listed is not None and listed.is_leaving
 
     def _has_heartbeat(self, address: str) -> bool:
--- a/packages/cowslippond-core/src/cowslippond_core/_outage_rule.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_outage_rule.py
@@ -27,8 +27,8 @@
 
         :param now: in milliseconds.
         """
-        domains = self.membership.domains()
-        return self.contact.missing(domains, now, FRESHNESS_BOUND)
+        daemons = self.membership.staying()
+        return self.contact.missing(daemons, now, FRESHNESS_BOUND)
 
     def holds(self, now: Millis) -> bool:
         """Return whether this daemon would know of a change by now.
@@ -37,6 +37,6 @@
         """
         if self.judged_at is None or now - self.judged_at > _VERDICT_TIME:
             self.judged_at = now
-            domains = self.membership.domains()
-            self.verdict = self.contact.is_wide(domains, now, FRESHNESS_BOUND)
+            daemons = self.membership.staying()
+            self.verdict = self.contact.is_wide(daemons, now, FRESHNESS_BOUND)
         return self.verdict
--- a/packages/cowslippond-core/src/cowslippond_core/_peers.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_peers.py
@@ -163,7 +163,10 @@
             theirs = await talk.receive()
         if not isinstance(theirs, Exchange):
             raise WireError(f'no exchange: {theirs!r}')
+        if theirs.sender == self.gossip.address:
+            self.membership.disown(address)
         self.gossip.check_fleet(theirs)
+        self.gossip.catalogue.hear_of(theirs.digest.revision)
         self.gossip.merge_rows(theirs)
         await self._even_out(talk, theirs.digest.revision)
         self.gossip.learn(theirs, asked_at)
--- a/packages/cowslippond-core/src/cowslippond_core/_poller.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_poller.py
@@ -101,6 +101,7 @@
         self.errors = 0
         self.last_error = None
         head = answer.ok
+        self.catalogue.hear_of(head)
         if head > self.catalogue.revision:
             await self._catch_up(head)
         # A head below the catalogue's revision comes from a stale read.
--- a/packages/cowslippond-core/src/cowslippond_core/_spread.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_spread.py
@@ -17,6 +17,8 @@
 from cowslippond_core._outage_rule import OutageRule
 from cowslippond_core._peers import Peers
 from cowslippond_core._poller import Poller
+from cowslippond_core._quarantine import Quarantine
+from cowslippond_core._quarantine_gossip import QuarantineGossip
 from cowslippond_core._table import Table
 from cowslippond_core._vm_list import Vm
 from cowslippond_core._vm_list_poller import VmListPoller
@@ -108,6 +110,7 @@
             table, catalogue, self.membership, clock, draw, metrics
         )
         self.vm_list = VmListPoller(settings.vm_list_url, clock, draw, metrics)
+        self.sharers: list[QuarantineGossip] = []
         self._connect_parts()
 
     def gossip_table(self, name: str) -> GossipTable:
@@ -118,6 +121,12 @@
         """
         return self.tables[name]
 
+    def share_quarantine(self, quarantine: Quarantine) -> None:
+        """Pass the suspects of a quarantine on; call it before running."""
+        self.sharers.append(
+            QuarantineGossip(quarantine, self.tables['quarantine'])
+        )
+
     def vms(self) -> tuple[Vm, ...]:
         """Return the newest list of VMs that could be read."""
         return self.vm_list.vms
@@ -171,6 +180,8 @@
             tasks.start_soon(self.poller.run)
             if self.settings.vm_list_url:
                 tasks.start_soon(self.vm_list.run)
+            for sharer in self.sharers:
+                tasks.start_soon(sharer.run, self.clock)
             tasks.start_soon(self._beat)
             tasks.start_soon(self._report)
             task_status.started(self.gossip.address)
--- a/packages/cowslippond-core/src/cowslippond_core/_vm_list_poller.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_vm_list_poller.py
@@ -13,7 +13,7 @@
 
 #: How much the interval grows with each VM on the list, in milliseconds, so
 #: that the bytes a second of a daemon stay bounded.
-INTERVAL_PER_VM: Millis = 10
+INTERVAL_PER_VM: Millis = 40
 
 _TIMEOUT: Millis = 2000
 _LEAST_JITTER = 0.75
