Adapt the bound on running calls and let batch services yield

Cause: admission knew only a fixed bound, so that an overload turned into polling of full upstreams, and a deadline that could not be met was tried.

--- a/packages/cowslippond-core/src/cowslippond_core/_latency.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_latency.py
@@ -21,6 +21,7 @@
     """
 
     def __init__(self, initial: Millis) -> None:
+        self.fastest: Millis = 0
         self.p50: Millis = initial
         self.p95: Millis = initial
         self.p99: Millis = initial
@@ -35,6 +36,7 @@
             return
         self.until_refresh = _REFRESH_EVERY
         ordered = sorted(self.recent)
+        self.fastest = ordered[0]
         self.p50 = _quantile(ordered, _P50)
         self.p95 = _quantile(ordered, _P95)
         self.p99 = _quantile(ordered, _P99)
--- a/packages/cowslippond-core/src/cowslippond_core/_limits.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_limits.py
@@ -8,47 +8,97 @@
 from cowslippond_core._document import LimitPolicy
 from cowslippond_core._reasons import RefusalReason
 
+_DECREASE = 0.9
+_DECREASE_EVERY: Millis = 50
+_HOLD_WEIGHT = 0.1
+
 
 class Limiter:
     """Bound the calls of one service that a process holds.
 
-    :param policy: the bounds.
+    The bound on running calls adapts: it falls by a factor while the upstreams
+    have no free slot, and grows by about one for each round of good answers
+    while it is used up, as in TCP's congestion avoidance.
+
+    :param policy: the bounds that the service's document sets.
     :param clock: tells how long a call may still wait.
     """
 
     def __init__(self, policy: LimitPolicy, clock: Clock) -> None:
         self.policy = policy
         self.clock = clock
+        self.limit = float(policy.concurrency)
+        self.share: float = 1
         self.running = 0
+        self.hold: Millis = 0
+        self.decreased_at: Millis = 0
         self.waiting: deque[anyio.Event] = deque()
 
-    async def admit(self, deadline: Millis) -> RefusalReason | None:
+    async def admit(
+        self, deadline: Millis, fastest: Millis
+    ) -> RefusalReason | None:
         """Wait for a turn; return why there is none.
 
+        A call that would be served after its deadline is refused at once.
+
         :param deadline: of the call, on the clock, in milliseconds.
+        :param fastest: the least time that an answer takes, in milliseconds.
         """
-        if deadline <= self.clock.now():
+        spare = deadline - self.clock.now() - fastest
+        if spare <= 0 or self._expected_wait() > spare:
             return RefusalReason.DEADLINE
-        if self.running < self.policy.concurrency:
+        if self._has_room():
             self.running += 1
             return None
         if len(self.waiting) >= self.policy.queue:
             return RefusalReason.QUEUE_FULL
-        return await self._wait_turn(deadline)
+        return await self._wait_turn(deadline - fastest)
 
     def release(self) -> None:
-        """End a call and let the next one run."""
+        """End a call and let the next ones run."""
         self.running -= 1
-        while self.waiting and self.running < self.policy.concurrency:
+        while self.waiting and self._has_room():
             self.running += 1
             self.waiting.popleft().set()
 
-    async def _wait_turn(self, deadline: Millis) -> RefusalReason | None:
+    def replace_policy(self, policy: LimitPolicy) -> None:
+        """Take over the bounds of a newer document."""
+        self.policy = policy
+        self.limit = float(policy.concurrency)
+
+    def note_full(self) -> None:
+        """Lower the bound, because no upstream has a free slot."""
+        now = self.clock.now()
+        if now - self.decreased_at < _DECREASE_EVERY:
+            return
+        self.decreased_at = now
+        used = min(self.limit, self.running)
+        self.limit = max(used * _DECREASE, 1)
+
+    def note_answer(self, hold: Millis) -> None:
+        """Raise the bound, if it is used up.
+
+        :param hold: how long the answered call ran, in milliseconds.
+        """
+        self.hold += _HOLD_WEIGHT * (hold - self.hold)
+        if self.running + 1 >= self.limit:
+            raised = self.limit + 1 / self.limit
+            self.limit = min(raised, float(self.policy.concurrency))
+
+    def _has_room(self) -> bool:
+        return self.running < max(self.limit * self.share, 1)
+
+    def _expected_wait(self) -> Millis:
+        if self._has_room():
+            return 0
+        rounds = (len(self.waiting) + 1) / max(self.limit * self.share, 1)
+        return rounds * self.hold
+
+    async def _wait_turn(self, until: Millis) -> RefusalReason | None:
         turn = anyio.Event()
         self.waiting.append(turn)
-        span = deadline - self.clock.now()
         try:
-            with anyio.move_on_after(seconds_of(span)):
+            with anyio.move_on_after(seconds_of(until - self.clock.now())):
                 await turn.wait()
         except BaseException:
             self._leave(turn)
--- a/packages/cowslippond-core/src/cowslippond_core/_retries.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_retries.py
@@ -9,10 +9,10 @@
     NotRun,
     NotRunReason,
 )
+from cowslippond_core._budgets import ShareBudget, is_first_attempt
 from cowslippond_core._clock import Millis
 from cowslippond_core._messages import CallRequest
 from cowslippond_core._reasons import RetryReason
-from cowslippond_core._service_state import RetryTokens
 
 _RETRIED_STATUSES = frozenset((502, 503, 504))
 
@@ -31,15 +31,15 @@
     A call that an outer level of the call chain repeats already is not
     repeated again, so that retries don't multiply with the depth.
     """
-    return (
-        request.is_idempotent and request.rest is None and request.attempt == 0
-    )
+    if not request.is_idempotent or request.rest is not None:
+        return False
+    return is_first_attempt(request.attempt)
 
 
 def retry_reason(
     result: AttemptResult,
     request: CallRequest,
-    budget: RetryTokens,
+    budget: ShareBudget,
     now: Millis,
 ) -> RetryReason | None:
     """Return why a call is sent again, or ``None`` if it isn't.
@@ -55,8 +55,9 @@
     if isinstance(result, Answered):
         if result.answer.status not in _RETRIED_STATUSES:
             return None
-    if not is_repeatable(request) or not budget.take():
+    if not is_repeatable(request) or not budget.can_spend():
         return None
+    budget.spend()
     if isinstance(result, Lost):
         return RetryReason.ANSWER_LOST
     return RetryReason.UPSTREAM_ERROR
--- a/packages/cowslippond-core/src/cowslippond_core/_sender.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sender.py
@@ -6,7 +6,8 @@
 from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._hooks import SendingHooks
 from cowslippond_core._messages import CallAnswer, CallRefusal, CallRequest
-from cowslippond_core._reasons import RetryReason
+from cowslippond_core._precedence import Precedence
+from cowslippond_core._reasons import RefusalReason, RetryReason
 from cowslippond_core._refusals import not_run
 from cowslippond_core._routing import LeastInFlight
 from cowslippond_core._sending import Sending, SendingContext
@@ -45,6 +46,7 @@
         rng: random.Random | None = None,
     ) -> None:
         hooks = SendingHooks(is_leaving, mark_leaving, count_retry, on_break)
+        self.precedence = Precedence()
         self.ctx = SendingContext(clock, hooks, policy, rng or random.Random())
 
     async def send(
@@ -58,11 +60,13 @@
         :param service: the service that the call belongs to.
         :param request: the call.
         """
-        refusal = await service.limiter.admit(request.deadline)
+        clock = self.ctx.clock
+        refusal = await self._admit(service, request)
         if refusal is not None:
             return not_run(refusal, self.ctx.rng)
-        service.retry_budget.note_call()
-        service.hedge_budget.note_call()
+        service.retry_budget.note_send()
+        service.hedge_budget.note_send()
+        started_at = clock.now()
         try:
             result = await Sending(self.ctx, service, request).run()
         except BaseException:
@@ -71,5 +75,17 @@
         if isinstance(result, CallRefusal):
             service.limiter.release()
             return result
+        service.limiter.note_answer(clock.now() - started_at)
         result.attempt.when_ended(service.limiter.release)
         return result.answer
+
+    async def _admit(
+        self, service: ServiceState, request: CallRequest
+    ) -> RefusalReason | None:
+        now = self.ctx.clock.now()
+        priority = service.document.priority
+        limiter = service.limiter
+        self.precedence.apply(limiter, priority, now)
+        if limiter.waiting:
+            self.precedence.note_wait(priority, now)
+        return await limiter.admit(request.deadline, service.latency.fastest)
--- a/packages/cowslippond-core/src/cowslippond_core/_sending.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -100,6 +100,7 @@
                 return self._pick(found.free)
             if found.open_at is None or found.open_at >= self.request.deadline:
                 return None
+            self.service.limiter.note_full()
             await self.clock.sleep(found.open_at - self.clock.now())
 
     def _find(self) -> Candidates:
@@ -122,6 +123,7 @@
         upstream = self._pick(found.free)
         self.tried.add(upstream.address)
         self.ctx.hooks.count_retry(RetryReason.HEDGE)
+        self.service.hedge_budget.spend()
         return self._attempt(upstream, self.number + 1, is_fresh=True)
 
     def _attempt(
@@ -174,7 +176,7 @@
         if not self.is_repeatable or self.clock.now() >= self.request.deadline:
             return False
         has_upstream = bool(self._find().free)
-        return has_upstream and self.service.hedge_budget.take()
+        return has_upstream and self.service.hedge_budget.can_spend()
 
     async def _wait_while_trusted(
         self, attempt: Attempt
@@ -189,7 +191,7 @@
         if result is not None or until >= self.request.deadline:
             return result
         attempt.upstream.connections.suspect_silent(attempt.sent_at)
-        if self.service.retry_budget.has_token():
+        if self.service.retry_budget.can_spend():
             return None
         return await self._wait(attempt, self.request.deadline)
 
--- a/packages/cowslippond-core/src/cowslippond_core/_service_state.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_service_state.py
@@ -4,6 +4,7 @@
 
 from anyio.abc import TaskGroup
 
+from cowslippond_core._budgets import BudgetSettings, ShareBudget
 from cowslippond_core._clock import Clock
 from cowslippond_core._document import ServiceDocument
 from cowslippond_core._latency import LatencyWindow
@@ -11,33 +12,7 @@
 from cowslippond_core._upstreams import UpstreamSet
 from cowslippond_core._vm_list import Vm
 
-_MAX_TOKENS = 10.0
-
-
-class RetryTokens:
-    """Allow repeated sends as a share of first sends.
-
-    :param share: repeated sends for each first send.
-    """
-
-    def __init__(self, share: float) -> None:
-        self.share = share
-        self.tokens = _MAX_TOKENS
-
-    def note_call(self) -> None:
-        """Count a first send."""
-        self.tokens = min(self.tokens + self.share, _MAX_TOKENS)
-
-    def has_token(self) -> bool:
-        """Tell whether one more repeated send is allowed."""
-        return self.tokens >= 1
-
-    def take(self) -> bool:
-        """Take the right to one repeated send, if there is one."""
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
+_FLOOR = 3
 
 
 class ServiceState:
@@ -61,16 +36,22 @@
         self.daemons = daemons
         self.limiter = Limiter(document.limits, clock)
         self.latency = LatencyWindow(document.upstreams.mean_service_ms)
-        self.retry_budget = RetryTokens(document.retries.share_of_calls)
-        self.hedge_budget = RetryTokens(document.hedging.share_of_calls)
+        self.retry_budget = ShareBudget(
+            clock, _settings_of(document.retries.share_of_calls)
+        )
+        self.hedge_budget = ShareBudget(
+            clock, _settings_of(document.hedging.share_of_calls)
+        )
         self.upstreams = UpstreamSet(tasks, clock, self._connection_limit())
 
     def replace_document(self, document: ServiceDocument) -> None:
         """Put a newer version in force; calls under way are kept."""
         self.document = document
-        self.retry_budget.share = document.retries.share_of_calls
-        self.hedge_budget.share = document.hedging.share_of_calls
-        self.limiter.policy = document.limits
+        retries = document.retries.share_of_calls
+        hedges = document.hedging.share_of_calls
+        self.retry_budget.settings = _settings_of(retries)
+        self.hedge_budget.settings = _settings_of(hedges)
+        self.limiter.replace_policy(document.limits)
         self.upstreams.limit_connections(self._connection_limit())
 
     def update_upstreams(self, vms: Iterable[Vm]) -> None:
@@ -80,3 +61,7 @@
 
     def _connection_limit(self) -> int:
         return max(self.document.upstreams.max_connections // self.daemons, 1)
+
+
+def _settings_of(share: float) -> BudgetSettings:
+    return BudgetSettings(share, _FLOOR if share > 0 else 0)
