--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Start, fault and stop the processes of a whole deployment."""
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/harness/_statsd.py
@@ -0,0 +1,32 @@
+"""A sink for statsd counters."""
+
+import collections
+
+import anyio
+from anyio.abc import UDPSocket
+
+
+class StatsdSink:
+    """Add up the counters that all daemons send."""
+
+    def __init__(self) -> None:
+        self.counters: collections.Counter[str] = collections.Counter()
+
+    async def receive(self, sock: UDPSocket) -> None:
+        """Take in packets until cancelled."""
+        async with sock:
+            async for packet, _ in sock:
+                self.add(packet.decode(errors='replace'))
+
+    def add(self, packet: str) -> None:
+        """Add the counters of one packet; other kinds are passed over."""
+        for line in packet.splitlines():
+            name, _, sample = line.partition(':')
+            figure, _, kind = sample.partition('|')
+            if kind == 'c':
+                self.counters[name] += int(float(figure))
+
+
+async def open_sink_socket(host: str, port: int) -> UDPSocket:
+    """Return the socket that daemons send their counters to."""
+    return await anyio.create_udp_socket(local_host=host, local_port=port)
