--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
@@ -6,6 +6,7 @@
     CallAnswer,
     CallRefusal,
     CallRequest,
+    HeaderList,
     InForce,
     Outcome,
     RefusalReason,
@@ -24,6 +25,7 @@
 _log = logging.getLogger(__name__)
 
 _RETRY_AFTER_MS = 1000
+_REQUEST_ID = b'x-request-id'
 
 
 class CallRouter:
@@ -91,7 +93,7 @@
             request_id=call.request_id,
             method=method,
             target=call.target,
-            headers=call.headers,
+            headers=_with_request_id(call),
             body=call.body,
             rest=call.rest,
             is_idempotent=is_idempotent(document, call.method, call.path),
@@ -103,5 +105,11 @@
         )
 
 
+def _with_request_id(call: IncomingCall) -> HeaderList:
+    if call.header(_REQUEST_ID) is not None:
+        return call.headers
+    return (*call.headers, (_REQUEST_ID, call.request_id.encode()))
+
+
 def _refuse(reason: RefusalReason) -> CallRefusal:
     return CallRefusal(Outcome.NOT_RUN, reason, _RETRY_AFTER_MS)
