--- /dev/null
+++ b/tests/integration/client.py
@@ -0,0 +1,107 @@
+"""A plain caller for integration tests."""
+
+import pathlib
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, NamedTuple
+
+import anyio
+import httpcore
+from cowslippond_standins.harness._deployment import Deployment
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+CHECKOUT = EXAMPLES / 'museum-shop' / 'checkout.jsonc'
+CATALOGUE = EXAMPLES / 'museum-shop' / 'catalogue.jsonc'
+DOMAINS = ('rvk-1', 'rvk-2', 'rvk-3')
+
+
+class Reply(NamedTuple):
+    """An answer as the caller got it; ``status`` 0 is a broken connection."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    @property
+    def outcome(self) -> str:
+        """The value of the outcome header, empty for an upstream's answer."""
+        return self.headers.get('x-outcome', '')
+
+    @property
+    def reason(self) -> str:
+        """The value of the reason header."""
+        return self.headers.get('x-reason', '')
+
+
+async def call(
+    address: Any,
+    method: str = 'GET',
+    path: str = '/checkout/',
+    *,
+    headers: Mapping[str, str] | None = None,
+    body: bytes = b'',
+    host: str = 'shop.example',
+    timeout: float = 20,
+) -> Reply:
+    """Make one call on a connection of its own."""
+    sent = {'Host': host, 'Content-Length': str(len(body)), **(headers or {})}
+    limits = dict.fromkeys(('connect', 'read', 'write', 'pool'), timeout)
+    async with httpcore.AsyncConnectionPool() as pool:
+        try:
+            answer = await pool.request(
+                method,
+                f'http://{address}{path}',
+                headers=sent,
+                content=body,
+                extensions={'timeout': limits},
+            )
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return Reply(0, {}, b'')
+    received = {
+        name.decode().lower(): text.decode() for name, text in answer.headers
+    }
+    return Reply(answer.status, received, answer.content)
+
+
+async def order(
+    address: Any,
+    key: str,
+    *,
+    body: bytes = b'one print',
+    headers: Mapping[str, str] | None = None,
+    timeout: float = 20,
+) -> Reply:
+    """Place one order with a key."""
+    sent = {'idempotency-key': key, 'x-caller': 'till-1', **(headers or {})}
+    return await call(
+        address,
+        'POST',
+        '/checkout/orders',
+        headers=sent,
+        body=body,
+        timeout=timeout,
+    )
+
+
+async def wait_until(
+    is_true: Callable[[], Awaitable[bool]], limit_seconds: float = 20
+) -> None:
+    """Poll until a condition holds.
+
+    :raises TimeoutError: if it does not hold within the limit.
+    """
+    with anyio.fail_after(limit_seconds):
+        while not await is_true():
+            await anyio.sleep(0.05)
+
+
+async def apply(deployment: Deployment, document: Any) -> str:
+    """Put a document in force and return what the operator tool printed."""
+    code, printed = await deployment.apply(document)
+    assert code == 0, printed
+    return printed
+
+
+def now_ms() -> float:
+    """Return the time on a monotonic clock, in milliseconds."""
+    return time.monotonic() * 1000
