--- a/packages/cowslippond-core/src/cowslippond_core/_route_overlap.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_route_overlap.py
@@ -6,6 +6,7 @@
 
 from cowslippond_core._document import RouteMatch, ServiceDocument
 
+_ANY_HOST = '*'
 _WILDCARD = re.compile(r'[*?\[]')
 
 
@@ -31,18 +32,25 @@
 def can_cover(pattern: str, prefix: str) -> bool:
     """Say whether a shell-style pattern can match a path under a prefix."""
     literal = _WILDCARD.split(pattern, maxsplit=1)[0]
-    if literal.startswith(prefix):
+    if _is_under(literal, prefix):
         return True
     return literal != pattern and prefix.startswith(literal)
 
 
+def _is_under(path: str, prefix: str) -> bool:
+    """Say whether a path starts with all segments of a prefix."""
+    if not path.startswith(prefix):
+        return False
+    if prefix.endswith('/') or len(path) == len(prefix):
+        return True
+    return path[len(prefix)] == '/'
+
+
 def _overlaps(
     document: ServiceDocument, other: ServiceDocument
 ) -> Iterator[Overlap]:
     for match in document.matches:
         for claimed in other.matches:
-            if match.host.lower() != claimed.host.lower():
-                continue
             reason = _clash(match, claimed, document, other)
             if reason:
                 yield Overlap(match, other.service, reason)
@@ -54,15 +62,30 @@
     document: ServiceDocument,
     other: ServiceDocument,
 ) -> str:
-    inner, outer = match.path_prefix, claimed.path_prefix
-    if inner == outer:
+    if _key_of(match) == _key_of(claimed):
         return 'both match the same calls'
-    if inner.startswith(outer) and _is_guarded(other, inner):
-        return f'{other.service} never repeats calls under {inner}'
-    if outer.startswith(inner) and _is_guarded(document, outer):
-        return f'never_repeat covers {outer}, which {other.service} matches'
+    path = match.path_prefix
+    if _takes_from(match, claimed) and _is_guarded(other, path):
+        return f'{other.service} never repeats calls under {path}'
+    path = claimed.path_prefix
+    if _takes_from(claimed, match) and _is_guarded(document, path):
+        return f'never_repeat covers {path}, which {other.service} matches'
     return ''
 
 
+def _key_of(match: RouteMatch) -> tuple[str, str]:
+    return (match.host.lower(), match.path_prefix)
+
+
+def _takes_from(inner: RouteMatch, outer: RouteMatch) -> bool:
+    """Say whether calls of the outer match go to the inner one instead."""
+    hosts = {inner.host.lower(), outer.host.lower()}
+    if len(hosts) > 1 and _ANY_HOST not in hosts:
+        return False
+    if inner.path_prefix == outer.path_prefix:
+        return outer.host == _ANY_HOST
+    return _is_under(inner.path_prefix, outer.path_prefix)
+
+
 def _is_guarded(document: ServiceDocument, prefix: str) -> bool:
     return any(can_cover(rule.path, prefix) for rule in document.never_repeat)
