Check frames between daemons, and test spreading under failure

Cause: the thrift library's reader takes a cut frame for a message with other numbers, and spent 0.25 s on a damaged one of five bytes (found by hypothesis). A damaged revision would have kept a daemon from ever being fresh again. Ruled out: the library's other reader; it answers alike. Change: each frame carries an XXH3 checksum.

--- a/packages/cowslippond-core/src/cowslippond_core/_conversation.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_conversation.py
@@ -7,6 +7,7 @@
 from cowslippond_core._byte_budget import ByteBudget
 from cowslippond_core._metrics import Metric, Metrics
 from cowslippond_core._wire import (
+    LENGTH_BYTES,
     MAX_FRAME,
     Message,
     WireError,
@@ -26,8 +27,6 @@
     WireError,
 )
 
-_LENGTH_BYTES = 4
-
 
 class Conversation:
     """A connection to a peer whose bytes are counted.
@@ -57,12 +56,12 @@
 
         :raises WireError: if the peer sends something else.
         """
-        head = await self.buffered.receive_exactly(_LENGTH_BYTES)
+        head = await self.buffered.receive_exactly(LENGTH_BYTES)
         length = int.from_bytes(head, 'big')
         if length > MAX_FRAME:
             raise WireError(f'a frame of {length} bytes')
-        packed = await self.buffered.receive_exactly(length)
+        checked = await self.buffered.receive_exactly(length)
         size = len(head) + length
         self.budget.spend(size)
         self.metrics.count(Metric.GOSSIP_BYTES_RECEIVED, size)
-        return decode_message(packed)
+        return decode_message(checked)
--- a/packages/cowslippond-core/src/cowslippond_core/_spread.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_spread.py
@@ -217,6 +217,9 @@
         self.metrics.gauge(
             Metric.DOCUMENTS_IN_FORCE, len(self.catalogue.in_force)
         )
+        self.metrics.gauge(
+            Metric.DOCUMENTS_UNREADABLE, self.catalogue.unreadable
+        )
         self.metrics.gauge(Metric.DAEMONS_KNOWN, self.membership.count())
         self.metrics.gauge(Metric.UPSTREAMS_LEAVING, len(self.leaving.marks))
         if confirmed_age is not None:
--- a/packages/cowslippond-core/src/cowslippond_core/_wire.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_wire.py
@@ -10,6 +10,7 @@
 from thriftpy2.protocol.cybin import TCyBinaryProtocolFactory
 from thriftpy2.thrift import TException
 from thriftpy2.utils import deserialize, serialize
+from xxhash import xxh3_64_digest
 
 from cowslippond_core._clock import Millis
 from cowslippond_core._document import AcceptedDocument
@@ -18,7 +19,10 @@
 #: The largest frame that is read, in bytes.
 MAX_FRAME = 1_048_576
 
-_LENGTH_BYTES = 4
+#: The length that goes before a frame, in bytes.
+LENGTH_BYTES = 4
+
+_CHECKSUM_BYTES = 8
 _MAX_AGE: Millis = 2_000_000_000
 _IDL = pathlib.Path(__file__).with_name('cowslippond.thrift')
 
@@ -98,18 +102,23 @@
 def encode_message(message: Message) -> bytes:
     """Return a message as a frame, its length included."""
     packed: bytes = serialize(_pack(message), _protocol)
-    return len(packed).to_bytes(_LENGTH_BYTES, 'big') + packed
+    checked = xxh3_64_digest(packed) + packed
+    return len(checked).to_bytes(LENGTH_BYTES, 'big') + checked
 
 
-def decode_message(packed: bytes) -> Message:
+def decode_message(checked: bytes) -> Message:
     """Return the message of a frame.
 
-    The protocol's reader passes over what it does not know and leaves out
-    what is cut off, so each field is checked here.
+    The protocol's reader takes cut or damaged bytes for a message with other
+    numbers in it, and may read for seconds on them. So only bytes that match
+    their checksum reach it.
 
-    :param packed: the frame without its length.
+    :param checked: the frame without its length.
     :raises WireError: if it is none.
     """
+    packed = checked[_CHECKSUM_BYTES:]
+    if xxh3_64_digest(packed) != checked[:_CHECKSUM_BYTES]:
+        raise WireError('a frame whose checksum does not match')
     try:
         frame = deserialize(_idl.Frame(), packed, _protocol)
     except (TException, ValueError, EOFError) as broken:
--- a/packages/cowslippond-core/src/cowslippond_core/cowslippond.thrift
+++ b/packages/cowslippond-core/src/cowslippond_core/cowslippond.thrift
@@ -1,7 +1,8 @@
 /**
- * What daemons say to each other, as structs of the binary protocol, each in
- * one frame. A connection is a conversation: the daemon that opened it sends
- * a message, the other one answers it, and so on.
+ * What daemons say to each other. A frame is its length (4 bytes, big-endian),
+ * the XXH3 checksum of the rest (8 bytes) and a Frame in the binary protocol.
+ * A connection is a conversation: the daemon that opened it sends a message,
+ * the other one answers it, and so on.
  */
 
 namespace py cowslippond
--- /dev/null
+++ b/tests/core/test_catalogue.py
@@ -0,0 +1,156 @@
+"""Documents in force: versions only go up, and freshness ends."""
+
+import random
+
+import pytest
+from cowslippond_core import FRESHNESS_BOUND
+from fakes import FakeClock
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from spread_fakes import (
+    UNREADABLE,
+    accepted_as,
+    document_text,
+    make_catalogue,
+)
+
+
+class TestOffer:
+    def test_an_older_or_equal_version_is_ignored(self):
+        catalogue = make_catalogue()
+        assert catalogue.offer(accepted_as('till', 2, 2))
+
+        assert not catalogue.offer(accepted_as('till', 1, 1))
+        assert not catalogue.offer(accepted_as('till', 2, 2))
+        assert catalogue.versions == {'till': 2}
+
+    def test_an_unreadable_version_is_known_and_the_old_stays_in_force(self):
+        catalogue = make_catalogue()
+        catalogue.offer(accepted_as('till', 1, 1))
+
+        assert not catalogue.offer(accepted_as('till', 2, 2, UNREADABLE))
+
+        assert catalogue.versions == {'till': 1}
+        assert catalogue.known['till'].version == 2
+        assert catalogue.unreadable == 1
+        assert catalogue.revision == 2
+
+    def test_a_gap_does_not_raise_the_revision(self):
+        catalogue = make_catalogue()
+        catalogue.offer(accepted_as('till', 1, 1))
+
+        catalogue.offer(accepted_as('till', 3, 3))
+        assert catalogue.revision == 1
+
+        catalogue.offer(accepted_as('parts', 1, 2))
+        assert catalogue.revision == 2
+
+    @settings(deadline=None, max_examples=60)
+    @given(
+        order=st.lists(
+            st.tuples(st.sampled_from('abc'), st.integers(1, 6)), max_size=20
+        ),
+        confirmed=st.integers(0, 9),
+    )
+    def test_no_order_of_offers_reverts_a_version(self, order, confirmed):
+        catalogue = make_catalogue()
+        highest: dict[str, int] = {}
+        for revision, (service, version) in enumerate(order, start=1):
+            before = catalogue.revision
+            catalogue.offer(accepted_as(service, version, revision))
+            catalogue.advance(confirmed)
+            highest[service] = max(version, highest.get(service, 0))
+
+            assert catalogue.versions == highest
+            assert catalogue.revision >= before
+
+
+class TestFind:
+    @pytest.mark.parametrize(
+        ('host', 'path', 'service'),
+        [
+            ('shop.is', '/', 'front'),
+            ('SHOP.is:8080', '/pay/card?x=1', 'pay'),
+            ('shop.is', '/pay', 'pay'),
+            ('shop.is', '/payments', 'front'),
+            ('other.is', '/pay/card', 'anywhere'),
+            ('shop.is', '/pay/far/away', 'far'),
+            ('[::1]:80', '/', 'anywhere'),
+        ],
+    )
+    def test_the_longest_prefix_that_ends_at_a_segment_wins(
+        self, host, path, service
+    ):
+        catalogue = make_catalogue()
+        matches = [
+            ('front', '/', 'shop.is'),
+            ('pay', '/pay', 'shop.is'),
+            ('far', '/pay/far', '*'),
+            ('anywhere', '/', '*'),
+        ]
+        random.Random(1).shuffle(matches)
+        for revision, (name, prefix, at_host) in enumerate(matches, start=1):
+            text = document_text(name, prefix, at_host)
+            catalogue.offer(accepted_as(name, 1, revision, text))
+
+        found = catalogue.find(host, path)
+
+        assert found is not None
+        assert found.document.service == service
+
+    def test_a_call_of_no_service_is_not_found(self):
+        catalogue = make_catalogue()
+        text = document_text('pay', '/pay', 'shop.is')
+        catalogue.offer(accepted_as('pay', 1, 1, text))
+
+        assert catalogue.find('shop.is', '/') is None
+        assert catalogue.find('other.is', '/pay') is None
+
+    def test_a_moved_match_leaves_nothing_behind(self):
+        catalogue = make_catalogue()
+        first = document_text('pay', '/old')
+        second = document_text('pay', '/new')
+        catalogue.offer(accepted_as('pay', 1, 1, first))
+        catalogue.offer(accepted_as('pay', 2, 2, second))
+
+        assert catalogue.find('x', '/old') is None
+        assert catalogue.find('x', '/new') is not None
+
+
+class TestFreshness:
+    def test_a_daemon_frozen_past_the_bound_wakes_up_stale(self):
+        clock = FakeClock(1000)
+        catalogue = make_catalogue(clock)
+        catalogue.offer(accepted_as('till', 1, 1))
+        catalogue.confirm(clock.now(), 1)
+        assert catalogue.is_fresh(clock.now())
+
+        clock.current += FRESHNESS_BOUND + 1
+
+        assert not catalogue.is_fresh(clock.now())
+
+    def test_another_revision_confirms_nothing(self):
+        catalogue = make_catalogue(FakeClock())
+        catalogue.offer(accepted_as('till', 1, 1))
+        catalogue.confirm(0, 0)
+        catalogue.confirm(0, 2)
+
+        assert not catalogue.is_fresh(0)
+
+    def test_an_older_confirmation_does_not_replace_a_newer(self):
+        catalogue = make_catalogue(FakeClock())
+        catalogue.confirm(5000, 0)
+        catalogue.confirm(10, 0)
+
+        assert catalogue.confirmed_at == 5000
+
+    def test_contact_bridges_an_outage_only_for_the_newest_heard_of(self):
+        catalogue = make_catalogue(FakeClock())
+        catalogue.bridges_outage = bool
+        now = FRESHNESS_BOUND * 10
+
+        assert not catalogue.is_fresh(now), 'never confirmed'
+        catalogue.confirm(0, 0)
+        assert catalogue.is_fresh(now)
+        catalogue.hear_of(1)
+        assert not catalogue.is_fresh(now)
--- /dev/null
+++ b/tests/core/test_gossip.py
@@ -0,0 +1,215 @@
+"""What daemons tell each other, without connections."""
+
+import pytest
+from cowslippond_core import FRESHNESS_BOUND, GossipRow, GossipTable
+from cowslippond_core._contact import Contact
+from cowslippond_core._gossip import MAX_ROWS, Gossip
+from cowslippond_core._wire import (
+    MAX_FRAME,
+    Documents,
+    Exchange,
+    Pull,
+    WireError,
+    decode_message,
+    encode_message,
+)
+from fakes import FakeClock
+from hypothesis import given
+from hypothesis import strategies as st
+from spread_fakes import UNREADABLE, accepted_as, make_catalogue
+
+DAEMONS = 600
+DOMAINS = 14
+
+# Digest, witnesses of 14 domains and 16 rows, in bytes.
+MESSAGE_BOUND = 3072
+
+
+def make_gossip(clock: FakeClock, port: int = 1, fleet: str = 't') -> Gossip:
+    tables = [GossipTable('leaving', clock), GossipTable('daemons', clock)]
+    return Gossip(
+        fleet,
+        f'10.0.0.1:{port}',
+        make_catalogue(clock),
+        Contact(f'domain-{port}'),
+        tables,
+        clock,
+    )
+
+
+def ask(asker: Gossip, answerer: Gossip) -> Exchange:
+    return answerer.answer(asker.ask(is_new=False))
+
+
+def pull_all(asker: Gossip, answerer: Gossip) -> int:
+    after = asker.catalogue.revision
+    for count in range(1, 100):
+        told = answerer.answer(Pull(after))
+        asker.take_documents(told)
+        if told.is_last:
+            return count
+        after = told.documents[-1].revision
+    raise AssertionError('no end')
+
+
+class TestWire:
+    def test_messages_survive(self):
+        gossip = make_gossip(FakeClock(5))
+        gossip.catalogue.offer(accepted_as('till', 1, 1))
+        gossip.tables['leaving'].put('a', 'b', 100)
+        gossip.catalogue.confirm(0, 1)
+        asked = gossip.compose(16, 3, 16)
+        for message in (asked, Pull(7), gossip.documents_after(0)):
+            frame = encode_message(message)
+            assert decode_message(frame[4:]) == message
+
+    @given(junk=st.binary(max_size=60))
+    def test_junk_is_an_error(self, junk):
+        with pytest.raises(WireError):
+            decode_message(junk)
+
+    @given(at=st.integers(0, 200), bit=st.integers(0, 7))
+    def test_a_damaged_frame_is_an_error(self, at, bit):
+        told = Documents((accepted_as('till', 1, 1),), True, 1)
+        damaged = bytearray(encode_message(told)[4:])
+        damaged[at] ^= 1 << bit
+        with pytest.raises(WireError):
+            decode_message(bytes(damaged))
+
+    @given(cut=st.integers(0, 10_000))
+    def test_a_cut_frame_is_an_error(self, cut):
+        told = Documents((accepted_as('till', 1, 1),), True, 1)
+        frame = encode_message(told)[4:]
+        with pytest.raises(WireError):
+            decode_message(frame[: cut % len(frame)])
+
+
+class TestBounds:
+    def test_a_message_is_small_in_a_large_fleet(self):
+        clock = FakeClock()
+        gossip = make_gossip(clock)
+        for index in range(DAEMONS):
+            address = f'10.12.13.{index}:7001'
+            gossip.tables['daemons'].put(address, 'x' * 90, 60_000)
+        for domain in range(DOMAINS):
+            gossip.contact.hear(f'failure-domain-{domain}', (), 0)
+
+        sizes = [
+            len(encode_message(gossip.ask(is_new=False))) for _ in range(300)
+        ]
+
+        assert max(sizes) <= MESSAGE_BOUND
+
+    def test_a_new_daemon_is_told_all_rows_in_one_frame(self):
+        clock = FakeClock()
+        gossip, new = make_gossip(clock), make_gossip(clock, 2)
+        for index in range(MAX_ROWS):
+            gossip.tables['daemons'].put(str(index), 'x' * 400, 60_000)
+            gossip.tables['leaving'].put(str(index), 'x' * 400, 60_000)
+
+        answer = gossip.answer(new.ask(is_new=True))
+        new.merge_rows(answer)
+
+        assert len(encode_message(answer)) <= MAX_FRAME
+        assert len(new.tables['daemons'].kept) == MAX_ROWS
+
+    def test_without_bytes_left_only_the_digest_is_told(self):
+        clock = FakeClock()
+        gossip = make_gossip(clock)
+        gossip.tables['leaving'].put('a', 'b', 60_000)
+        gossip.budget.spend(10**6)
+        assert not gossip.ask(is_new=False).tables
+
+        clock.current += 60_000
+        gossip.tables['leaving'].put('a', 'b', 60_000)
+        assert gossip.ask(is_new=False).tables
+
+
+class TestLearning:
+    def test_age_counts_from_the_question(self):
+        clock = FakeClock(10_000)
+        here, there = make_gossip(clock), make_gossip(clock, 2)
+        there.catalogue.confirm(9000, 0)
+        answer = ask(here, there)
+        clock.current += 60_000
+        here.learn(answer, asked_at=10_000)
+
+        assert here.catalogue.confirmed_at == 9000
+
+    def test_what_is_told_unasked_confirms_nothing(self):
+        clock = FakeClock(10_000)
+        here, there = make_gossip(clock), make_gossip(clock, 2)
+        there.catalogue.confirm(10_000, 0)
+        ask(there, here)
+
+        assert here.catalogue.confirmed_at is None
+        assert here.contact.peer_heard_at is None
+
+    def test_a_peer_that_is_ahead_confirms_nothing_before_its_documents(self):
+        clock = FakeClock(10_000)
+        here, there = make_gossip(clock), make_gossip(clock, 2)
+        there.catalogue.offer(accepted_as('till', 1, 1))
+        there.catalogue.confirm(10_000, 1)
+        answer = ask(here, there)
+        here.learn(answer, asked_at=10_000)
+        assert here.catalogue.confirmed_at is None
+        assert not here.contact.heard_at
+
+        pull_all(here, there)
+        here.learn(answer, asked_at=10_000)
+        assert here.catalogue.is_fresh(10_000 + FRESHNESS_BOUND)
+
+    def test_a_daemon_of_another_fleet_is_refused(self):
+        clock = FakeClock()
+        here, other = make_gossip(clock), make_gossip(clock, 2, fleet='other')
+        with pytest.raises(WireError):
+            ask(here, other)
+        with pytest.raises(WireError):
+            ask(here, here)
+
+
+class TestDocuments:
+    def test_a_long_catalogue_comes_in_parts(self):
+        clock = FakeClock()
+        here, there = make_gossip(clock), make_gossip(clock, 2)
+        text = UNREADABLE.ljust(50_000)
+        for revision in range(1, 21):
+            there.catalogue.offer(
+                accepted_as(f's{revision}', 1, revision, text)
+            )
+
+        assert pull_all(here, there) >= 5
+        assert here.catalogue.revision == 20
+
+    def test_the_revision_stays_until_the_last_part(self):
+        clock = FakeClock()
+        here, there = make_gossip(clock), make_gossip(clock, 2)
+        for revision in range(1, 4):
+            there.catalogue.offer(accepted_as('till', revision, revision))
+        told = there.documents_after(0)
+        assert [accepted.version for accepted in told.documents] == [3]
+
+        here.take_documents(told._replace(is_last=False))
+        assert here.catalogue.revision == 0
+        here.take_documents(told)
+        assert here.catalogue.revision == 3
+
+    def test_a_peer_that_lags_brings_nothing_back(self):
+        clock = FakeClock()
+        here, there = make_gossip(clock), make_gossip(clock, 2)
+        here.catalogue.offer(accepted_as('till', 1, 1))
+        there.catalogue.offer(accepted_as('till', 1, 1))
+        here.catalogue.offer(accepted_as('till', 2, 2))
+        here.take_documents(there.documents_after(0))
+
+        assert here.catalogue.versions == {'till': 2}
+        assert here.catalogue.revision == 2
+
+    def test_a_row_of_an_unknown_table_is_passed_over(self):
+        clock = FakeClock()
+        here, there = make_gossip(clock), make_gossip(clock, 2)
+        there.tables['new'] = GossipTable('new', clock)
+        there.tables['new'].merge(GossipRow('key', 'text', 1, 1000))
+        here.merge_rows(ask(here, there))
+
+        assert 'new' not in here.tables
--- /dev/null
+++ b/tests/core/test_measuring.py
@@ -0,0 +1,119 @@
+"""The measuring allowance, counted over all daemons at the upstream."""
+
+import random
+
+import pytest
+from cowslippond_core import MeasuringAllowance, budget_of
+from cowslippond_core._document_reader import read_document
+from fakes import FakeClock
+from spread_fakes import document_text
+
+ADDRESS = '10.0.0.1:80'
+MAX_DAEMONS = 24
+STEP = 50
+HOUR = 3_600_000
+
+
+def read(text: str):
+    return read_document(text, 'text').ok
+
+
+DOCUMENT = read(document_text('till'))
+WINDOW = 2 * MAX_DAEMONS / budget_of(DOCUMENT) * 1000
+
+
+class Fleet:
+    """Daemons that probe whenever they may, with faults."""
+
+    def __init__(self, seed: int) -> None:
+        self.draw = random.Random(seed)
+        self.clock = FakeClock()
+        self.daemons = [self.start() for _ in range(MAX_DAEMONS)]
+        self.paused_until = [0 for _ in self.daemons]
+        self.sent: list[float] = []
+
+    def start(self) -> MeasuringAllowance:
+        allowance = MeasuringAllowance(MAX_DAEMONS, self.draw)
+        allowance.watch(ADDRESS, DOCUMENT, self.clock.now())
+        return allowance
+
+    def step(self) -> None:
+        self.clock.current += STEP
+        for index, daemon in enumerate(self.daemons):
+            if self.paused_until[index] > self.clock.now():
+                continue
+            if daemon.try_spend(ADDRESS, self.clock.now()):
+                self.sent.append(self.clock.now())
+
+    def most_in(self, window: float) -> int:
+        most = 0
+        first = 0
+        for last, at in enumerate(self.sent):
+            while at - self.sent[first] > window:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+
+class TestBound:
+    @pytest.mark.parametrize('seed', range(3))
+    def test_it_holds_in_each_window_while_daemons_restart_and_pause(
+        self, seed
+    ):
+        fleet = Fleet(seed)
+        while fleet.clock.now() < HOUR / 2:
+            fleet.step()
+            if fleet.draw.randrange(1000) == 0:
+                fleet.daemons = [fleet.start() for _ in fleet.daemons]
+            if fleet.draw.randrange(100) == 0:
+                index = fleet.draw.randrange(MAX_DAEMONS)
+                pause = fleet.draw.uniform(0, 3 * WINDOW)
+                fleet.paused_until[index] = fleet.clock.now() + pause
+
+        assert fleet.sent, 'nobody measured'
+        for windows in (1, 2, 5):
+            span = WINDOW * windows
+            allowed = budget_of(DOCUMENT) * span / 1000
+            assert fleet.most_in(span) <= allowed
+
+    def test_all_paused_at_once_do_not_catch_up(self):
+        fleet = Fleet(7)
+        while fleet.clock.now() < 4 * WINDOW:
+            fleet.step()
+        fleet.clock.current += 100 * WINDOW
+        fleet.sent.clear()
+        for _ in range(int(WINDOW / STEP)):
+            fleet.step()
+
+        assert len(fleet.sent) <= MAX_DAEMONS
+
+
+class TestBudget:
+    def test_a_smaller_budget_takes_effect_at_once(self):
+        allowance = MeasuringAllowance(1, random.Random(0))
+        allowance.watch(ADDRESS, DOCUMENT, 0)
+        smaller = DOCUMENT._replace(
+            measuring=DOCUMENT.measuring._replace(share_of_capacity=0.0001)
+        )
+        allowance.watch(ADDRESS, smaller, 0)
+
+        period = 2 / budget_of(smaller) * 1000
+        assert allowance.next_at(ADDRESS) >= period
+
+    def test_no_budget_and_no_document_mean_no_measuring(self):
+        allowance = MeasuringAllowance(1, random.Random(0))
+        nothing = DOCUMENT._replace(
+            measuring=DOCUMENT.measuring._replace(share_of_capacity=0)
+        )
+        allowance.watch(ADDRESS, nothing, 0)
+
+        assert not allowance.try_spend(ADDRESS, HOUR)
+        assert allowance.next_at(ADDRESS) is None
+
+    def test_a_repeated_watch_does_not_postpone_the_turn(self):
+        allowance = MeasuringAllowance(1, random.Random(0))
+        allowance.watch(ADDRESS, DOCUMENT, 0)
+        due = allowance.next_at(ADDRESS)
+        allowance.watch(ADDRESS, DOCUMENT, due - 1)
+
+        assert allowance.next_at(ADDRESS) == due
--- /dev/null
+++ b/tests/core/test_metrics.py
@@ -0,0 +1,60 @@
+"""Counters reach statsd in batches, and the page lists them all."""
+
+import pathlib
+import socket
+
+from cowslippond_core import (
+    Metric,
+    Metrics,
+    RefusalReason,
+    RetryReason,
+    refusal_name,
+    retry_name,
+)
+
+PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'METRICS.md'
+
+
+class TestSending:
+    def test_a_batch_carries_counts_gauges_and_timings(self):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+            server.bind(('127.0.0.1', 0))
+            server.settimeout(5)
+            port = server.getsockname()[1]
+            metrics = Metrics(f'127.0.0.1:{port}')
+            metrics.refused(RefusalReason.QUEUE_FULL)
+            metrics.refused(RefusalReason.QUEUE_FULL)
+            metrics.gauge(Metric.REVISION, 3)
+            metrics.timing(Metric.CALL_MS, 1.5)
+            metrics.flush()
+            lines = server.recv(4096).decode().split('\n')
+
+        assert lines == [
+            'cowslippond.refusals.queue_full:2|c',
+            'cowslippond.catalogue.revision:3|g',
+            'cowslippond.call_ms:1.500000|ms',
+        ]
+
+    def test_without_an_address_only_totals_are_kept(self):
+        metrics = Metrics('')
+        metrics.retried(RetryReason.SHED)
+        metrics.flush()
+
+        assert metrics.totals[retry_name(RetryReason.SHED)] == 1
+        assert not metrics.unsent
+
+
+class TestPage:
+    def test_it_lists_exactly_the_metrics_there_are(self):
+        names = {
+            *(refusal_name(reason) for reason in RefusalReason),
+            *(retry_name(reason) for reason in RetryReason),
+            *(metric.value for metric in Metric),
+        }
+        listed = {
+            line.split('`')[1]
+            for line in PAGE.read_text().splitlines()
+            if line.startswith('| `')
+        }
+
+        assert listed == names
--- /dev/null
+++ b/tests/core/test_poller.py
@@ -0,0 +1,181 @@
+"""Reads of the catalogue under a table that fails, lags or answers stale."""
+
+import random
+
+import pytest
+from cowslippond_core import FRESHNESS_BOUND, Daemon, GossipTable, Metrics
+from cowslippond_core._membership import Membership
+from cowslippond_core._poller import LEAST_INTERVAL, Poller
+from fakes import FakeClock, FakeTable
+from spread_fakes import accept, accepted_as, make_catalogue
+
+pytestmark = pytest.mark.anyio
+
+
+def make_poller(table: FakeTable, fleet: int = 1) -> Poller:
+    clock = FakeClock(1000)
+    own = Daemon('10.0.0.1:1', '', 'north', '', is_leaving=False)
+    seeds = [f'10.0.0.2:{port}' for port in range(1, fleet)]
+    return Poller(
+        table,
+        make_catalogue(clock),
+        Membership(clock, GossipTable('daemons', clock), own, seeds),
+        clock,
+        random.Random(0),
+        Metrics(''),
+    )
+
+
+def copy_of(table: FakeTable) -> FakeTable:
+    copy = FakeTable()
+    copy.rows = dict(table.rows)
+    return copy
+
+
+class FreezingTable(FakeTable):
+    """A table whose reader is frozen between its question and the answer."""
+
+    clock: FakeClock
+
+    async def get(self, key):
+        self.clock.current += FRESHNESS_BOUND + 1
+        return await super().get(key)
+
+
+class TestReading:
+    async def test_an_empty_table_is_confirmed(self):
+        poller = make_poller(FakeTable())
+        await poller.poll()
+
+        assert poller.catalogue.is_fresh(poller.clock.now())
+
+    async def test_changes_are_read_in_order(self):
+        table = FakeTable()
+        poller = make_poller(table)
+        for revision in range(1, 4):
+            accept(table, accepted_as('till', revision, revision))
+            await poller.poll()
+            assert poller.catalogue.versions == {'till': revision}
+
+        accept(table, accepted_as('parts', 1, 4))
+        accept(table, accepted_as('till', 4, 5))
+        await poller.poll()
+
+        assert poller.catalogue.versions == {'till': 4, 'parts': 1}
+        assert poller.catalogue.revision == 5
+
+    async def test_a_daemon_far_behind_reads_the_documents(self):
+        table = FakeTable()
+        for revision in range(1, 301):
+            accept(table, accepted_as('till', revision, revision))
+        poller = make_poller(table)
+        await poller.poll()
+
+        assert poller.catalogue.revision == 300
+        assert table.read_count <= 5
+
+
+class TestStaleReads:
+    async def test_a_stale_replica_brings_nothing_back(self):
+        table = FakeTable()
+        accept(table, accepted_as('till', 1, 1))
+        stale = copy_of(table)
+        accept(table, accepted_as('till', 2, 2))
+        poller = make_poller(table)
+        await poller.poll()
+        confirmed_at = poller.catalogue.confirmed_at
+
+        poller.table = stale
+        poller.clock.current += 2 * FRESHNESS_BOUND
+        await poller.poll()
+
+        assert poller.catalogue.versions == {'till': 2}
+        assert poller.catalogue.confirmed_at == confirmed_at
+        assert not poller.catalogue.is_fresh(poller.clock.now())
+
+    async def test_a_new_head_with_stale_rows_confirms_nothing(self):
+        table = FakeTable()
+        accept(table, accepted_as('till', 1, 1))
+        mixed = copy_of(table)
+        accept(table, accepted_as('till', 2, 2))
+        for key, row in table.rows.items():
+            if key.partition == 'catalogue':
+                mixed.rows[key] = row
+        poller = make_poller(mixed)
+        await poller.poll()
+
+        assert poller.catalogue.versions == {'till': 1}
+        assert not poller.catalogue.is_fresh(poller.clock.now())
+
+    async def test_versions_go_up_whatever_replica_answers(self):
+        draw = random.Random(3)
+        table = FakeTable()
+        replicas = [copy_of(table)]
+        versions = {'till': 0, 'parts': 0}
+        for revision in range(1, 30):
+            service = draw.choice(sorted(versions))
+            versions[service] += 1
+            accept(table, accepted_as(service, versions[service], revision))
+            replicas.append(copy_of(table))
+        poller = make_poller(table)
+        seen = {}
+        for _ in range(200):
+            poller.table = draw.choice(replicas)
+            await poller.poll()
+            now = poller.catalogue.versions
+            assert all(now[name] >= seen[name] for name in seen)
+            seen = now
+
+        assert seen == versions
+
+    async def test_the_time_of_a_confirmation_is_that_of_the_question(self):
+        table = FreezingTable()
+        poller = make_poller(table)
+        table.clock = poller.clock
+        asked_at = poller.clock.now()
+        await poller.poll()
+
+        assert poller.catalogue.confirmed_at == asked_at
+        assert not poller.catalogue.is_fresh(poller.clock.now())
+
+
+class TestTurns:
+    async def test_a_failed_read_keeps_the_version_and_is_counted(self):
+        table = FakeTable()
+        accept(table, accepted_as('till', 1, 1))
+        poller = make_poller(table)
+        await poller.poll()
+        table.is_down = True
+        await poller.poll()
+
+        assert poller.catalogue.versions == {'till': 1}
+        assert poller.errors == 1
+        assert poller.metrics.totals['store.errors'] == 1
+
+    @pytest.mark.parametrize(('fleet', 'reads'), [(19, 19), (600, 20)])
+    async def test_the_reads_of_the_fleet_stay_bounded(self, fleet, reads):
+        poller = make_poller(FakeTable(), fleet)
+
+        assert fleet * 1000 / poller.interval() == pytest.approx(reads)
+
+    async def test_a_daemon_that_nobody_confirms_reads_sooner(self):
+        poller = make_poller(FakeTable(), 600)
+        await poller.poll()
+        poller.clock.current += LEAST_INTERVAL
+        assert not poller.is_due()
+
+        poller.clock.current += FRESHNESS_BOUND / 2
+
+        assert poller.is_due()
+
+    async def test_reads_get_rarer_while_the_table_is_down(self):
+        table = FakeTable()
+        poller = make_poller(table, 600)
+        table.is_down = True
+        started_at = poller.clock.now()
+        while poller.clock.now() < started_at + 600_000:
+            if poller.is_due():
+                await poller.poll()
+            poller.clock.current += 100
+
+        assert table.read_count <= 30
