--- a/packages/cowslippond-core/src/cowslippond_core/_gossip.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_gossip.py
@@ -136,14 +136,12 @@
                 table.merge(row)
 
     def check_fleet(self, theirs: Exchange) -> None:
-        """Refuse a daemon of another fleet, and this one itself.
+        """Refuse a daemon of another fleet.
 
         :raises WireError: if it is one.
         """
         if theirs.fleet != self.fleet:
             raise WireError(f'a daemon of fleet {theirs.fleet!r}')
-        if theirs.sender == self.address:
-            raise WireError('this daemon itself')
 
     def take_documents(self, told: Documents) -> None:
         """Put documents in force that are newer."""
--- a/packages/cowslippond-core/src/cowslippond_core/_peers.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_peers.py
@@ -165,6 +165,7 @@
             raise WireError(f'no exchange: {theirs!r}')
         if theirs.sender == self.gossip.address:
             self.membership.disown(address)
+            raise WireError('this daemon itself')
         self.gossip.check_fleet(theirs)
         self.gossip.catalogue.hear_of(theirs.digest.revision)
         self.gossip.merge_rows(theirs)
--- a/packages/cowslippond-core/src/cowslippond_core/_quarantine_gossip.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_quarantine_gossip.py
@@ -54,7 +54,8 @@
 
 def encode_suspect(suspect: Suspect) -> str:
     """Return the text of a suspect's row."""
-    return orjson.dumps([suspect.cleared_at, suspect.marks]).decode()
+    marks = [tuple(mark) for mark in suspect.marks]
+    return orjson.dumps([suspect.cleared_at, marks]).decode()
 
 
 def decode_suspect(row: GossipRow) -> Suspect | None:
