--- a/packages/cowslippond-standins/src/cowslippond_standins/harness/_process.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/harness/_process.py
@@ -14,15 +14,15 @@
 _POLL: Millis = 20
 
 
-class StoppedEarlyError(Exception):
-    """A child process ended before it was ready.
+class NotReadyError(Exception):
+    """A child process ended early, or was not ready in time.
 
     :param name: name of the child.
-    :param log: the end of its log.
+    :param log: its log.
     """
 
     def __init__(self, name: str, log: str) -> None:
-        super().__init__(f'{name} ended early:\n{log}')
+        super().__init__(f'{name} is not ready:\n{log}')
         self.name = name
         self.log = log
 
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/harness/_processes.py
@@ -0,0 +1,51 @@
+"""The child processes of a deployment, ended together."""
+
+import pathlib
+from collections.abc import Mapping
+
+import anyio
+from cowslippond_core import Clock, Millis, seconds_of
+
+from cowslippond_standins.harness import _http
+from cowslippond_standins.harness._process import Child, NotReadyError
+
+_READY_LIMIT: Millis = 15_000
+_POLL: Millis = 30
+
+
+class Processes:
+    """Start processes, and end every one of them.
+
+    :param folder: where their logs go.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.clock = Clock()
+        self.children: list[Child] = []
+
+    def start(
+        self,
+        name: str,
+        module: str,
+        *arguments: str,
+        environment: Mapping[str, str] | None = None,
+    ) -> Child:
+        """Start a process of a Python module."""
+        child = Child(name, module, arguments, self.folder, environment or {})
+        self.children.append(child)
+        return child
+
+    async def wait_ready(self, child: Child, url: str) -> None:
+        """Wait until a URL of a process answers."""
+        with anyio.move_on_after(seconds_of(_READY_LIMIT)):
+            while child.is_running():
+                if await _http.is_ok(url):
+                    return
+                await self.clock.sleep(_POLL)
+        raise NotReadyError(child.name, child.log())
+
+    def kill_all(self) -> None:
+        """End every process at once."""
+        for child in self.children:
+            child.kill()
