Show the whole system at work in the demo

Ruled out: 29 calls were told key_in_progress in a first run, because the repeat of an order came 50 ms after its first sending; that answer is right, so the repeat now comes after 1.5 s, as a caller's would.

--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/demo.py
@@ -0,0 +1,232 @@
+"""Show the system at work: two users' services, a drain and a retirement."""
+
+import pathlib
+import signal
+import sys
+import tempfile
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import anyio
+import defopt
+from cowslippond_core import Clock, Millis, seconds_of
+from rich.console import Console
+from rich.table import Table
+
+from cowslippond_standins._address import Address
+from cowslippond_standins.harness._deployment import Deployment
+from cowslippond_standins.harness._handles import (
+    DaemonHandle,
+    UpstreamHandle,
+    UpstreamPlan,
+)
+from cowslippond_standins.load import _outcomes
+from cowslippond_standins.load._audit import Audit, audit
+from cowslippond_standins.load._generator import LoadGenerator
+from cowslippond_standins.load._plan import Mix, Phase, plan_calls
+from cowslippond_standins.load._report import Report, percentiles_of
+
+_EXAMPLES = pathlib.Path(__file__).parents[4] / 'examples'
+_RUN_LENGTH: Millis = 15_000
+_DRAIN_AT: Millis = 4000
+_RETIRE_AT: Millis = 7000
+_NO_NEW_WORK_AFTER: Millis = 3000
+_LIST_LAG: Millis = 1500
+_RETIRE_LIMIT: Millis = 20_000
+_IN_FORCE_LIMIT: Millis = 15_000
+_POLL: Millis = 100
+_RATE = 200
+_ORDER_SHARE = 0.8
+_REPEAT_SHARE = 0.3
+_REPEAT_AFTER: Millis = 1500
+_CALLER_FAILURES = (_outcomes.UNKNOWN, _outcomes.FAILED)
+
+_DOMAINS = ('reykjavik', 'kopavogur', 'keflavik')
+_MIXES = (
+    Mix('shop.example', '/prints', weight=7, sizes=(256, 4096, 100_000)),
+    Mix(
+        'shop.example',
+        '/orders/status',
+        '/orders',
+        weight=4,
+        order_share=_ORDER_SHARE,
+        repeat_share=_REPEAT_SHARE,
+        repeat_after_ms=_REPEAT_AFTER,
+        caller_header='x-caller',
+    ),
+    Mix('dealers.example', '/parts', weight=6, sizes=(0, 512, 20_000)),
+    Mix(
+        'dealers.example',
+        '/bookings',
+        '/bookings',
+        weight=3,
+        order_share=_ORDER_SHARE,
+        repeat_share=_REPEAT_SHARE,
+        repeat_after_ms=_REPEAT_AFTER,
+        caller_header='x-dealer-clerk',
+    ),
+)
+_SERVICES = (
+    'shop-catalogue',
+    'shop-checkout',
+    'dealers-parts',
+    'dealers-booking',
+)
+
+
+class Shown(NamedTuple):
+    """What a run of the demo showed."""
+
+    report: Report
+    audit: Audit
+    late_runs: int
+    exit_code: int
+    counters: dict[str, int]
+
+    def faults(self) -> list[str]:
+        """Return what went wrong, in words."""
+        found = []
+        if not self.audit.is_clean():
+            found.append(f'the ledgers and the callers disagree: {self.audit}')
+        for outcome in _CALLER_FAILURES:
+            count = self.report.outcomes[outcome]
+            if count:
+                found.append(f'{count} calls ended as {outcome}')
+        if self.late_runs:
+            found.append(f'{self.late_runs} runs on the drained upstream')
+        if self.exit_code:
+            found.append(f'the retired daemon ended with {self.exit_code}')
+        return found
+
+
+async def start(
+    deployment: Deployment, documents: Sequence[pathlib.Path]
+) -> Address:
+    """Start upstreams, daemons and balancer, and put documents in force."""
+    await deployment.platform.control('set_lag', lag_ms=_LIST_LAG)
+    for index, service in enumerate(_SERVICES):
+        domains = (_DOMAINS[index % 3], _DOMAINS[(index + 1) % 3])
+        plan = UpstreamPlan(service, seed=index)
+        await deployment.add_upstreams(plan, domains, queue=8)
+    for domain in _DOMAINS:
+        await deployment.add_daemon(domain)
+    balancer = await deployment.add_balancer()
+    for path in documents:
+        code, output = await deployment.apply(path)
+        print(output.strip())
+        if code:
+            sys.exit(f'{path} was not accepted')
+    for daemon in deployment.daemons:
+        await deployment.wait_serving(daemon)
+    await _wait_in_force(deployment)
+    return balancer
+
+
+async def _wait_in_force(deployment: Deployment) -> None:
+    with anyio.fail_after(seconds_of(_IN_FORCE_LIMIT)):
+        for daemon in deployment.daemons:
+            while not await _has_all(daemon):
+                await deployment.processes.clock.sleep(_POLL)
+
+
+async def _has_all(daemon: DaemonHandle) -> bool:
+    status = await daemon.status()
+    return set(_SERVICES) <= set(status['versions'])
+
+
+async def drain(deployment: Deployment) -> UpstreamHandle:
+    """Drain one upstream under load, as the platform would."""
+    clock = Clock()
+    await clock.sleep(_DRAIN_AT)
+    leaving = deployment.upstreams[0]
+    await leaving.change(draining=True)
+    await deployment.platform.set_state(leaving.vm, 'leaving')
+    print(f'draining {leaving.vm}')
+    return leaving
+
+
+async def maintain(deployment: Deployment, exit_codes: list[int]) -> None:
+    """Drain one upstream and retire one daemon under load."""
+    await drain(deployment)
+    await Clock().sleep(_RETIRE_AT - _DRAIN_AT)
+    retiring = deployment.daemons[0]
+    print(f'retiring {retiring.vm}')
+    exit_codes.append(await deployment.retire(retiring, _RETIRE_LIMIT))
+    print(f'{retiring.vm} has ended')
+
+
+async def show(deployment: Deployment, balancer: Address, seed: int) -> Shown:
+    """Send the calls during the maintenance, and check what came of them."""
+    calls = plan_calls([Phase(_RUN_LENGTH, _RATE)], _MIXES, seed)
+    generator = LoadGenerator([balancer], seed)
+    start_time = Clock().now()
+    exit_codes: list[int] = []
+    async with anyio.create_task_group() as group:
+        group.start_soon(maintain, deployment, exit_codes)
+        report = await generator.run(calls)
+    drained = await deployment.upstreams[0].ledger()
+    limit = start_time + _DRAIN_AT + _NO_NEW_WORK_AFTER
+    late = [run for run in drained['runs'] if run['started'] > limit]
+    return Shown(
+        report=report,
+        audit=audit(report.told, await deployment.runs()),
+        late_runs=len(late),
+        exit_code=exit_codes[0],
+        counters=dict(deployment.statsd.counters),
+    )
+
+
+def make_table(shown: Shown) -> Table:
+    """Return the table of a run."""
+    table = Table('figure', 'value', title='cowslippond at work')
+    latency = percentiles_of(shown.report.latency())
+    rows: dict[str, float] = {
+        'calls': len(shown.report.told),
+        'p50 in ms': round(latency['p50'], 1),
+        'p99 in ms': round(latency['p99'], 1),
+    }
+    for outcome, count in sorted(shown.report.outcomes.items()):
+        rows[f'outcome {outcome}'] = count
+    for name, count in sorted(shown.counters.items()):
+        kind = name.removeprefix('cowslippond.')
+        if kind.startswith(('refusals.', 'retries.')):
+            rows[kind] = count
+    rows['orders sent'] = shown.audit.orders_sent
+    rows['orders run'] = shown.audit.orders_run
+    rows['runs of an order beyond its first'] = len(shown.audit.duplicated)
+    rows['calls cut'] = shown.audit.cut
+    for figure, shown_as in rows.items():
+        table.add_row(figure, str(shown_as))
+    return table
+
+
+async def run_demo(documents: Sequence[pathlib.Path], seed: int) -> int:
+    """Run the demo and return its exit code."""
+    with tempfile.TemporaryDirectory(prefix='cowslippond-') as folder:
+        async with Deployment(pathlib.Path(folder)) as deployment:
+            balancer = await start(deployment, documents)
+            shown = await show(deployment, balancer, seed)
+    Console().print(make_table(shown))
+    faults = shown.faults()
+    for fault in faults:
+        print(f'FAILED: {fault}')
+    return 1 if faults else 0
+
+
+def main(*, examples: pathlib.Path = _EXAMPLES, seed: int = 1) -> None:
+    """Start everything on this machine, send calls, and check the outcome.
+
+    :param examples: folder of service documents.
+    :param seed: seed of the calls.
+    """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    documents = sorted(examples.glob('*/*.jsonc'))
+    sys.exit(
+        anyio.run(
+            run_demo, documents, seed, backend_options={'use_uvloop': True}
+        )
+    )
+
+
+if __name__ == '__main__':
+    defopt.run(main)
--- a/packages/cowslippond-standins/src/cowslippond_standins/harness/_deployment.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/harness/_deployment.py
@@ -166,15 +166,16 @@
 
         :param lag: time until it acts on a change, in milliseconds.
         """
-        address = Address(_HOST, free_ports(1))
+        port = free_ports(1)
+        vm_list_url = self.platform.vm_list_url
         self.processes.start(
-            f'balancer-{address.port}',
+            f'balancer-{port}',
             f'{_PACKAGE}.balancer',
-            f'--port={address.port}',
+            f'--port={port}',
             f'--lag-ms={lag}',
-            f'--vm-list-url={self.platform.vm_list_url}',
+            f'--vm-list-url={vm_list_url}',
         )
-        return address
+        return Address(_HOST, port)
 
     async def operate(self, *arguments: str) -> tuple[int, str]:
         """Run the operator tool, and return its exit code and output."""
@@ -214,7 +215,7 @@
     async def _start_upstreams(
         self, plan: UpstreamPlan, failure_domains: Sequence[str], first: int
     ) -> list[UpstreamHandle]:
-        control_port = free_ports(1)
+        control = free_ports(1)
         count = len(failure_domains)
         service = plan.service
         name = f'{service}-{first}'
@@ -223,14 +224,14 @@
             name,
             f'{_PACKAGE}.upstream',
             f'--port={first}',
-            f'--control-port={control_port}',
+            f'--control-port={control}',
             f'--count={count}',
             f'--seed={plan.seed}',
             f'--slots={plan.slots}',
             f'--mean-ms={plan.mean_ms}',
             f'--ledger={ledger_path}',
         )
-        control_url = f'http://{_HOST}:{control_port}'
+        control_url = f'http://{_HOST}:{control}'
         await self.processes.wait_ready(child, f'{control_url}/ledger')
         return [
             UpstreamHandle(
--- a/packages/cowslippond-standins/src/cowslippond_standins/load/_plan.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/load/_plan.py
@@ -30,6 +30,7 @@
     orders with a key; ``repeat_share`` of the orders are sent a second time
     after ``repeat_after_ms``. ``mean_work_ms`` is the mean of the exponential
     work of a call, and ``sizes`` the sizes of answers in bytes.
+    ``caller_header`` names the caller of an order.
     """
 
     host: str
@@ -42,6 +43,7 @@
     mean_work_ms: Millis = 8
     sizes: tuple[int, ...] = (256,)
     deadline_ms: Millis = 0
+    caller_header: str = 'authorization'
 
 
 class PlannedCall(NamedTuple):
@@ -61,6 +63,7 @@
     nonce: str
     size: int
     deadline_ms: Millis
+    caller_header: str
     is_repeat: bool = False
 
 
@@ -115,4 +118,5 @@
         nonce=nonce,
         size=size,
         deadline_ms=mix.deadline_ms,
+        caller_header=mix.caller_header,
     )
--- a/packages/cowslippond-standins/src/cowslippond_standins/load/_request.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/load/_request.py
@@ -16,7 +16,7 @@
     body = f'{{"order": "{call.nonce}"}}'
     lines += [
         f'idempotency-key: {call.key}',
-        f'authorization: {call.caller}',
+        f'{call.caller_header}: {call.caller}',
         'content-type: application/json',
         f'content-length: {len(body)}',
     ]
--- a/packages/cowslippond-standins/src/cowslippond_standins/upstream/_app.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/_app.py
@@ -24,6 +24,7 @@
 from cowslippond_standins.upstream._speed import Speed
 
 _PROBE_PATH = '/load'
+_CALLER_HEADERS = ('authorization', 'x-caller', 'x-dealer-clerk', 'x-dealer')
 _HTTP_ERROR = 500
 _HTTP_EXPIRED = 504
 _CRASH_STATUS = 70
@@ -111,7 +112,7 @@
         return {
             'request_id': _text(scope, headers.REQUEST_ID),
             'order_key': _text(scope, 'idempotency-key'),
-            'caller': _text(scope, 'authorization'),
+            'caller': _caller_of(scope),
             'path': scope['path'],
             'nonce': wanted.nonce,
             'attempt': _text(scope, headers.ATTEMPT),
@@ -238,6 +239,14 @@
     return _asgi.header_of(scope, name.encode()).decode('latin-1')
 
 
+def _caller_of(scope: _asgi.Scope) -> str:
+    for name in _CALLER_HEADERS:
+        caller = _text(scope, name)
+        if caller:
+            return caller
+    return ''
+
+
 def _cut_nothing() -> None:
     """Leave connections alone, as no server was given."""
 
