--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -1,5 +1,7 @@
 """Coordination parts of a load balancer whose nodes act together."""
 
+from cowslippond_core._apply_errors import ApplyError as ApplyError
+from cowslippond_core._apply_errors import ApplyFault as ApplyFault
 from cowslippond_core._budgets import BudgetSettings as BudgetSettings
 from cowslippond_core._budgets import ShareBudget as ShareBudget
 from cowslippond_core._budgets import is_first_attempt as is_first_attempt
@@ -14,6 +16,9 @@
 from cowslippond_core._catalogue_reader import (
     read_newest_document as read_newest_document,
 )
+from cowslippond_core._catalogue_writer import (
+    accept_document as accept_document,
+)
 from cowslippond_core._claim import Claim as Claim
 from cowslippond_core._claim import RecordedAnswer as RecordedAnswer
 from cowslippond_core._claim_backlog import ClaimBacklog as ClaimBacklog
