Hold back requests that crash upstreams, before every send

Cause: the quarantine was asked once, before the first send; a call's own repeats and copies still crashed further upstreams, any lost answer counted as a break, and nothing cleared an innocent call. Ruled out: marks as rows of last-writer-wins by fingerprint, which would lose one of two crashes noted at once; so one row a mark. Two broken connections as proof: test_lost_answer_is_retried_elsewhere was refused after two closed connections of living upstreams. A break counts as a certain crash when the upstream refuses the next connection; two certain crashes or three breaks end in quarantine. Change: suspects are sent in turn and never copied; ends of sends mark and clear; news pass through the gossip table; a call is not sent after its deadline, however long the process was paused since it was claimed.

--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -77,6 +77,9 @@
 from cowslippond_core._objects import ObjectStore as ObjectStore
 from cowslippond_core._objects import S3ObjectStore as S3ObjectStore
 from cowslippond_core._quarantine import Quarantine as Quarantine
+from cowslippond_core._quarantine_gossip import (
+    share_quarantine as share_quarantine,
+)
 from cowslippond_core._reasons import RefusalReason as RefusalReason
 from cowslippond_core._reasons import RetryReason as RetryReason
 from cowslippond_core._sender import Sender as Sender
@@ -90,7 +93,9 @@
 from cowslippond_core._spread import SpreadSettings as SpreadSettings
 from cowslippond_core._spread import SpreadStatus as SpreadStatus
 from cowslippond_core._suspects import CrashMark as CrashMark
+from cowslippond_core._suspects import NewsKind as NewsKind
 from cowslippond_core._suspects import Suspect as Suspect
+from cowslippond_core._suspects import SuspectNews as SuspectNews
 from cowslippond_core._table import Condition as Condition
 from cowslippond_core._table import ItemKey as ItemKey
 from cowslippond_core._table import Put as Put
--- a/packages/cowslippond-core/src/cowslippond_core/_attempt.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_attempt.py
@@ -39,6 +39,7 @@
     """Why it is certain that an upstream did not run a call."""
 
     CONNECT_FAILED = 'connect_failed'
+    DEADLINE = 'deadline'
     SHED = NOT_RUN_SHED
     DRAINING = NOT_RUN_DRAINING
 
@@ -206,6 +207,12 @@
             self.end()
             return NotRun(NotRunReason.CONNECT_FAILED)
         connection = taken.ok
+        # A process that was paused since its call was admitted or claimed
+        # must not send it after the deadline that others were told.
+        if self.clock.now() >= self.request.deadline:
+            connection.close()
+            self.end()
+            return NotRun(NotRunReason.DEADLINE)
         self.connection = connection
         self.is_reused = connection.calls > 0
         connection.begin(self.exchange)
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_crash_watch.py
@@ -0,0 +1,57 @@
+"""What the end of a send tells about crashes of its upstream."""
+
+import anyio
+
+from cowslippond_core._attempt import Attempt, Lost
+from cowslippond_core._clock import Millis, seconds_of
+from cowslippond_core._exchange import ExchangeFault
+from cowslippond_core._quarantine import Quarantine
+from cowslippond_core._upstreams import Upstream
+
+# A crashed process refuses at once; a machine that is gone does not.
+_LONGEST_PROBE: Millis = 50
+
+
+def note_end(quarantine: Quarantine, attempt: Attempt) -> None:
+    """Note whether a send ended in a whole answer or a broken connection.
+
+    A send that was cancelled or timed out tells neither.
+    """
+    connection = attempt.connection
+    if connection is None:
+        return
+    address = attempt.upstream.address
+    fingerprint = attempt.request.fingerprint
+    exchange = attempt.exchange
+    if exchange.is_complete:
+        quarantine.note_answer(address, fingerprint, connection.opened_at)
+        return
+    # A caller that breaks off its body ends the connection, too.
+    if exchange.fault is ExchangeFault.CLOSED and not connection.is_sending:
+        quarantine.note_break(address, fingerprint)
+
+
+async def watch_crash(
+    quarantine: Quarantine, upstream: Upstream, lost: Lost
+) -> None:
+    """Find out whether an upstream crashed under a call.
+
+    An upstream that crashed refuses connections until it is started again.
+    """
+    if lost.fault is not ExchangeFault.CLOSED:
+        return
+    if await _is_refusing(upstream.address):
+        quarantine.confirm_crash(upstream.address)
+
+
+async def _is_refusing(address: str) -> bool:
+    host, _, port = address.rpartition(':')
+    try:
+        with anyio.fail_after(seconds_of(_LONGEST_PROBE)):
+            stream = await anyio.connect_tcp(host.strip('[]'), int(port))
+    except TimeoutError:
+        return False
+    except OSError as failed:
+        return isinstance(failed.__cause__, ConnectionRefusedError)
+    await stream.aclose()
+    return False
--- a/packages/cowslippond-core/src/cowslippond_core/_observations.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_observations.py
@@ -9,6 +9,7 @@
     NotRunReason,
 )
 from cowslippond_core._clock import Millis
+from cowslippond_core._crash_watch import note_end
 from cowslippond_core._ejection import note_failure, note_success
 from cowslippond_core._exchange import ExchangeFault
 from cowslippond_core._hooks import SendingHooks
@@ -77,8 +78,7 @@
         if waited < service.latency.p95 * _TIMEOUT_FACTOR:
             return
     else:
-        fingerprint = attempt.request.fingerprint
-        hooks.on_break(attempt.upstream, fingerprint, now)
+        note_end(hooks.quarantine, attempt)
     peers = service.upstreams.by_address.values()
     note_failure(attempt.upstream, peers, now, _LOSS_WEIGHT)
 
@@ -89,6 +89,8 @@
     attempt: Attempt,
     refused: NotRun,
 ) -> None:
+    if refused.reason is NotRunReason.DEADLINE:
+        return
     upstream = attempt.upstream
     now = attempt.clock.now()
     if refused.reason is NotRunReason.CONNECT_FAILED:
--- a/packages/cowslippond-core/src/cowslippond_core/_quarantine.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_quarantine.py
@@ -6,36 +6,40 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable
 from typing import NamedTuple
+from weakref import WeakValueDictionary
+
+import anyio
 
 from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._messages import CallRefusal, Outcome
 from cowslippond_core._reasons import RefusalReason
 from cowslippond_core._suspects import (
+    PROOF,
     CrashMark,
+    NewsKind,
     Suspect,
+    SuspectNews,
     add_mark,
     clear_marks,
+    evidence,
     is_same_crash,
     last_change,
-    merge_suspects,
-    remove_mark,
 )
+from cowslippond_core._suspects import remove_mark as without_mark
 
-_CRASH_LIMIT = 2
-# Crashes that share no call are not caused by a call; from this many on, a
-# call is refused whatever else crashes.
+# From this many crashes on, a call is refused whatever else crashes.
 _CERTAIN_CRASHES = 6
 _EXPLAINED_SHARE = 0.5
 _CRASH_MARGIN_MS = 500
 _CRASH_WINDOW_MS = 100
 _FIRST_TERM_MS = 60_000
+_FIRST_TERM_CRASHES = 2
 _LONGEST_TERM_MS = 600_000
-_BUSY_RETRY_AFTER_MS = 1000
 _MAX_SUSPECTS = 512
 _MAX_CRASHES = 64
-_MAX_ROWS = 32
+_MAX_TOLD = 16
 
 
 class _Breakage(NamedTuple):
@@ -49,8 +53,10 @@
 class Quarantine:
     """The requests that this daemon refuses because they crash upstreams.
 
-    :param clock: the wall clock dates crashes for other daemons; the
-        monotonic clock tells old connections from new.
+    ``listeners`` are told what this daemon finds out by itself.
+
+    :param clock: its wall clock dates crashes for other daemons, its
+        monotonic one tells old connections from new.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -58,7 +64,8 @@
         self.suspects: dict[str, Suspect] = {}
         self.crashes: deque[CrashMark] = deque(maxlen=_MAX_CRASHES)
         self.breakages: dict[str, _Breakage] = {}
-        self.on_trial: set[str] = set()
+        self.turns: WeakValueDictionary[str, anyio.Lock] = WeakValueDictionary()
+        self.listeners: list[Callable[[SuspectNews], None]] = []
 
     def check(self, fingerprint: str) -> CallRefusal | None:
         """Return why a call may not be sent now, or ``None``.
@@ -66,14 +73,12 @@
         To be asked before every send, repeated sends included.
         """
         suspect = self.suspects.get(fingerprint)
-        if suspect is None or not suspect.marks:
+        if suspect is None or evidence(suspect) < PROOF:
             return None
         wait = self._term_end(suspect) - self.clock.wall()
-        if wait > 0:
-            return _refuse(wait)
-        if fingerprint in self.on_trial:
-            return _refuse(_BUSY_RETRY_AFTER_MS)
-        return None
+        if wait <= 0:
+            return None
+        return CallRefusal(Outcome.NOT_RUN, RefusalReason.QUARANTINED, wait)
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Tell whether calls of a fingerprint may be sent only one at a time.
@@ -83,16 +88,12 @@
         suspect = self.suspects.get(fingerprint)
         return suspect is not None and bool(suspect.marks)
 
-    def begin_trial(self, fingerprint: str) -> None:
-        """Note that the one permitted call of a suspect is being sent."""
-        self.on_trial.add(fingerprint)
-
-    def end_trial(self, fingerprint: str) -> None:
-        """Note that the call of a suspect has ended, however it ended."""
-        self.on_trial.discard(fingerprint)
+    def turn(self, fingerprint: str) -> anyio.Lock:
+        """Return the lock that is held while a suspect is being sent."""
+        return self.turns.setdefault(fingerprint, anyio.Lock())
 
     def note_break(self, upstream: str, fingerprint: str) -> None:
-        """Note that a connection broke under a call, with no answer.
+        """Note that a connection broke under a call, with no whole answer.
 
         A timeout is no break, and neither is a connection refused.
         """
@@ -103,12 +104,25 @@
             breakage = _Breakage(mark, now, set())
             self.breakages[upstream] = breakage
         breakage.fingerprints.add(fingerprint)
-        self._mark(fingerprint, breakage.mark)
+        self._add_mark(fingerprint, breakage.mark)
+        if len(breakage.fingerprints) <= _MAX_TOLD:
+            self._tell(NewsKind.MARKED, fingerprint, breakage.mark)
+
+    def confirm_crash(self, upstream: str) -> None:
+        """Note that an upstream takes no connections after a break."""
+        breakage = self.breakages.get(upstream)
+        if breakage is None or breakage.mark.is_certain:
+            return
+        mark = breakage.mark._replace(is_certain=True)
+        self.breakages[upstream] = breakage._replace(mark=mark)
+        for fingerprint in breakage.fingerprints:
+            self._add_mark(fingerprint, mark)
+            self._tell(NewsKind.CONFIRMED, fingerprint, mark)
 
     def note_answer(
         self, upstream: str, fingerprint: str, connected_at: Millis
     ) -> None:
-        """Note that an upstream ran a call and answered it.
+        """Note that an upstream ran a call and answered it whole.
 
         The call is cleared. If the connection is older than breaks noted of
         this upstream just before, then the upstream has not crashed.
@@ -117,80 +131,79 @@
             milliseconds.
         """
         if self.breakages:
-            self._dismiss(upstream, connected_at)
+            self._doubt_crash(upstream, connected_at)
         if not self.is_suspect(fingerprint):
             return
         suspect = self.suspects[fingerprint]
-        self.suspects[fingerprint] = clear_marks(suspect, self.clock.wall())
-
-    def record_crash(self, fingerprint: str, upstream: str) -> None:
-        """Note that an upstream certainly crashed while it ran a call."""
-        self._mark(fingerprint, CrashMark(upstream, self.clock.wall()))
-
-    def rows(self) -> list[Suspect]:
-        """Return the suspects that changed last, for other daemons."""
-        newest = sorted(self.suspects.values(), key=last_change, reverse=True)
-        return newest[:_MAX_ROWS]
-
-    def merge(self, rows: Iterable[Suspect]) -> None:
-        """Take over what another daemon knows."""
-        for row in rows:
-            for mark in row.marks:
-                self._add_crash(mark)
-            known = self.suspects.get(row.fingerprint, row)
-            self.suspects[row.fingerprint] = merge_suspects(known, row)
-        self._prune()
-
-    def _mark(self, fingerprint: str, mark: CrashMark) -> None:
-        self._add_crash(mark)
+        answered_at = self.clock.wall()
+        self.suspects[fingerprint] = clear_marks(suspect, answered_at)
+        if evidence(suspect) >= PROOF:
+            mark = CrashMark(upstream, answered_at)
+            self._tell(NewsKind.CLEARED, fingerprint, mark)
+
+    def apply(self, news: SuspectNews) -> None:
+        """Take over what another daemon found out."""
+        if news.kind in {NewsKind.MARKED, NewsKind.CONFIRMED}:
+            self._add_mark(news.fingerprint, news.mark)
+        if news.kind is NewsKind.RETRACTED:
+            self._remove_mark(news.fingerprint, news.mark)
+        if news.kind is NewsKind.CLEARED:
+            known = self.suspects.get(news.fingerprint)
+            if known is not None:
+                cleared = clear_marks(known, news.mark.at)
+                self.suspects[news.fingerprint] = cleared
+
+    def _add_mark(self, fingerprint: str, mark: CrashMark) -> None:
+        if not any(is_same_crash(mark, known) for known in self.crashes):
+            self.crashes.append(mark)
         known = self.suspects.get(fingerprint, Suspect(fingerprint))
         self.suspects[fingerprint] = add_mark(known, mark)
-        self._prune()
+        if len(self.suspects) > _MAX_SUSPECTS:
+            oldest = min(self.suspects.values(), key=last_change)
+            self.suspects.pop(oldest.fingerprint)
 
-    def _add_crash(self, mark: CrashMark) -> None:
-        if any(is_same_crash(mark, known) for known in self.crashes):
-            return
-        self.crashes.append(mark)
+    def _remove_mark(self, fingerprint: str, mark: CrashMark) -> None:
+        suspect = self.suspects.get(fingerprint)
+        if suspect is not None:
+            self.suspects[fingerprint] = without_mark(suspect, mark)
 
-    def _dismiss(self, upstream: str, connected_at: Millis) -> None:
+    def _doubt_crash(self, upstream: str, connected_at: Millis) -> None:
         breakage = self.breakages.get(upstream)
         if breakage is None:
             return
         if self.clock.now() - breakage.noted_at > _CRASH_WINDOW_MS:
             self.breakages.pop(upstream)
             return
-        if connected_at >= breakage.noted_at:
+        if connected_at >= breakage.noted_at or breakage.mark.is_certain:
             return
         self.breakages.pop(upstream)
+        self._forget_crash(breakage.mark)
         for fingerprint in breakage.fingerprints:
-            suspect = self.suspects.get(fingerprint)
-            if suspect is not None:
-                self.suspects[fingerprint] = remove_mark(suspect, breakage.mark)
-        if breakage.mark in self.crashes:
-            self.crashes.remove(breakage.mark)
+            self._remove_mark(fingerprint, breakage.mark)
+            self._tell(NewsKind.RETRACTED, fingerprint, breakage.mark)
+
+    def _forget_crash(self, mark: CrashMark) -> None:
+        kept = [one for one in self.crashes if not is_same_crash(one, mark)]
+        self.crashes = deque(kept, maxlen=_MAX_CRASHES)
 
     def _term_end(self, suspect: Suspect) -> int:
         """Return the end of the quarantine since the epoch, 0 if none."""
         count = len(suspect.marks)
-        if count < _CRASH_LIMIT:
-            return 0
         if count < _CERTAIN_CRASHES and not self._is_explanation(suspect):
             return 0
-        term = _FIRST_TERM_MS << (count - _CRASH_LIMIT)
+        term = _FIRST_TERM_MS << max(count - _FIRST_TERM_CRASHES, 0)
         return suspect.marks[-1].at + min(term, _LONGEST_TERM_MS)
 
     def _is_explanation(self, suspect: Suspect) -> bool:
+        """Tell whether a suspect was there in most crashes of its time.
+
+        Upstreams that fail together for another reason share no call.
+        """
         start = suspect.marks[0].at - _CRASH_MARGIN_MS
         end = suspect.marks[-1].at + _CRASH_MARGIN_MS
         around = sum(start <= crash.at <= end for crash in self.crashes)
         return len(suspect.marks) > around * _EXPLAINED_SHARE
 
-    def _prune(self) -> None:
-        if len(self.suspects) <= _MAX_SUSPECTS:
-            return
-        oldest = min(self.suspects.values(), key=last_change)
-        self.suspects.pop(oldest.fingerprint)
-
-
-def _refuse(wait: Millis) -> CallRefusal:
-    return CallRefusal(Outcome.NOT_RUN, RefusalReason.QUARANTINED, wait)
+    def _tell(self, kind: NewsKind, fingerprint: str, mark: CrashMark) -> None:
+        for listener in self.listeners:
+            listener(SuspectNews(kind, fingerprint, mark))
--- a/packages/cowslippond-core/src/cowslippond_core/_refusals.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_refusals.py
@@ -14,6 +14,7 @@
 _REFUSAL_REASONS = MappingProxyType(
     {
         NotRunReason.CONNECT_FAILED: RefusalReason.CONNECT_FAILED,
+        NotRunReason.DEADLINE: RefusalReason.DEADLINE,
         NotRunReason.SHED: RefusalReason.UPSTREAMS_FULL,
         NotRunReason.DRAINING: RefusalReason.NO_UPSTREAM,
     }
--- a/packages/cowslippond-core/src/cowslippond_core/_sender.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sender.py
@@ -2,16 +2,19 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 
-from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._attempt import Attempt
+from cowslippond_core._clock import Clock
+from cowslippond_core._crash_watch import note_end
 from cowslippond_core._hooks import SendingHooks
 from cowslippond_core._messages import CallAnswer, CallRefusal, CallRequest
+from cowslippond_core._quarantine import Quarantine
 from cowslippond_core._reasons import RetryReason
 from cowslippond_core._refusals import not_run
 from cowslippond_core._routing import LeastInFlight
 from cowslippond_core._sending import Sending, SendingContext
 from cowslippond_core._service_state import ServiceState
-from cowslippond_core._upstreams import Upstream
 
 _SHIPPED_POLICY = LeastInFlight()
 
@@ -27,8 +30,7 @@
     :param mark_leaving: called with the address and the reason when an
         upstream's own answer says that it is leaving.
     :param count_retry: called once for each repeated send.
-    :param on_break: called with the upstream, the call's fingerprint and the
-        time when a connection breaks before the answer.
+    :param quarantine: the requests that are not sent.
     :param policy: how upstreams are chosen; the default is the shipped one.
     :param rng: breaks ties; pass a seeded one to repeat a run.
     """
@@ -40,11 +42,11 @@
         is_leaving: Callable[[str], bool],
         mark_leaving: Callable[[str, str], None],
         count_retry: Callable[[RetryReason], None],
-        on_break: Callable[[Upstream, str, Millis], None],
+        quarantine: Quarantine,
         policy: object = _SHIPPED_POLICY,
         rng: random.Random | None = None,
     ) -> None:
-        hooks = SendingHooks(is_leaving, mark_leaving, count_retry, on_break)
+        hooks = SendingHooks(is_leaving, mark_leaving, count_retry, quarantine)
         self.ctx = SendingContext(clock, hooks, policy, rng or random.Random())
 
     async def send(
@@ -71,5 +73,11 @@
         if isinstance(result, CallRefusal):
             service.limiter.release()
             return result
-        result.attempt.when_ended(service.limiter.release)
+        result.attempt.when_ended(
+            partial(self._note_end, service, result.attempt)
+        )
         return result.answer
+
+    def _note_end(self, service: ServiceState, attempt: Attempt) -> None:
+        service.limiter.release()
+        note_end(self.ctx.hooks.quarantine, attempt)
--- a/packages/cowslippond-core/src/cowslippond_core/_sending.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -1,8 +1,11 @@
 """The way of one admitted call through its sends."""
 
 import random
+from contextlib import ExitStack
 from typing import NamedTuple
 
+import anyio
+
 from cowslippond_core._attempt import (
     Answered,
     Attempt,
@@ -12,10 +15,15 @@
     NotRunReason,
 )
 from cowslippond_core._candidates import Candidates, find_candidates
-from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._clock import Clock, Millis, seconds_of
+from cowslippond_core._crash_watch import watch_crash
 from cowslippond_core._exchange import ExchangeFault
 from cowslippond_core._hooks import SendingHooks
-from cowslippond_core._messages import CallRefusal, CallRequest
+from cowslippond_core._messages import (
+    CallRefusal,
+    CallRequest,
+    Outcome,
+)
 from cowslippond_core._observations import note_result
 from cowslippond_core._race import Race
 from cowslippond_core._reasons import RefusalReason, RetryReason
@@ -30,6 +38,7 @@
 
 _SILENCE_FACTOR = 4
 _LEAST_SILENCE: Millis = 200
+_LONGEST_TURN_WAIT: Millis = 250
 
 
 class SendingContext(NamedTuple):
@@ -62,6 +71,7 @@
         self.is_repeatable = is_repeatable(request)
         self.is_fresh = not request.is_idempotent
         self.best: AttemptResult | None = None
+        self.refusal: CallRefusal | None = None
 
     async def run(self) -> Answered | CallRefusal:
         """Send the call until it is answered or given up."""
@@ -72,6 +82,10 @@
             raise
         if isinstance(self.best, Answered):
             return self.best
+        if self.refusal is not None:
+            if isinstance(self.best, Lost):
+                return self.refusal._replace(outcome=Outcome.UNKNOWN)
+            return self.refusal
         if self.best is None:
             return not_run(RefusalReason.NO_UPSTREAM, self.ctx.rng)
         return refusal_of(self.best, self.ctx.rng)
@@ -81,7 +95,10 @@
             upstream = await self._choose()
             if upstream is None:
                 return
-            result = await self._send_to(upstream)
+            result = await self._send_in_turn(upstream)
+            if isinstance(result, CallRefusal):
+                self.refusal = result
+                return
             retry = retry_reason(
                 result,
                 self.request,
@@ -132,6 +149,22 @@
             upstream, self.request, number, self.clock, is_fresh=is_fresh
         )
 
+    async def _send_in_turn(
+        self, upstream: Upstream
+    ) -> AttemptResult | CallRefusal:
+        """Send the call; one that may crash upstreams waits for its turn."""
+        quarantine = self.ctx.hooks.quarantine
+        fingerprint = self.request.fingerprint
+        if not quarantine.is_suspect(fingerprint):
+            return await self._send_to(upstream)
+        turn = quarantine.turn(fingerprint)
+        if not await _is_acquired(turn):
+            return not_run(RefusalReason.QUARANTINED, self.ctx.rng)
+        with ExitStack() as held:
+            held.callback(turn.release)
+            refusal = quarantine.check(fingerprint)
+            return refusal or await self._send_to(upstream)
+
     async def _send_to(self, upstream: Upstream) -> AttemptResult:
         attempt = self._attempt(upstream, self.number, is_fresh=self.is_fresh)
         try:
@@ -142,6 +175,7 @@
         if isinstance(result, Answered):
             return result
         if isinstance(result, Lost):
+            await watch_crash(self.ctx.hooks.quarantine, upstream, result)
             self.number += 1
             self.is_fresh = True
         is_shed = isinstance(result, NotRun) and (
@@ -173,6 +207,8 @@
     def _may_hedge_now(self) -> bool:
         if not self.is_repeatable or self.clock.now() >= self.request.deadline:
             return False
+        if self.ctx.hooks.quarantine.is_suspect(self.request.fingerprint):
+            return False
         has_upstream = bool(self._find().free)
         return has_upstream and self.service.hedge_budget.take()
 
@@ -233,3 +269,12 @@
         if isinstance(known, Answered):
             known.attempt.end()
         self.best = result
+
+
+async def _is_acquired(turn: anyio.Lock) -> bool:
+    try:
+        with anyio.fail_after(seconds_of(_LONGEST_TURN_WAIT)):
+            await turn.acquire()
+    except TimeoutError:
+        return False
+    return True
--- a/packages/cowslippond-core/src/cowslippond_core/_suspects.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_suspects.py
@@ -1,26 +1,41 @@
 """What is known of calls that were running when upstreams crashed."""
 
+import enum
 from typing import NamedTuple
 
+from cowslippond_core._clock import Millis
+
 # Daemons note one crash at slightly different times, and their wall clocks
 # differ.
 _SAME_CRASH_MS = 300
 _MAX_MARKS = 8
+_CERTAIN_WEIGHT = 3
+_DOUBTFUL_WEIGHT = 2
+
+#: The evidence that ends in quarantine: two certain crashes, or three breaks.
+PROOF = 6
+
+#: How long a crash counts, in milliseconds.
+MARK_LIFE: Millis = 1_200_000
 
 
 class CrashMark(NamedTuple):
-    """A crash of an upstream, in milliseconds since the Unix epoch."""
+    """A crash of an upstream, in milliseconds since the Unix epoch.
+
+    ``is_certain`` tells that the upstream took no connections afterwards;
+    otherwise a connection broke, and that may have had another cause.
+    """
 
     upstream: str
     at: int
+    is_certain: bool = False
 
 
 class Suspect(NamedTuple):
     """The crashes during which calls of one fingerprint were running.
 
     ``cleared_at`` is when such a call was last answered after a crash, in
-    milliseconds since the Unix epoch; crashes before it do not count. A
-    suspect is also the row that daemons pass to each other.
+    milliseconds since the Unix epoch; crashes before it do not count.
     """
 
     fingerprint: str
@@ -28,6 +43,27 @@
     marks: tuple[CrashMark, ...] = ()
 
 
+class NewsKind(enum.StrEnum):
+    """What one daemon tells the others of a fingerprint."""
+
+    MARKED = 'marked'
+    CONFIRMED = 'confirmed'
+    RETRACTED = 'retracted'
+    CLEARED = 'cleared'
+
+
+class SuspectNews(NamedTuple):
+    """What one daemon found out about calls of a fingerprint.
+
+    ``mark`` is the crash that was noted or turned out to be none. Of
+    :attr:`NewsKind.CLEARED` its time is that of the answer.
+    """
+
+    kind: NewsKind
+    fingerprint: str
+    mark: CrashMark
+
+
 def is_same_crash(one: CrashMark, other: CrashMark) -> bool:
     """Tell whether two marks are of one crash."""
     if one.upstream != other.upstream:
@@ -36,18 +72,27 @@
 
 
 def add_mark(suspect: Suspect, mark: CrashMark) -> Suspect:
-    """Return a suspect with one more crash, unless it is known or cleared."""
+    """Return a suspect with one more crash, unless it was cleared since.
+
+    A crash that is known may become certain.
+    """
     if mark.at <= suspect.cleared_at:
         return suspect
-    if any(is_same_crash(mark, known) for known in suspect.marks):
-        return suspect
-    marks = sorted((*suspect.marks, mark), key=_mark_time)
+    oldest = mark.at - MARK_LIFE
+    kept = []
+    for known in suspect.marks:
+        if is_same_crash(mark, known):
+            is_certain = mark.is_certain or known.is_certain
+            mark = known._replace(is_certain=is_certain)
+        elif known.at > oldest:
+            kept.append(known)
+    marks = sorted((*kept, mark), key=_mark_time)
     return suspect._replace(marks=tuple(marks[-_MAX_MARKS:]))
 
 
 def remove_mark(suspect: Suspect, mark: CrashMark) -> Suspect:
     """Return a suspect without a mark that turned out to be no crash."""
-    kept = [known for known in suspect.marks if known != mark]
+    kept = [known for known in suspect.marks if not is_same_crash(mark, known)]
     return suspect._replace(marks=tuple(kept))
 
 
@@ -61,12 +106,12 @@
     return Suspect(suspect.fingerprint, cleared_at, tuple(kept))
 
 
-def merge_suspects(one: Suspect, other: Suspect) -> Suspect:
-    """Return what two daemons know together of one fingerprint."""
-    merged = clear_marks(one, other.cleared_at)
-    for mark in other.marks:
-        merged = add_mark(merged, mark)
-    return merged
+def evidence(suspect: Suspect) -> int:
+    """Return how much speaks against a suspect; see :data:`PROOF`."""
+    return sum(
+        _CERTAIN_WEIGHT if mark.is_certain else _DOUBTFUL_WEIGHT
+        for mark in suspect.marks
+    )
 
 
 def last_change(suspect: Suspect) -> int:
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_parts.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_parts.py
@@ -20,6 +20,7 @@
     Spread,
     SpreadSettings,
     read_document,
+    share_quarantine,
 )
 
 from cowslippond_daemon._services import Services
@@ -61,6 +62,7 @@
     services = Services(tasks, clock, settings.max_daemons, spread.vms)
     spread.vm_list.listeners.append(services.update_vms)
     quarantine = Quarantine(clock)
+    share_quarantine(quarantine, spread.gossip_table('quarantine'))
     sender = Sender(
         clock,
         is_leaving=spread.leaving.is_leaving,
@@ -68,9 +70,7 @@
             address, LeavingSource.ANSWER
         ),
         count_retry=metrics.retried,
-        on_break=lambda upstream, fingerprint, _: quarantine.note_break(
-            upstream.address, fingerprint
-        ),
+        quarantine=quarantine,
     )
     claims = Claims(table, object_store, clock, settings.vm)
     backlog = ClaimBacklog(claims, clock)
