--- a/packages/cowslippond-core/src/cowslippond_core/_spread.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_spread.py
@@ -17,6 +17,8 @@
 from cowslippond_core._outage_rule import OutageRule
 from cowslippond_core._peers import Peers
 from cowslippond_core._poller import Poller
+from cowslippond_core._quarantine import Quarantine
+from cowslippond_core._quarantine_gossip import share_quarantine
 from cowslippond_core._table import Table
 from cowslippond_core._vm_list import Vm
 from cowslippond_core._vm_list_poller import VmListPoller
@@ -118,6 +120,10 @@
         """
         return self.tables[name]
 
+    def share_quarantine(self, quarantine: Quarantine) -> None:
+        """Pass on what a quarantine finds out, as soon as it does."""
+        share_quarantine(quarantine, self.tables['quarantine'])
+
     def vms(self) -> tuple[Vm, ...]:
         """Return the newest list of VMs that could be read."""
         return self.vm_list.vms
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_parts.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_parts.py
@@ -20,7 +20,6 @@
     Spread,
     SpreadSettings,
     read_document,
-    share_quarantine,
 )
 
 from cowslippond_daemon._services import Services
@@ -62,7 +61,7 @@
     services = Services(tasks, clock, settings.max_daemons, spread.vms)
     spread.vm_list.listeners.append(services.update_vms)
     quarantine = Quarantine(clock)
-    share_quarantine(quarantine, spread.gossip_table('quarantine'))
+    spread.share_quarantine(quarantine)
     sender = Sender(
         clock,
         is_leaving=spread.leaving.is_leaving,
