Take breaks of all connections of an upstream for a crash

Cause: an upstream that is started again at once, or shares its listening socket, refuses no connection after a crash, so its crash stayed doubtful. Change: a crash is certain, too, when the other end has ended several connections within 50 ms and no older one is left.

--- a/packages/cowslippond-core/src/cowslippond_core/_connection.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_connection.py
@@ -42,6 +42,7 @@
         self.calls = 0
         self.exchange: Exchange | None = None
         self.is_closed = False
+        self.is_closed_here = False
         self.is_sending = False
         self.is_suspect = False
         self.scope = anyio.CancelScope()
@@ -107,6 +108,7 @@
 
     def close(self) -> None:
         """Close the connection at once."""
+        self.is_closed_here = True
         self._finish()
         self.scope.cancel()
 
--- a/packages/cowslippond-core/src/cowslippond_core/_connections.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_connections.py
@@ -1,5 +1,6 @@
 """The connections of this process to one upstream."""
 
+from collections import deque
 from collections.abc import Callable
 
 import anyio
@@ -10,6 +11,7 @@
 from cowslippond_core._connection import Connection
 
 _SILENT_CALLS = 3
+_KEPT_BREAKS = 2
 
 #: The longest wait for a new connection, in milliseconds.
 CONNECT_TIMEOUT: Millis = 250
@@ -37,6 +39,7 @@
         self.open: set[Connection] = set()
         self.idle: list[Connection] = []
         self.opening = 0
+        self.broken_at: deque[Millis] = deque(maxlen=_KEPT_BREAKS)
         self.silent_in_row = 0
         self.silent_since: Millis = 0
 
@@ -135,7 +138,19 @@
         self.tasks.start_soon(connection.run, self._forget)
         return Ok(connection)
 
+    def have_all_broken(self, since: Millis) -> bool:
+        """Tell whether the other end has ended all of several connections.
+
+        :param since: when the first of them broke, on the clock, in
+            milliseconds.
+        """
+        if sum(at >= since for at in self.broken_at) < 2:
+            return False
+        return all(one.opened_at >= since for one in self.open)
+
     def _forget(self, connection: Connection) -> None:
+        if not connection.is_closed_here:
+            self.broken_at.append(self.clock.now())
         self.open.discard(connection)
         if connection in self.idle:
             self.idle.remove(connection)
--- a/packages/cowslippond-core/src/cowslippond_core/_crash_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_crash_watch.py
@@ -10,6 +10,7 @@
 
 # A crashed process refuses at once; a machine that is gone does not.
 _LONGEST_PROBE: Millis = 50
+_CRASH_SPAN: Millis = 50
 
 
 def note_end(quarantine: Quarantine, attempt: Attempt) -> None:
@@ -36,11 +37,15 @@
 ) -> None:
     """Find out whether an upstream crashed under a call.
 
-    An upstream that crashed refuses connections until it is started again.
+    One that crashed refuses connections until it is started again, and all
+    connections to it break at once.
     """
     if lost.fault is not ExchangeFault.CLOSED:
         return
-    if await _is_refusing(upstream.address):
+    connections = upstream.connections
+    since = connections.clock.now() - _CRASH_SPAN
+    is_refusing = await _is_refusing(upstream.address)
+    if is_refusing or connections.have_all_broken(since):
         quarantine.confirm_crash(upstream.address)
 
 
