Measure the cost of a call

Cause: nothing told what the path adds to a call. Change: call_cost calls a trivial upstream direct and through an edge with a sender, in turn; the raw socket of a connection is looked up once.

--- a/packages/cowslippond-core/src/cowslippond_core/_connection.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_connection.py
@@ -44,6 +44,10 @@
         self.is_closed = False
         self.is_sending = False
         self.is_suspect = False
+        self.poll = select.poll()
+        self.poll.register(
+            stream.extra(SocketAttribute.raw_socket), select.POLLIN
+        )
         self.scope = anyio.CancelScope()
         self.pump_scope = anyio.CancelScope()
 
@@ -98,12 +102,7 @@
 
     def is_quiet(self) -> bool:
         """Tell whether nothing waits to be read."""
-        poll = select.poll()
-        poll.register(self.stream.extra(SocketAttribute.raw_socket))
-        return not any(
-            event & (select.POLLIN | select.POLLHUP | select.POLLERR)
-            for _, event in poll.poll(0)
-        )
+        return not self.poll.poll(0)
 
     def close(self) -> None:
         """Close the connection at once."""
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/call_cost.py
@@ -0,0 +1,302 @@
+"""Measure what the load balancer adds to a call, against going direct.
+
+Run as ``python -m cowslippond_standins.call_cost``. A trivial upstream and an
+edge with a sender run as processes of their own on loopback; each round calls
+both ways in turn, so that noise of the machine meets both alike.
+"""
+
+import asyncio
+import contextlib
+import random
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from typing import NamedTuple, cast
+
+import anyio
+import defopt
+import uvloop
+from cowslippond_core import CallAnswer, CallRefusal, CallRequest, Clock, Millis
+from cowslippond_core._connection import Connection
+from cowslippond_core._document import (
+    DeadlinePolicy,
+    HedgePolicy,
+    LimitPolicy,
+    MeasuringBudget,
+    Priority,
+    RetirementPolicy,
+    RetryBudget,
+    ServiceDocument,
+    UpstreamCapacity,
+)
+from cowslippond_core._exchange import Exchange
+from cowslippond_core._sender import Sender
+from cowslippond_core._service_state import ServiceState
+from cowslippond_core._vm_list import Vm, VmState
+from cowslippond_daemon._edge import Edge, IncomingCall
+from cowslippond_daemon._servers import make_server
+from rich.console import Console
+from rich.table import Table
+
+_HOST = '127.0.0.1'
+_ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-type: text/plain\r\n\r\nok'
+_CALL = (
+    b'GET /prints HTTP/1.1\r\nhost: shop.example\r\naccept: */*\r\n'
+    b'user-agent: call-cost\r\n\r\n'
+)
+_START_LIMIT = 100
+_START_STEP = 0.05
+_WARM_UP = 300
+_SLOTS = 64
+_CONNECTIONS = 250
+_DEADLINE: Millis = 2000
+_PACED_GAP: Millis = 20
+_P99 = 0.99
+_KEEP_ALIVE_SECONDS = 60
+_DOCUMENT = ServiceDocument(
+    service='prints',
+    matches=(),
+    never_repeat=(),
+    upstreams=UpstreamCapacity(_SLOTS, _CONNECTIONS, 1),
+    deadline=DeadlinePolicy(_DEADLINE, _DEADLINE),
+    measuring=MeasuringBudget(0),
+    retries=RetryBudget(0),
+    hedging=HedgePolicy(0, _DEADLINE),
+    limits=LimitPolicy(_SLOTS, _SLOTS),
+    priority=Priority.INTERACTIVE,
+    retirement=RetirementPolicy(_DEADLINE),
+)
+
+
+class Plan(NamedTuple):
+    """One row of the measurement.
+
+    ``gap`` is the mean wait of a caller between two calls, in milliseconds.
+    """
+
+    name: str
+    callers: int
+    gap: Millis
+
+
+class Latencies(NamedTuple):
+    """Quantiles of the time of a call, in milliseconds."""
+
+    p50: float
+    p99: float
+
+
+_COLUMNS = (
+    'direct p50',
+    'direct p99',
+    'through p50',
+    'through p99',
+    'added p50',
+    'added p99',
+)
+_PLANS = (
+    Plan('1 caller', 1, 0),
+    Plan('8 callers, paced', 8, _PACED_GAP),
+    Plan('8 callers, at full speed', 8, 0),
+)
+
+
+class _TrivialUpstream(asyncio.Protocol):
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the connection."""
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, _: bytes) -> None:
+        """Answer a call, which is taken to arrive in one piece."""
+        self.transport.write(_ANSWER)
+
+
+class _Router:
+    def __init__(self, sender: Sender, service: ServiceState) -> None:
+        self.sender = sender
+        self.service = service
+        self.clock = Clock()
+
+    async def decide(self, call: IncomingCall) -> CallAnswer | CallRefusal:
+        """Send a call to the upstream."""
+        request = CallRequest(
+            request_id=call.request_id,
+            method=call.method.encode(),
+            target=call.target,
+            headers=call.headers,
+            body=call.body,
+            rest=call.rest,
+            is_idempotent=True,
+            deadline=self.clock.now() + _DOCUMENT.deadline.default_ms,
+            attempt=0,
+            fingerprint='',
+        )
+        return await self.sender.send(self.service, request)
+
+
+def serve_upstream(*, port: int) -> None:
+    """Serve the trivial upstream.
+
+    :param port: where to listen.
+    """
+    uvloop.run(_serve_upstream(port))
+
+
+def serve_edge(*, port: int, upstream_port: int) -> None:
+    """Serve an edge with a sender.
+
+    :param port: where to listen.
+    :param upstream_port: where the upstream listens.
+    """
+    anyio.run(
+        _serve_edge,
+        port,
+        upstream_port,
+        backend_options={'use_uvloop': True},
+    )
+
+
+def measure(*, calls: int = 4000, rounds: int = 4) -> None:
+    """Print the time that a call takes direct and through the edge.
+
+    :param calls: calls of each row and way.
+    :param rounds: how often the two ways alternate.
+    """
+    upstream_port = _free_port()
+    edge_port = _free_port()
+    with (
+        _process('serve-upstream', '--port', str(upstream_port)),
+        _process(
+            'serve-edge',
+            '--port',
+            str(edge_port),
+            '--upstream-port',
+            str(upstream_port),
+        ),
+    ):
+        uvloop.run(_measure(upstream_port, edge_port, calls // rounds, rounds))
+
+
+async def _serve_upstream(port: int) -> None:
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(_TrivialUpstream, _HOST, port)
+    await server.serve_forever()
+
+
+async def _serve_edge(port: int, upstream_port: int) -> None:
+    async with anyio.create_task_group() as tasks:
+        address = f'{_HOST}:{upstream_port}'
+        service = ServiceState(_DOCUMENT, tasks, Clock(), daemons=1)
+        service.update_upstreams(
+            [Vm('u', '1', 'a', VmState.LIVE, 'prints', address, '')]
+        )
+        sender = Sender(
+            Clock(),
+            is_leaving=set[str]().__contains__,
+            mark_leaving=_ignore,
+            count_retry=_ignore,
+            on_break=_ignore,
+        )
+        edge = Edge(_Router(sender, service), _KEEP_ALIVE_SECONDS)
+        await make_server(edge, f'{_HOST}:{port}', _KEEP_ALIVE_SECONDS).serve()
+
+
+def _ignore(*_: object) -> None:
+    """Take a report that the measurement doesn't need."""
+
+
+async def _measure(
+    upstream_port: int, edge_port: int, calls: int, rounds: int
+) -> None:
+    await _wait_for(upstream_port)
+    await _wait_for(edge_port)
+    table = Table('milliseconds', *_COLUMNS)
+    for plan in _PLANS:
+        await _row(upstream_port, plan, _WARM_UP)
+        await _row(edge_port, plan, _WARM_UP)
+        direct: list[float] = []
+        through: list[float] = []
+        for _ in range(rounds):
+            direct.extend(await _row(upstream_port, plan, calls))
+            through.extend(await _row(edge_port, plan, calls))
+        _add_row(table, plan, _quantiles(direct), _quantiles(through))
+    Console().print(table)
+
+
+def _add_row(
+    table: Table, plan: Plan, direct: Latencies, through: Latencies
+) -> None:
+    added = Latencies(through.p50 - direct.p50, through.p99 - direct.p99)
+    figures = [f'{figure:.3f}' for figure in (*direct, *through, *added)]
+    table.add_row(plan.name, *figures)
+
+
+async def _row(port: int, plan: Plan, calls: int) -> list[float]:
+    latencies: list[float] = []
+    async with anyio.create_task_group() as tasks:
+        for index in range(plan.callers):
+            share = calls // plan.callers
+            tasks.start_soon(_call, port, plan, share, index, latencies)
+    return latencies
+
+
+async def _call(
+    port: int, plan: Plan, calls: int, index: int, latencies: list[float]
+) -> None:
+    clock = Clock()
+    draw = random.Random(index)
+    async with anyio.create_task_group() as tasks:
+        stream = await anyio.connect_tcp(_HOST, port)
+        connection = Connection(stream, clock)
+        tasks.start_soon(connection.run, _ignore)
+        for _ in range(calls):
+            started_at = clock.now()
+            exchange = Exchange(is_head=False)
+            connection.begin(exchange)
+            await connection.send(_CALL)
+            body = await exchange.next_chunk()
+            if not body or not connection.end_call():
+                raise ConnectionError(f'the call failed: {exchange.fault}')
+            latencies.append(clock.now() - started_at)
+            if plan.gap:
+                await clock.sleep(draw.expovariate(1 / plan.gap))
+        connection.close()
+
+
+def _quantiles(latencies: list[float]) -> Latencies:
+    ordered = sorted(latencies)
+    return Latencies(
+        ordered[len(ordered) // 2], ordered[int(len(ordered) * _P99)]
+    )
+
+
+async def _wait_for(port: int) -> None:
+    for _ in range(_START_LIMIT):
+        try:
+            stream = await anyio.connect_tcp(_HOST, port)
+        except OSError:
+            await anyio.sleep(_START_STEP)
+            continue
+        await stream.aclose()
+        return
+    raise TimeoutError(f'nothing listens on port {port}')
+
+
+@contextlib.contextmanager
+def _process(*arguments: str) -> Iterator[None]:
+    command = [sys.executable, '-m', __spec__.name, *arguments]
+    with subprocess.Popen(command) as process:
+        with contextlib.ExitStack() as at_end:
+            at_end.callback(process.terminate)
+            yield
+
+
+def _free_port() -> int:
+    with socket.create_server((_HOST, 0)) as server:
+        port: int = server.getsockname()[1]
+    return port
+
+
+if __name__ == '__main__':
+    defopt.run([measure, serve_upstream, serve_edge])
