Let the sender alone hold back crashing requests

The daemon also asked the quarantine before the claim, so that a repeat of an order whose first send is unknown could hear 'not run'. Change: the test and the tool use the new calls; the daemon's own question is gone, since the sender asks before every send and the claim goes first.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
@@ -64,9 +64,6 @@
         if in_force is None:
             return _refuse(RefusalReason.NO_SERVICE)
         request = self._make_request(call, in_force)
-        suspect = self.parts.quarantine.check(request.fingerprint)
-        if suspect is not None:
-            return suspect
         return await self._run(call, in_force, request)
 
     async def _run(
--- a/packages/cowslippond-standins/src/cowslippond_standins/call_cost.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/call_cost.py
@@ -17,7 +17,14 @@
 import anyio
 import defopt
 import uvloop
-from cowslippond_core import CallAnswer, CallRefusal, CallRequest, Clock, Millis
+from cowslippond_core import (
+    CallAnswer,
+    CallRefusal,
+    CallRequest,
+    Clock,
+    Millis,
+    Quarantine,
+)
 from cowslippond_core._connection import Connection
 from cowslippond_core._document import (
     DeadlinePolicy,
@@ -196,7 +203,7 @@
             is_leaving=set[str]().__contains__,
             mark_leaving=_ignore,
             count_retry=_ignore,
-            on_break=_ignore,
+            quarantine=Quarantine(Clock()),
         )
         edge = Edge(_Router(sender, service), _KEEP_ALIVE_SECONDS)
         await make_server(edge, f'{_HOST}:{port}', _KEEP_ALIVE_SECONDS).serve()
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -43,7 +43,7 @@
 
 
 async def version_of(deployment: Deployment, daemon: DaemonHandle) -> int:
-    status = await deployment.status(daemon)
+    status = await daemon.status()
     return int(status['versions'].get('shop-checkout', 0))
 
 
@@ -87,9 +87,11 @@
         self, deployment: Deployment
     ) -> None:
         """The operator is told the truth although the answer was lost."""
-        await deployment.control('set_faults', part='table', drop_answers=1)
+        await deployment.platform.control(
+            'set_faults', part='table', drop_answers=1
+        )
         code, printed = await deployment.apply(CHECKOUT)
-        counters = await deployment.control('clear_faults')
+        counters = await deployment.platform.control('clear_faults')
         assert counters['table']['answers_dropped'] == 1
         assert code == 0, printed
         daemons = await start_daemons(deployment, 1)
@@ -101,9 +103,11 @@
         """A change that wasn't accepted is not in force anywhere."""
         await apply(deployment, CHECKOUT)
         daemons = await start_daemons(deployment, 2)
-        await deployment.control('set_faults', part='table', outage='error')
+        await deployment.platform.control(
+            'set_faults', part='table', outage='error'
+        )
         code, printed = await deployment.apply(checkout_document(14000))
-        await deployment.control('clear_faults')
+        await deployment.platform.control('clear_faults')
         assert code != 0, printed
         assert await have_version(deployment, daemons, 1)
 
@@ -168,9 +172,13 @@
         await apply(deployment, CHECKOUT)
         await apply(deployment, checkout_document(14000))
         daemons = await start_daemons(deployment, 2)
-        await deployment.control('set_faults', part='table', outage='cut')
+        await deployment.platform.control(
+            'set_faults', part='table', outage='cut'
+        )
         late = await start_daemons(deployment, 1)
-        counters = await deployment.control('clear_faults', part='list')
+        counters = await deployment.platform.control(
+            'clear_faults', part='list'
+        )
         assert counters['table']['outages'] > 0
         assert await have_version(deployment, [*daemons, *late], 2)
 
@@ -180,14 +188,16 @@
         """With no store and no peer, a daemon takes no calls at all."""
         await apply(deployment, CHECKOUT)
         first = await start_daemons(deployment, 1)
-        await deployment.control('set_faults', part='table', outage='cut')
+        await deployment.platform.control(
+            'set_faults', part='table', outage='cut'
+        )
         first[0].child.kill()
         alone = await deployment.add_daemon('rvk-1')
         refused = await call(alone.caller_address)
         assert (refused.status, refused.outcome) == (503, 'not-run')
         assert refused.reason == 'stale_configuration'
-        assert not (await deployment.status(alone))['ready']
-        await deployment.control('clear_faults')
+        assert not (await alone.status())['ready']
+        await deployment.platform.control('clear_faults')
         await deployment.wait_serving(alone)
         assert await version_of(deployment, alone) == 1
 
@@ -199,9 +209,11 @@
         daemons = await start_daemons(deployment, 2)
         await apply(deployment, checkout_document(14000))
         await wait_until(partial(have_version, deployment, daemons, 2))
-        await deployment.control('set_faults', part='table', stale_ms=60_000)
+        await deployment.platform.control(
+            'set_faults', part='table', stale_ms=60_000
+        )
         for _ in range(30):
             assert await have_version(deployment, daemons, 2)
             await anyio.sleep(0.1)
-        counters = await deployment.control('clear_faults')
+        counters = await deployment.platform.control('clear_faults')
         assert counters['table']['stale_reads'] > 0
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -32,6 +32,6 @@
     assert (unknown.status, unknown.outcome) == (404, 'not-run')
     orders = [run for run in await deployment.runs() if run['order_key']]
     assert len(orders) == 1
-    statuses = [await deployment.status(daemon) for daemon in daemons]
+    statuses = [await daemon.status() for daemon in daemons]
     for status in statuses:
         assert status['versions'] == {'shop-checkout': 1}
