Prove planned stops and leaving upstreams under load

Cause: neither property had a proof with real processes. Change: a rolling replacement of three daemons under load through the balancer; upstreams that leave by the lagging list alone, by their own answer with list and store down, and whose address comes back as a new VM. Ruled out: the first form of the test counted runs only, which a draining upstream refuses anyway; it now counts every call that reaches it.

--- a/tests/integration/seams/sitecustomize.py
+++ b/tests/integration/seams/sitecustomize.py
@@ -34,9 +34,16 @@
 
 
 def _ignore_leaving() -> None:
-    from cowslippond_core import _leaving
+    from cowslippond_core import _leaving, _upstreams
+
+    update = _upstreams.UpstreamSet.update
+
+    def update_as_live(upstreams: Any, vms: Any) -> None:
+        live = _upstreams.VmState.LIVE
+        update(upstreams, [vm._replace(state=live) for vm in vms])
 
     _leaving.Leaving.is_leaving = lambda *_: False
+    _upstreams.UpstreamSet.update = update_as_live
 
 
 def _stop_at_once() -> None:
--- /dev/null
+++ b/tests/integration/test_planned_stops.py
@@ -0,0 +1,171 @@
+"""Planned stops are graceful, and a leaving upstream gets no new work."""
+
+from functools import partial
+
+import anyio
+import pytest
+from cowslippond_standins._address import Address
+from cowslippond_standins.harness._deployment import Deployment
+from cowslippond_standins.harness._handles import (
+    DaemonHandle,
+    UpstreamHandle,
+    UpstreamPlan,
+)
+from cowslippond_standins.load._audit import audit
+from cowslippond_standins.load._generator import LoadGenerator
+from cowslippond_standins.load._plan import Mix, Phase, plan_calls
+from cowslippond_standins.load._report import Report
+from integration.client import (
+    CHECKOUT,
+    DOMAINS,
+    apply,
+    call,
+    wait_until,
+)
+
+pytestmark = pytest.mark.anyio
+
+SERVICE = 'shop-checkout'
+MIX = Mix(
+    'shop.example',
+    '/checkout/status',
+    '/checkout/orders',
+    order_share=0.3,
+    repeat_share=0.2,
+    repeat_after_ms=700,
+    sizes=(0, 256, 20_000),
+    caller_header='x-caller',
+)
+RETIRE_LIMIT_MS = 15_000
+# What the users call a few seconds, after an upstream began to leave.
+NO_NEW_WORK_AFTER_MS = 3000
+
+
+async def start_fleet(
+    deployment: Deployment, daemons: int = 3
+) -> list[UpstreamHandle]:
+    upstreams = await deployment.add_upstreams(
+        UpstreamPlan(SERVICE, seed=5), (*DOMAINS, *DOMAINS), queue=8
+    )
+    await apply(deployment, CHECKOUT)
+    for index in range(daemons):
+        daemon = await deployment.add_daemon(DOMAINS[index % len(DOMAINS)])
+        await deployment.wait_serving(daemon)
+    return upstreams
+
+
+async def run_load(
+    targets: list[Address], reports: list[Report], seconds: float
+) -> None:
+    calls = plan_calls([Phase(seconds * 1000, 120)], [MIX], seed=11)
+    reports.append(await LoadGenerator(targets, seed=11).run(calls))
+
+
+async def received(upstream: UpstreamHandle) -> int:
+    """Return how many calls reached an upstream, those it refused included."""
+    counters = (await upstream.ledger())['counters']
+    refused = counters.get('draining', 0) + counters.get('shed', 0)
+    return int(counters.get('runs', 0)) + int(refused)
+
+
+class TestDaemons:
+    async def test_rolling_replacement_cuts_nothing(
+        self, deployment: Deployment
+    ) -> None:
+        """Every daemon is replaced, one after another, under load."""
+        await start_fleet(deployment)
+        balancer = await deployment.add_balancer()
+
+        async def is_served() -> bool:
+            return (await call(balancer)).status == 200
+
+        await wait_until(is_served)
+        reports: list[Report] = []
+        codes = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(run_load, [balancer], reports, 22)
+            await anyio.sleep(1)
+            for old in list(deployment.daemons):
+                new = await deployment.add_daemon(old.failure_domain)
+                await deployment.wait_serving(new)
+                codes.append(await deployment.retire(old, RETIRE_LIMIT_MS))
+
+        assert codes == [0, 0, 0]
+        found = audit(reports[0].told, await deployment.runs())
+        assert found.is_clean(), found
+        assert set(reports[0].outcomes) == {'answered'}, reports[0].outcomes
+
+
+class TestUpstreams:
+    async def test_leaving_by_the_list_only(
+        self, deployment: Deployment
+    ) -> None:
+        """The lagging list says so; the upstream itself says nothing."""
+        await deployment.platform.control('set_lag', lag_ms=1000)
+        upstreams = await start_fleet(deployment)
+        await self._retire_and_check(deployment, upstreams[0], is_told=False)
+
+    async def test_leaving_by_its_own_answer(
+        self, deployment: Deployment
+    ) -> None:
+        """With the list and the store down, one answer tells every daemon."""
+        upstreams = await start_fleet(deployment)
+        await deployment.platform.control(
+            'set_faults', part='list', outage='cut'
+        )
+        await deployment.platform.control(
+            'set_faults', part='table', outage='cut'
+        )
+        await self._retire_and_check(deployment, upstreams[0], is_told=True)
+
+    async def test_returning_address_is_a_new_vm(
+        self, deployment: Deployment
+    ) -> None:
+        """A VM whose address comes back gets work again."""
+        upstreams = await start_fleet(deployment)
+        leaving = upstreams[0]
+        await self._retire_and_check(deployment, leaving, is_told=True)
+        await leaving.change(draining=False)
+        before = await received(leaving)
+        await deployment.platform.control('remove_vm', vm=leaving.vm)
+        await deployment.list_upstream(leaving)
+        targets = [daemon.caller_address for daemon in deployment.daemons]
+        reports: list[Report] = []
+        await anyio.sleep(2)
+        await run_load(targets, reports, 3)
+        assert await received(leaving) > before
+
+    async def _retire_and_check(
+        self, deployment: Deployment, leaving: UpstreamHandle, *, is_told: bool
+    ) -> None:
+        targets = [daemon.caller_address for daemon in deployment.daemons]
+        reports: list[Report] = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(run_load, targets, reports, 8)
+            await anyio.sleep(2)
+            if is_told:
+                await leaving.change(draining=True)
+            else:
+                await deployment.platform.set_state(leaving.vm, 'leaving')
+            assert await received(leaving) > 0
+            await anyio.sleep(NO_NEW_WORK_AFTER_MS / 1000)
+            before = await received(leaving)
+        assert await received(leaving) == before
+        found = audit(reports[0].told, await deployment.runs())
+        assert found.is_clean(), found
+        if is_told:
+            await wait_until(partial(self._know, deployment, leaving))
+
+    async def _know(
+        self, deployment: Deployment, leaving: UpstreamHandle
+    ) -> bool:
+        for daemon in deployment.daemons:
+            if not await self._knows(daemon, leaving):
+                return False
+        return True
+
+    async def _knows(
+        self, daemon: DaemonHandle, leaving: UpstreamHandle
+    ) -> bool:
+        status = await daemon.status()
+        return str(leaving.address) in status['leaving_upstreams']
