--- a/packages/cowslippond-core/src/cowslippond_core/_spread.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_spread.py
@@ -18,7 +18,7 @@
 from cowslippond_core._peers import Peers
 from cowslippond_core._poller import Poller
 from cowslippond_core._quarantine import Quarantine
-from cowslippond_core._quarantine_gossip import QuarantineGossip
+from cowslippond_core._quarantine_gossip import share_quarantine
 from cowslippond_core._table import Table
 from cowslippond_core._vm_list import Vm
 from cowslippond_core._vm_list_poller import VmListPoller
@@ -110,7 +110,6 @@
             table, catalogue, self.membership, clock, draw, metrics
         )
         self.vm_list = VmListPoller(settings.vm_list_url, clock, draw, metrics)
-        self.sharers: list[QuarantineGossip] = []
         self._connect_parts()
 
     def gossip_table(self, name: str) -> GossipTable:
@@ -122,10 +121,8 @@
         return self.tables[name]
 
     def share_quarantine(self, quarantine: Quarantine) -> None:
-        """Pass the suspects of a quarantine on; call it before running."""
-        self.sharers.append(
-            QuarantineGossip(quarantine, self.tables['quarantine'])
-        )
+        """Pass on what a quarantine finds out, as soon as it does."""
+        share_quarantine(quarantine, self.tables['quarantine'])
 
     def vms(self) -> tuple[Vm, ...]:
         """Return the newest list of VMs that could be read."""
@@ -180,8 +177,6 @@
             tasks.start_soon(self.poller.run)
             if self.settings.vm_list_url:
                 tasks.start_soon(self.vm_list.run)
-            for sharer in self.sharers:
-                tasks.start_soon(sharer.run, self.clock)
             tasks.start_soon(self._beat)
             tasks.start_soon(self._report)
             task_status.started(self.gossip.address)
@@ -217,6 +212,9 @@
         self.metrics.gauge(
             Metric.DOCUMENTS_IN_FORCE, len(self.catalogue.in_force)
         )
+        self.metrics.gauge(
+            Metric.DOCUMENTS_UNREADABLE, self.catalogue.unreadable
+        )
         self.metrics.gauge(Metric.DAEMONS_KNOWN, self.membership.count())
         self.metrics.gauge(Metric.UPSTREAMS_LEAVING, len(self.leaving.marks))
         if confirmed_age is not None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,6 +14,12 @@
 
 def pytest_addoption(parser: pytest.Parser) -> None:
     parser.addoption('--soak', action='store_true', help='run the long soak')
+    parser.addoption(
+        '--without',
+        default='',
+        metavar='MECHANISM',
+        help='switch a mechanism of the daemons off, to see its proofs fail',
+    )
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
