--- /dev/null
+++ b/tests/core/test_field_rows.py
@@ -0,0 +1,31 @@
+"""Tests that the documentation and the table of fields agree."""
+
+import pathlib
+
+import pytest
+from cowslippond_core._document_fields import DOCUMENT_SPEC
+from cowslippond_core._field_rows import markdown_rows
+from cowslippond_core._field_specs import ObjectSpec
+from cowslippond_core._settings_fields import PLATFORM_SPEC, SETTINGS_SPEC
+
+ROOT = pathlib.Path(__file__).parents[2]
+
+
+@pytest.mark.parametrize(
+    ('page', 'spec'),
+    [
+        ('SERVICE-DOCUMENT.md', DOCUMENT_SPEC),
+        ('OPERATORS.md', SETTINGS_SPEC),
+        ('OPERATORS.md', PLATFORM_SPEC),
+    ],
+)
+def test_page_holds_the_table_of_fields(page: str, spec: ObjectSpec) -> None:
+    """``cowslippondctl fields --markdown`` prints the table anew."""
+    table = '\n'.join(markdown_rows(spec))
+    assert f'\n\n{table}\n\n' in (ROOT / 'docs' / page).read_text()
+
+
+def test_page_shows_the_example_as_it_is() -> None:
+    example = ROOT / 'examples' / 'museum-shop' / 'checkout.jsonc'
+    page = (ROOT / 'docs' / 'SERVICE-DOCUMENT.md').read_text()
+    assert example.read_text() in page
