Check settings of the command line like those of the file

Ruled out: a second check of the addresses in the daemon. Change: given settings are laid over the text before it is checked; the file is read by one function in the daemon and the operator tool.

--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -102,6 +102,7 @@
 from cowslippond_core._table import Table as Table
 from cowslippond_core._table import TableError as TableError
 from cowslippond_core._table import TableFault as TableFault
+from cowslippond_core._text_file import read_text_file as read_text_file
 from cowslippond_core._upstreams import Upstream as Upstream
 from cowslippond_core._upstreams import UpstreamSet as UpstreamSet
 from cowslippond_core._vm_list import ENTRY_SERVICE as ENTRY_SERVICE
--- a/packages/cowslippond-core/src/cowslippond_core/_document_reader.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_document_reader.py
@@ -8,7 +8,7 @@
 from cowslippond_core._document import Priority, ServiceDocument
 from cowslippond_core._document_fields import DOCUMENT_SPEC
 from cowslippond_core._document_rules import report_contradictions
-from cowslippond_core._field_reader import read_fields
+from cowslippond_core._field_reader import FieldSource, read_fields
 from cowslippond_core._findings import Finding
 
 
@@ -20,7 +20,8 @@
     :param text: JSON with comments and trailing commas.
     :param file: the name of the file, for findings.
     """
-    fields = read_fields(DOCUMENT_SPEC, report_contradictions, text, file)
+    source = FieldSource(text, file)
+    fields = read_fields(DOCUMENT_SPEC, report_contradictions, source)
     return fields.map(_document_of)
 
 
--- a/packages/cowslippond-core/src/cowslippond_core/_field_reader.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_field_reader.py
@@ -1,7 +1,8 @@
 """Read a JSON text with comments against a description of its fields."""
 
-from collections.abc import Callable
-from typing import Any, TypeAlias
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any, NamedTuple, TypeAlias
 
 from expression import Error, Ok, Result
 
@@ -11,13 +12,25 @@
 from cowslippond_core._findings import Finding
 from cowslippond_core._jsonc import parse_valid
 from cowslippond_core._jsonc_placed import parse_placed
-from cowslippond_core._jsonc_tree import JsonNode
+from cowslippond_core._jsonc_tree import JsonMember, JsonNode, JsonObject
 
 FieldRules: TypeAlias = Callable[[dict[str, Any], FieldReport], None]
 
 
+class FieldSource(NamedTuple):
+    """A text to read, and fields given beside it.
+
+    ``given`` holds texts for fields of the outermost object, by name; they go
+    before those of the text.
+    """
+
+    text: str
+    file: str
+    given: Mapping[str, str] = MappingProxyType({})
+
+
 def read_fields(
-    spec: ObjectSpec, rules: FieldRules, text: str, file: str
+    spec: ObjectSpec, rules: FieldRules, source: FieldSource
 ) -> Result[dict[str, Any], tuple[Finding, ...]]:
     """Return the plain fields of a text, or every finding about it.
 
@@ -26,32 +39,51 @@
 
     :param spec: the fields that the text may hold.
     :param rules: reports the contradictions between fields.
-    :param file: the name of the file, for findings.
     """
-    root = parse_valid(text)
+    root = parse_valid(source.text)
     if root is not None:
-        report = FieldReport(file)
-        fields = _check_root(spec, rules, root, report)
+        report = FieldReport(source.file)
+        fields = _check_root(spec, rules, _overlay(root, source), report)
         if not report.findings:
             return Ok(fields)
-    return _read_with_places(spec, rules, text, file)
+    return _read_with_places(spec, rules, source)
 
 
 def _read_with_places(
-    spec: ObjectSpec, rules: FieldRules, text: str, file: str
+    spec: ObjectSpec, rules: FieldRules, source: FieldSource
 ) -> Result[dict[str, Any], tuple[Finding, ...]]:
-    parsed = parse_placed(text, file)
-    report = FieldReport(file)
+    parsed = parse_placed(source.text, source.file)
+    report = FieldReport(source.file)
     report.findings.extend(parsed.findings)
     fields = {}
     if parsed.root is not None:
-        fields = _check_root(spec, rules, parsed.root, report)
+        root = _overlay(parsed.root, source)
+        fields = _check_root(spec, rules, root, report)
     if not report.findings:
         return Ok(fields)
     ordered = sorted(report.findings, key=_place_order)
     return Error(tuple(ordered))
 
 
+def _overlay(root: JsonNode, source: FieldSource) -> JsonNode:
+    """Return the object with the given fields in place of its own.
+
+    Findings about given fields name the line where the object starts.
+    """
+    if not source.given or not isinstance(root.body, JsonObject):
+        return root
+    line, column = root.line, root.column
+    members = [
+        member
+        for member in root.body.members
+        if member.name not in source.given
+    ]
+    for name, text in source.given.items():
+        node = JsonNode(text, line, column)
+        members.append(JsonMember(name, line, column, node))
+    return root._replace(body=JsonObject(tuple(members)))
+
+
 def _check_root(
     spec: ObjectSpec, rules: FieldRules, root: JsonNode, report: FieldReport
 ) -> dict[str, Any]:
--- a/packages/cowslippond-core/src/cowslippond_core/_settings.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_settings.py
@@ -1,11 +1,12 @@
 """The settings of one daemon."""
 
+from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 from expression import Result
 
 from cowslippond_core._clock import Millis
-from cowslippond_core._field_reader import read_fields
+from cowslippond_core._field_reader import FieldSource, read_fields
 from cowslippond_core._findings import Finding
 from cowslippond_core._settings_fields import (
     SETTINGS_SPEC,
@@ -69,16 +70,17 @@
 
 
 def read_settings(
-    text: str, file: str
+    text: str, file: str, given: Mapping[str, str] | None = None
 ) -> Result[Settings, tuple[Finding, ...]]:
     """Return the settings that a text holds, or all findings about it.
 
     :param text: JSON with comments and trailing commas.
     :param file: the name of the file, for findings.
+    :param given: settings of the command line, by name, that go before those
+        of the text; they are checked alike.
     """
-    fields = read_fields(
-        SETTINGS_SPEC, report_setting_contradictions, text, file
-    )
+    source = FieldSource(text, file, given or {})
+    fields = read_fields(SETTINGS_SPEC, report_setting_contradictions, source)
     return fields.map(_settings_of)
 
 
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_text_file.py
@@ -0,0 +1,23 @@
+"""Read the text of a file that an operator named."""
+
+import pathlib
+
+from expression import Error, Ok, Result
+
+from cowslippond_core._findings import Finding, Place
+
+
+def read_text_file(path: pathlib.Path) -> Result[str, Finding]:
+    """Return the text of a file, or the finding that it cannot be read.
+
+    :param path: the file, in UTF-8 with or without a byte order mark.
+    """
+    place = Place(str(path), 1, 1, '')
+    try:
+        text = path.read_text(encoding='utf-8-sig')
+    except UnicodeDecodeError:
+        return Error(Finding(place, 'is not UTF-8 text'))
+    except OSError as failed:
+        reason = failed.strerror or repr(failed)
+        return Error(Finding(place, f'cannot be read: {reason}'))
+    return Ok(text)
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_apply.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_apply.py
@@ -13,12 +13,12 @@
     read_document,
 )
 from cowslippond_core._route_overlap import Overlap
+from cowslippond_core._text_file import read_text_file
 from rich.console import RenderableType
 
 from cowslippond_ctl._check import findings_outcome
 from cowslippond_ctl._exit_codes import ExitCode
 from cowslippond_ctl._outcome import Outcome, Record, fail, record_of
-from cowslippond_ctl._platform import read_file
 from cowslippond_ctl._times import show_time
 
 
@@ -50,7 +50,7 @@
         texts: list[str] = []
         findings: list[Finding] = []
         for path in paths:
-            read = read_file(path)
+            read = read_text_file(path)
             if read.is_error():
                 findings.append(read.error)
                 continue
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_check.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_check.py
@@ -9,11 +9,11 @@
     format_finding,
     read_document,
 )
+from cowslippond_core._text_file import read_text_file
 from expression import Error, Result
 
 from cowslippond_ctl._exit_codes import ExitCode
 from cowslippond_ctl._outcome import Outcome, Record
-from cowslippond_ctl._platform import read_file
 
 
 def check_files(paths: Sequence[pathlib.Path]) -> Outcome:
@@ -36,7 +36,7 @@
     path: pathlib.Path,
 ) -> Result[ServiceDocument, tuple[Finding, ...]]:
     """Return the document in a file, or all findings about it."""
-    read = read_file(path)
+    read = read_text_file(path)
     if read.is_error():
         return Error((read.error,))
     return read_document(read.ok, str(path))
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_diff.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_diff.py
@@ -4,13 +4,13 @@
 import pathlib
 
 from cowslippond_core import Table, read_newest_document
+from cowslippond_core._text_file import read_text_file
 
 from cowslippond_ctl._changes import find_version
 from cowslippond_ctl._check import findings_outcome, read_document_file
 from cowslippond_ctl._exit_codes import ExitCode
 from cowslippond_ctl._history import not_found
 from cowslippond_ctl._outcome import Outcome, table_failed
-from cowslippond_ctl._platform import read_file
 
 
 async def diff_file(table: Table, path: pathlib.Path) -> Outcome:
@@ -22,7 +22,7 @@
     answer = await read_newest_document(table, service)
     if answer.is_error():
         return table_failed(answer.error)
-    text = read_file(path).default_value('')
+    text = read_text_file(path).default_value('')
     if answer.ok is None:
         return _compare('', text, f'{service} (none accepted)', str(path))
     accepted = answer.ok
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_platform.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_platform.py
@@ -5,8 +5,9 @@
 from typing import Any, NamedTuple
 
 from cowslippond_core import Finding, Millis, Place
-from cowslippond_core._field_reader import read_fields
+from cowslippond_core._field_reader import FieldSource, read_fields
 from cowslippond_core._settings_fields import PLATFORM_SPEC, report_nothing
+from cowslippond_core._text_file import read_text_file
 from expression import Error, Result
 
 PLATFORM_VARIABLE = 'COWSLIPPOND_PLATFORM'
@@ -35,31 +36,14 @@
     if not named:
         message = f'name the platform: --platform FILE or {PLATFORM_VARIABLE}'
         return Error((_finding('command line', message),))
-    read = read_file(pathlib.Path(named))
+    read = read_text_file(pathlib.Path(named))
     if read.is_error():
         return Error((read.error,))
-    fields = read_fields(PLATFORM_SPEC, report_nothing, read.ok, str(named))
+    source = FieldSource(read.ok, str(named))
+    fields = read_fields(PLATFORM_SPEC, report_nothing, source)
     return fields.map(_link_of)
 
 
-def read_file(path: pathlib.Path) -> Result[str, Finding]:
-    """Return the text of a file.
-
-    :param path: the file, in UTF-8 with or without a byte order mark.
-    """
-    try:
-        return _text_of(path)
-    except UnicodeDecodeError:
-        return Error(_finding(str(path), 'is not UTF-8 text'))
-    except OSError as failed:
-        reason = failed.strerror or repr(failed)
-        return Error(_finding(str(path), f'cannot be read: {reason}'))
-
-
-def _text_of(path: pathlib.Path) -> Result[str, Finding]:
-    return Result.Ok(path.read_text(encoding='utf-8-sig'))
-
-
 def _link_of(fields: dict[str, Any]) -> PlatformLink:
     return PlatformLink(**fields)
 
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_program.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_program.py
@@ -4,7 +4,6 @@
 import pathlib
 import sys
 from collections.abc import Mapping
-from typing import Any
 
 import anyio
 import defopt
@@ -13,8 +12,9 @@
     Settings,
     format_finding,
     read_settings,
+    read_text_file,
 )
-from expression import Result
+from expression import Error, Result
 
 from cowslippond_daemon._daemon import Daemon
 from cowslippond_daemon._logs import configure_logs
@@ -49,7 +49,7 @@
         the file's.
     :param peer_address: address for other daemons, in place of the file's.
     """
-    given: Mapping[str, Any] = {
+    given = {
         'vm': vm,
         'failure_domain': failure_domain,
         'caller_address': caller_address,
@@ -57,23 +57,22 @@
         'peer_address': peer_address,
     }
     overrides = {name: text for name, text in given.items() if text}
-    match _read(settings):
+    match _read(settings, overrides):
         case Result(tag='ok', ok=found):
-            if check:
-                return 0
-            return _serve(found._replace(**overrides))
+            return 0 if check else _serve(found)
         case Result(error=findings):
             for finding in findings:
                 sys.stderr.write(f'{format_finding(finding)}\n')
     return EXIT_BAD_SETTINGS
 
 
-def _read(path: pathlib.Path) -> Result[Settings, tuple[Finding, ...]]:
-    try:
-        text = path.read_text(encoding='utf-8')
-    except OSError as failed:
-        sys.exit(f'{path}: {failed.strerror}')
-    return read_settings(text, str(path))
+def _read(
+    path: pathlib.Path, given: Mapping[str, str]
+) -> Result[Settings, tuple[Finding, ...]]:
+    text = read_text_file(path)
+    if text.is_error():
+        return Error((text.error,))
+    return read_settings(text.ok, str(path), given)
 
 
 def _serve(settings: Settings) -> int:
--- a/tests/core/test_settings.py
+++ b/tests/core/test_settings.py
@@ -66,3 +66,25 @@
     def test_ipv6_address_is_written_in_brackets(self) -> None:
         text = EXAMPLE.read_text().replace('10.0.1.1:8080', '[fd00::1]:8080')
         assert not findings_of(text)
+
+
+class TestGiven:
+    def test_given_setting_goes_before_the_text(self) -> None:
+        given = {'vm': 'entry-9', 'caller_address': '10.0.1.9:80'}
+        settings = read_settings(EXAMPLE.read_text(), 'f', given).ok
+        assert settings.vm == 'entry-9'
+        assert settings.caller_address == '10.0.1.9:80'
+        assert settings.admin_address == '10.0.1.1:8081'
+
+    def test_given_setting_may_be_missing_from_the_text(self) -> None:
+        text = EXAMPLE.read_text().replace('"vm": "entry-01",', '')
+        assert read_settings(text, 'f', {'vm': 'entry-9'}).ok.vm == 'entry-9'
+
+    @pytest.mark.parametrize('address', ['nowhere', '10.0.1.1:8081'])
+    def test_given_setting_is_checked(self, address: str) -> None:
+        """Settings of the command line used to bypass the checks."""
+        given = {'caller_address': address}
+        read = read_settings(EXAMPLE.read_text(), 'f', given)
+        paths = {finding.place.path for finding in read.error}
+        assert paths & {'caller_address', 'admin_address'}
+        assert all(finding.place.line for finding in read.error)
