Ask every daemon over a connection of its own

Cause: the HTTP pool opens ten connections by default, so ten silent daemons made the others look silent; the test of it failed on the code before. Ruled out: a longer timeout, which only moves the limit. Change: as many connections as daemons. Measured: tests/ctl/test_status.py, 8 passed; 1 failed before.

--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_daemons.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_daemons.py
@@ -64,7 +64,10 @@
     :param timeout: the longest wait for one answer, in milliseconds.
     """
     views: dict[int, DaemonView] = {}
-    async with httpcore.AsyncConnectionPool(retries=0) as pool:
+    # A silent daemon holds its connection, so each one has its own.
+    async with httpcore.AsyncConnectionPool(
+        max_connections=len(vms) or 1
+    ) as pool:
         async with anyio.create_task_group() as tasks:
             for index, vm in enumerate(vms):
                 tasks.start_soon(_ask_into, views, index, pool, vm, timeout)
--- a/tests/ctl/test_status.py
+++ b/tests/ctl/test_status.py
@@ -1,5 +1,6 @@
 """Tests of the command that tells which versions are in force."""
 
+import contextlib
 from collections.abc import AsyncIterator, Mapping
 
 import anyio
@@ -36,6 +37,10 @@
         await listener.serve(self._serve)
 
     async def _serve(self, stream: ByteStream) -> None:
+        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            await self._answer(stream)
+
+    async def _answer(self, stream: ByteStream) -> None:
         async with stream:
             request = await stream.receive()
             page = self.pages.get(request.split()[1].decode())
@@ -46,6 +51,21 @@
             await stream.send(head.encode() + body)
 
 
+def status_page(versions: Mapping[str, int]) -> dict[str, object]:
+    return {
+        'vm': 'any',
+        'state': 'serving',
+        'ready': True,
+        'revision': 1,
+        'versions': versions,
+    }
+
+
+def vm_name(index: int) -> str:
+    number = str(index).zfill(2)
+    return f'entry-{number}'
+
+
 class Fleet:
     """Daemons, each on a server of its own, and the list of VMs."""
 
@@ -60,7 +80,7 @@
             {
                 'targets': ['127.0.0.1:1'],
                 'labels': {
-                    'vm': f'entry-{index}',
+                    'vm': vm_name(index),
                     'incarnation': '1',
                     'failure_domain': 'rvk',
                     'state': state,
@@ -75,14 +95,8 @@
 
     def set_versions(self, *versions: Mapping[str, int] | None) -> None:
         for index, held in enumerate(versions):
-            page = {
-                'vm': f'entry-{index}',
-                'state': 'serving',
-                'ready': True,
-                'revision': 1,
-                'versions': held,
-            }
-            self.daemons[index].pages['/status'] = page if held else None
+            page = None if held is None else status_page(held)
+            self.daemons[index].pages['/status'] = page
 
     async def accept(self) -> None:
         accepted = await accept_document(
@@ -125,7 +139,7 @@
         fleet.set_versions({'stock': 2}, {'stock': 1})
         outcome = await fleet.status()
         assert outcome.code is ExitCode.NOT_IN_FORCE
-        assert outcome.record['services'][0]['lagging'] == ('entry-1',)
+        assert outcome.record['services'][0]['lagging'] == ('entry-01',)
         assert outcome.record['daemons'][1]['lags'] == [
             {'service': 'stock', 'in_force': 1, 'newest': 2}
         ]
@@ -139,6 +153,21 @@
         assert outcome.code is ExitCode.NOT_IN_FORCE
         assert 'no answer' in outcome.record['daemons'][1]['fault']
 
+    async def test_silent_daemons_do_not_hide_one_that_answers(
+        self, fleet: Fleet
+    ) -> None:
+        """Ten silent daemons once took all connections of the tool."""
+        await fleet.accept()
+        silent, answering = fleet.daemons
+        fleet.daemons = [*(silent for _ in range(12)), answering]
+        fleet.set_states(*('live' for _ in fleet.daemons))
+        answering.pages['/status'] = status_page({'stock': 1})
+        outcome = await fleet.status()
+        answered = [
+            each['vm'] for each in outcome.record['daemons'] if each['status']
+        ]
+        assert answered == ['entry-12']
+
     async def test_silent_daemon_that_leaves_is_not_waited_for(
         self, fleet: Fleet
     ) -> None:
@@ -170,7 +199,7 @@
         assert outcome.code is ExitCode.UNAVAILABLE
         assert outcome.record['table_fault']
         assert outcome.record['services'][0]['newest'] == 2
-        assert outcome.record['services'][0]['lagging'] == ('entry-1',)
+        assert outcome.record['services'][0]['lagging'] == ('entry-01',)
 
     async def test_list_that_cannot_be_read_is_told(self, fleet: Fleet) -> None:
         fleet.vm_list.pages.clear()
