Accept nothing beside a document that cannot be read

Cause: the overlap check passed over documents of a newer release, so a match could take calls out of their at-most-once protection unseen. Ruled out: accepting with a warning; the protection must hold. Change: such a document refuses the change of other services and names the release as the cause.

--- a/packages/cowslippond-core/src/cowslippond_core/_apply_errors.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_apply_errors.py
@@ -17,6 +17,7 @@
 
     INVALID = 'invalid'
     OVERLAP = 'overlap'
+    UNREADABLE = 'unreadable'
     CONFLICT = 'conflict'
     CONTENTION = 'contention'
     UNAVAILABLE = 'unavailable'
@@ -27,7 +28,7 @@
     """A document that was not accepted, or may have been.
 
     ``newest`` is the version that won a conflict, ``None`` if the service has
-    no document. ``revisions`` are those under which the document may still
+    no document; or the document of another service that cannot be read. ``revisions`` are those under which the document may still
     be accepted, and ``token`` marks its rows in the table.
     """
 
--- a/packages/cowslippond-core/src/cowslippond_core/_catalogue_writer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_catalogue_writer.py
@@ -152,13 +152,22 @@
             self.expected_version = version
         if version != self.expected_version:
             return ApplyError(ApplyFault.CONFLICT, newest=newest)
+        return self._check_others(catalogue)
+
+    def _check_others(self, catalogue: _Catalogue) -> ApplyError | None:
+        """Return which other service stands in the way.
+
+        A document of another service that cannot be read was written by a
+        newer release. What it claims is not known, so nothing is accepted.
+        """
         overlaps: list[Overlap] = []
         for accepted in catalogue.documents:
             if accepted.service == self.document.service:
                 continue
             other = read_document(accepted.text, accepted.service)
-            if other.is_ok():
-                overlaps.extend(find_overlaps(self.document, other.ok))
+            if other.is_error():
+                return ApplyError(ApplyFault.UNREADABLE, newest=accepted)
+            overlaps.extend(find_overlaps(self.document, other.ok))
         if overlaps:
             return ApplyError(ApplyFault.OVERLAP, overlaps=tuple(overlaps))
         return None
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_apply.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_apply.py
@@ -89,6 +89,8 @@
             return findings_outcome(error.findings)
         case ApplyFault.OVERLAP:
             return _overlap_refusal(error)
+        case ApplyFault.UNREADABLE:
+            return _unreadable_refusal(error)
         case ApplyFault.CONFLICT:
             return _conflict_refusal(error)
         case ApplyFault.UNKNOWN:
@@ -130,6 +132,16 @@
     )
 
 
+def _unreadable_refusal(error: ApplyError) -> Outcome:
+    newest = error.newest
+    name = f'{newest.service} version {newest.version}' if newest else ''
+    message = (
+        f'not accepted: this release cannot read {name}, so it cannot tell '
+        'whether both claim the same calls; use the newest cowslippondctl'
+    )
+    return fail(ExitCode.CONFLICT, 'unreadable', message)
+
+
 def _conflict_refusal(error: ApplyError) -> Outcome:
     newest = error.newest
     if newest is None:
--- a/tests/core/test_catalogue_writer.py
+++ b/tests/core/test_catalogue_writer.py
@@ -11,7 +11,7 @@
     read_documents,
     read_head,
 )
-from cowslippond_core._catalogue_layout import CHANGES
+from cowslippond_core._catalogue_layout import CHANGES, document_key
 from expression import Result
 from fakes import FakeClock, FakeTable, LateTable
 
@@ -132,6 +132,17 @@
         assert refused.overlaps
         assert (await read_head(table)).ok == 1
 
+    async def test_document_of_a_newer_release_stops_the_check(self) -> None:
+        table = FakeTable()
+        await accept(table, 'stock')
+        key = document_key('stock')
+        newer = {**table.rows[key], 'text': '{"a_field_of_tomorrow": 1}'}
+        table.rows[key] = newer
+        refused = (await accept(table, 'catalogue')).error
+        assert refused.fault is ApplyFault.UNREADABLE
+        assert refused.newest.service == 'stock'
+        assert (await accept(table, 'stock')).is_ok()
+
     async def test_nested_match_is_accepted(self) -> None:
         table = FakeTable()
         assert (await accept(table, text=document('a', '/'))).is_ok()
