--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_apply.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_apply.py
@@ -13,12 +13,12 @@
     read_document,
 )
 from cowslippond_core._route_overlap import Overlap
+from cowslippond_core._text_file import read_text_file
 from rich.console import RenderableType
 
 from cowslippond_ctl._check import findings_outcome
 from cowslippond_ctl._exit_codes import ExitCode
 from cowslippond_ctl._outcome import Outcome, Record, fail, record_of
-from cowslippond_ctl._platform import read_file
 from cowslippond_ctl._times import show_time
 
 
@@ -50,7 +50,7 @@
         texts: list[str] = []
         findings: list[Finding] = []
         for path in paths:
-            read = read_file(path)
+            read = read_text_file(path)
             if read.is_error():
                 findings.append(read.error)
                 continue
@@ -89,6 +89,8 @@
             return findings_outcome(error.findings)
         case ApplyFault.OVERLAP:
             return _overlap_refusal(error)
+        case ApplyFault.UNREADABLE:
+            return _unreadable_refusal(error)
         case ApplyFault.CONFLICT:
             return _conflict_refusal(error)
         case ApplyFault.UNKNOWN:
@@ -130,6 +132,16 @@
     )
 
 
+def _unreadable_refusal(error: ApplyError) -> Outcome:
+    newest = error.newest
+    name = f'{newest.service} version {newest.version}' if newest else ''
+    message = (
+        f'not accepted: this release cannot read {name}, so it cannot tell '
+        'whether both claim the same calls; use the newest cowslippondctl'
+    )
+    return fail(ExitCode.CONFLICT, 'unreadable', message)
+
+
 def _conflict_refusal(error: ApplyError) -> Outcome:
     newest = error.newest
     if newest is None:
