--- a/packages/cowslippond-core/src/cowslippond_core/_quarantine_gossip.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_quarantine_gossip.py
@@ -1,70 +1,56 @@
-"""Passes the suspects of the quarantine on between daemons."""
+"""Passes on between daemons which calls were running in which crashes."""
 
-from typing import Any
-
-import orjson
-
-from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._gossip_table import GossipRow, GossipTable
 from cowslippond_core._quarantine import Quarantine
-from cowslippond_core._suspects import CrashMark, Suspect
-
-#: The time between two looks at the quarantine, in milliseconds.
-LOOK_INTERVAL: Millis = 50
+from cowslippond_core._suspects import (
+    MARK_LIFE,
+    CrashMark,
+    NewsKind,
+    SuspectNews,
+)
 
-#: How long a suspect is passed on, in milliseconds; as long as the longest
-#: quarantine lasts.
-SUSPECT_LIFETIME: Millis = 600_000
+_KEY_PARTS = 3
 
 
-class QuarantineGossip:
-    """Keeps the quarantine and its gossip table alike.
+def share_quarantine(quarantine: Quarantine, table: GossipTable) -> None:
+    """Connect a quarantine to the rows that daemons pass to each other.
 
-    The table keeps one writer's row for each fingerprint. A daemon that knows
-    more than the row it hears writes what both know together, so concurrent
-    writers end up with the same marks.
-
-    :param quarantine: what this daemon knows of suspects.
-    :param table: passes it on.
+    :param quarantine: told what other daemons found out.
+    :param table: gets what this daemon finds out.
     """
+    quarantine.listeners.append(_Publisher(table).publish)
+    table.listeners.append(_Receiver(quarantine).receive)
 
-    def __init__(self, quarantine: Quarantine, table: GossipTable) -> None:
-        self.quarantine = quarantine
-        self.table = table
-        table.listeners.append(self._hear)
 
-    def publish(self) -> None:
-        """Pass on what changed in the quarantine."""
-        for suspect in self.quarantine.rows():
-            text = encode_suspect(suspect)
-            if self.table.text_of(suspect.fingerprint) != text:
-                self.table.put(suspect.fingerprint, text, SUSPECT_LIFETIME)
+class _Publisher:
+    def __init__(self, table: GossipTable) -> None:
+        self.table = table
 
-    async def run(self, clock: Clock) -> None:
-        """Publish changes until cancelled."""
-        while True:
-            self.publish()
-            await clock.sleep(LOOK_INTERVAL)
+    def publish(self, news: SuspectNews) -> None:
+        mark = news.mark
+        # One row for each mark, since of rows with one key only the newest
+        # lives.
+        key = f'{news.fingerprint} {mark.upstream} {mark.at}'
+        self.table.put(key, news.kind.value, MARK_LIFE)
 
-    def _hear(self, row: GossipRow) -> None:
-        suspect = decode_suspect(row)
-        if suspect is not None:
-            self.quarantine.merge([suspect])
 
+class _Receiver:
+    def __init__(self, quarantine: Quarantine) -> None:
+        self.quarantine = quarantine
 
-def encode_suspect(suspect: Suspect) -> str:
-    """Return the text of a suspect's row."""
-    return orjson.dumps([suspect.cleared_at, suspect.marks]).decode()
+    def receive(self, row: GossipRow) -> None:
+        news = _news_of(row)
+        if news is not None:
+            self.quarantine.apply(news)
 
 
-def decode_suspect(row: GossipRow) -> Suspect | None:
-    """Return the suspect of a row, ``None`` if the row holds none."""
-    try:
-        cleared_at, marks = orjson.loads(row.text)
-        return Suspect(row.key, int(cleared_at), _decode_marks(marks))
-    except (ValueError, TypeError):
+def _news_of(row: GossipRow) -> SuspectNews | None:
+    parts = row.key.split(' ')
+    if len(parts) != _KEY_PARTS or row.text not in set(NewsKind):
         return None
-
-
-def _decode_marks(marks: Any) -> tuple[CrashMark, ...]:
-    return tuple(CrashMark(str(upstream), int(at)) for upstream, at in marks)
+    fingerprint, upstream, at = parts
+    if not at.isdecimal():
+        return None
+    kind = NewsKind(row.text)
+    mark = CrashMark(upstream, int(at), kind is NewsKind.CONFIRMED)
+    return SuspectNews(kind, fingerprint, mark)
--- a/packages/cowslippond-standins/src/cowslippond_standins/harness/_deployment.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/harness/_deployment.py
@@ -48,6 +48,7 @@
         self.daemons: list[DaemonHandle] = []
         self.statsd = StatsdSink()
         self.statsd_address = Address(_HOST, free_ports(1))
+        self.daemon_environment: Mapping[str, str] = {}
         self.stack = AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -120,14 +121,13 @@
     async def add_daemon(
         self,
         failure_domain: str,
-        environment: Mapping[str, str] | None = None,
         **changes: Any,
     ) -> DaemonHandle:
         """Start a daemon, wait for its admin address, and list it.
 
         :param changes: settings that replace those of the harness.
         """
-        daemon = self._start_daemon(failure_domain, environment, changes)
+        daemon = self._start_daemon(failure_domain, changes)
         self.daemons.append(daemon)
         url = daemon.admin_url('/status')
         await self.processes.wait_ready(daemon.child, url)
@@ -250,7 +250,6 @@
     def _start_daemon(
         self,
         failure_domain: str,
-        environment: Mapping[str, str] | None,
         changes: Mapping[str, Any],
     ) -> DaemonHandle:
         port = free_ports(_DAEMON_PORTS)
@@ -275,7 +274,7 @@
             vm,
             'cowslippond_daemon',
             f'--settings={path}',
-            environment=environment,
+            environment=self.daemon_environment,
         )
         return DaemonHandle(
             vm,
