Add the bench of routing policies

Cause: nothing compared the shipped policy with the baselines. Change: one fleet of real processes; a bench-only entry of the daemon reads the policy from a file, so all policies meet the same upstreams in turn; the same upstreams are listed under two services, with and without copies.

--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Compare routing policies with real processes, in one run."""
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/__main__.py
@@ -0,0 +1,115 @@
+"""Run the bench: every scenario under every policy, interleaved."""
+
+import pathlib
+import signal
+import tempfile
+from collections.abc import Sequence
+
+import anyio
+import defopt
+import orjson
+from rich.console import Console
+
+from cowslippond_standins.bench import _plots
+from cowslippond_standins.bench._blocks import Block, measure
+from cowslippond_standins.bench._fleet import Fleet, FleetPlan
+from cowslippond_standins.bench._policies import CONTENDERS
+from cowslippond_standins.bench._rows import (
+    Row,
+    make_table,
+    ratios,
+    show_ratio,
+    show_row,
+)
+from cowslippond_standins.bench._scenarios import SCENARIOS, Scenario
+from cowslippond_standins.harness._deployment import Deployment
+
+_MILLIS_PER_SECOND = 1000
+_DEFAULT_SEEDS = 3
+_DEFAULT_SECONDS = 4
+_TABLE_WIDTH = 140
+_BUILD = pathlib.Path('build')
+
+
+def plan_blocks(
+    scenarios: Sequence[Scenario], seeds: int, seconds: float
+) -> list[Block]:
+    """Return all blocks; the policies take turns at going first."""
+    blocks = []
+    for seed in range(1, seeds + 1):
+        for index, scenario in enumerate(scenarios):
+            first = (seed + index) % len(CONTENDERS)
+            in_turn = CONTENDERS[first:] + CONTENDERS[:first]
+            for contender in in_turn:
+                duration = seconds * _MILLIS_PER_SECOND
+                blocks.append(Block(scenario, contender, seed, duration))
+    return blocks
+
+
+async def _measure_all(plan: FleetPlan, blocks: Sequence[Block]) -> list[Row]:
+    rows = []
+    with tempfile.TemporaryDirectory(prefix='cowslippond-') as folder:
+        async with Deployment(pathlib.Path(folder)) as deployment:
+            fleet = Fleet(deployment, plan)
+            await fleet.start()
+            for block in blocks:
+                row = await measure(fleet, block)
+                rows.append(row)
+                print(show_row(row), flush=True)
+    return rows
+
+
+def _report(rows: Sequence[Row], plan: FleetPlan, out: pathlib.Path) -> None:
+    compared = ratios(rows)
+    Console(width=_TABLE_WIDTH).print(make_table(rows))
+    print('\n'.join(show_ratio(ratio) for ratio in compared))
+    out.mkdir(parents=True, exist_ok=True)
+    written = {
+        'fleet': plan._asdict(),
+        'rows': [row._asdict() for row in rows],
+        'ratios': [ratio._asdict() for ratio in compared],
+    }
+    text = orjson.dumps(written, option=orjson.OPT_INDENT_2)
+    (out / 'bench.json').write_bytes(text)
+    _plots.plot_p99(rows, out / 'bench-p99.png')
+    for scenario in dict.fromkeys(row.scenario for row in rows):
+        path = out / f'bench-{scenario}.png'
+        _plots.plot_curves(rows, scenario, path)
+
+
+def main(
+    *,
+    seeds: int = _DEFAULT_SEEDS,
+    seconds: float = _DEFAULT_SECONDS,
+    scenarios: list[str] | None = None,
+    upstreams: int = 7,
+    daemons: int = 6,
+    mean_ms: float = 8,
+    out: pathlib.Path = _BUILD,
+) -> None:
+    """Compare routing policies with real processes on this machine.
+
+    :param seeds: how many seeds each scenario and policy is run with.
+    :param seconds: length of a block.
+    :param scenarios: names of the scenarios; all of them by default.
+    :param upstreams: number of upstreams, each with 2 slots.
+    :param daemons: number of daemons.
+    :param mean_ms: mean service time of a call, in milliseconds.
+    :param out: folder for ``bench.json`` and the plots.
+    """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    chosen = [
+        scenario
+        for scenario in SCENARIOS
+        if not scenarios or scenario.name in scenarios
+    ]
+    plan = FleetPlan(upstreams, 2, daemons, mean_ms)
+    blocks = plan_blocks(chosen, seeds, seconds)
+    rows = anyio.run(
+        _measure_all, plan, blocks, backend_options={'use_uvloop': True}
+    )
+    _report(rows, plan, out)
+
+
+if __name__ == '__main__':
+    defopt.run(main)
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_blocks.py
@@ -0,0 +1,129 @@
+"""Measure one block: a scenario under a policy, with a seed."""
+
+from collections import Counter
+from typing import NamedTuple
+
+from cowslippond_core import Clock, Millis
+
+from cowslippond_standins.bench import _usage
+from cowslippond_standins.bench._fleet import Fleet
+from cowslippond_standins.bench._policies import Contender
+from cowslippond_standins.bench._rows import Row
+from cowslippond_standins.bench._scenarios import Scenario
+from cowslippond_standins.load import _outcomes
+from cowslippond_standins.load._generator import LoadGenerator
+from cowslippond_standins.load._plan import Mix, Phase, plan_calls
+from cowslippond_standins.load._report import (
+    Report,
+    histogram_of,
+    percentiles_of,
+)
+
+_PATIENCE: Millis = 6000
+_WARM_UP: Millis = 700
+_SETTLE: Millis = 1200
+_MILLIS_PER_SECOND = 1000
+_PREFIX = 'cowslippond.retries.'
+
+
+class Block(NamedTuple):
+    """What one block is made of; ``duration`` is in milliseconds."""
+
+    scenario: Scenario
+    contender: Contender
+    seed: int
+    duration: Millis
+
+
+async def measure(fleet: Fleet, block: Block) -> Row:
+    """Run a block and return its row."""
+    clock = Clock()
+    fleet.switch(block.contender.choice)
+    await fleet.bring_about(block.scenario)
+    phases = block.scenario.phases(block.duration, fleet.plan.capacity())
+    await _send(fleet, block, [Phase(_WARM_UP, phases[0].rate)])
+    await fleet.clear_ledgers()
+    await clock.sleep(_SETTLE)
+    retries_before = _retries(fleet)
+    used_before = [_usage.processor_time(pid) for pid in fleet.daemon_ids()]
+    report = await _send(fleet, block, phases)
+    used = [_usage.processor_time(pid) for pid in fleet.daemon_ids()]
+    await clock.sleep(_SETTLE)
+    work = _usage.work_of(await fleet.ledgers())
+    spent = sum(used) - sum(used_before)
+    return _row(
+        fleet,
+        block,
+        report,
+        work,
+        cpu=spent / len(used) / block.duration,
+        retries=_retries(fleet) - retries_before,
+    )
+
+
+async def _send(fleet: Fleet, block: Block, phases: list[Phase]) -> Report:
+    mix = Mix(block.contender.host(), '/items', mean_work_ms=fleet.plan.mean_ms)
+    calls = plan_calls(phases, [mix], block.seed)
+    targets = [daemon.caller_address for daemon in fleet.deployment.daemons]
+    generator = LoadGenerator(targets, block.seed, _PATIENCE)
+    return await generator.run(calls)
+
+
+def _retries(fleet: Fleet) -> Counter[str]:
+    return Counter(
+        {
+            name.removeprefix(_PREFIX): count
+            for name, count in fleet.deployment.statsd.counters.items()
+            if name.startswith(_PREFIX)
+        }
+    )
+
+
+def _row(
+    fleet: Fleet,
+    block: Block,
+    report: Report,
+    work: _usage.Work,
+    *,
+    cpu: float,
+    retries: Counter[str],
+) -> Row:
+    spans = [
+        told.took if told.outcome == _outcomes.ANSWERED else _PATIENCE
+        for told in report.told
+    ]
+    latency = percentiles_of(histogram_of(spans))
+    seconds = block.duration / _MILLIS_PER_SECOND
+    probe_rate = work.probes / seconds
+    pids = fleet.daemon_ids()
+    return Row(
+        scenario=block.scenario.name,
+        policy=block.contender.name,
+        seed=block.seed,
+        rate=len(spans) / seconds,
+        calls=len(spans),
+        p50=latency['p50'],
+        p90=latency['p90'],
+        p99=latency['p99'],
+        p999=latency['p99.9'],
+        outcomes=dict(report.outcomes),
+        reasons=dict(report.reasons),
+        retries=dict(retries),
+        goodput=_goodput(block, report),
+        probes_per_call=work.probes / max(len(spans), 1),
+        measuring_share=probe_rate / fleet.plan.capacity(),
+        wasted_share=work.wasted_share(),
+        daemon_cpu=cpu,
+        daemon_megabytes=max(_usage.memory(pid) for pid in pids),
+    )
+
+
+def _goodput(block: Block, report: Report) -> list[float]:
+    steps = len(block.scenario.steps)
+    sent: Counter[int] = Counter()
+    answered: Counter[int] = Counter()
+    for told in report.told:
+        step = int(told.call.at * steps / block.duration)
+        sent[step] += 1
+        answered[step] += told.outcome == _outcomes.ANSWERED
+    return [answered[step] / max(sent[step], 1) for step in range(steps)]
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_fleet.py
@@ -0,0 +1,114 @@
+"""The deployment that the bench measures."""
+
+import pathlib
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import anyio
+
+from cowslippond_standins.bench import _policies
+from cowslippond_standins.bench._scenarios import Scenario
+from cowslippond_standins.bench.daemon import POLICY_FILE_VARIABLE
+from cowslippond_standins.harness._deployment import Deployment
+from cowslippond_standins.harness._handles import UpstreamPlan
+
+_DOMAINS = ('a', 'b', 'c')
+_MILLIS_PER_SECOND = 1000
+_SEEN_BY_DAEMONS = 3
+
+
+class FleetPlan(NamedTuple):
+    """The size of a deployment; ``mean_ms`` is in milliseconds."""
+
+    upstreams: int
+    slots: int
+    daemons: int
+    mean_ms: float
+
+    def capacity(self) -> float:
+        """Return the calls a second of all upstreams at full speed."""
+        return self.upstreams * self.slots / self.mean_ms * _MILLIS_PER_SECOND
+
+
+class Fleet:
+    """Upstreams listed under each service, and daemons that switch policy."""
+
+    def __init__(self, deployment: Deployment, plan: FleetPlan) -> None:
+        self.deployment = deployment
+        self.plan = plan
+        self.policy_path = deployment.folder / 'policy'
+
+    async def start(self) -> None:
+        """Start everything and wait until all daemons serve."""
+        self.switch('least')
+        await self._add_upstreams()
+        for text in _policies.documents(self.plan.mean_ms):
+            await self.deployment.accept(text)
+        async with anyio.create_task_group() as group:
+            for index in range(self.plan.daemons):
+                domain = _DOMAINS[index % len(_DOMAINS)]
+                group.start_soon(self._add_daemon, domain)
+        for daemon in self.deployment.daemons:
+            await self.deployment.wait_serving(daemon)
+        await anyio.sleep(_SEEN_BY_DAEMONS)
+
+    def switch(self, choice: str) -> None:
+        """Switch the policy of all daemons."""
+        draft = self.policy_path.with_suffix('.draft')
+        draft.write_text(choice)
+        draft.rename(self.policy_path)
+
+    async def bring_about(self, scenario: Scenario) -> None:
+        """Set the behaviour of the upstreams."""
+        for index, upstream in enumerate(self.deployment.upstreams):
+            behaviour = dict(scenario.everywhere)
+            if self._is_special(scenario, index):
+                behaviour.update(scenario.special)
+            await upstream.change(queue=scenario.queue, **behaviour)
+
+    async def clear_ledgers(self) -> None:
+        """Begin a new block in every ledger."""
+        for upstream in self.deployment.upstreams:
+            await upstream.clear()
+
+    async def ledgers(self) -> list[Mapping[str, Any]]:
+        """Return the ledgers of all upstreams."""
+        return [
+            await upstream.ledger() for upstream in self.deployment.upstreams
+        ]
+
+    def daemon_ids(self) -> list[int]:
+        """Return the process ids of the daemons."""
+        return [daemon.child.popen.pid for daemon in self.deployment.daemons]
+
+    def _is_special(self, scenario: Scenario, index: int) -> bool:
+        if scenario.special_count:
+            return index < scenario.special_count
+        return index % len(_DOMAINS) == 0
+
+    async def _add_upstreams(self) -> None:
+        names = _policies.services()
+        for index in range(self.plan.upstreams):
+            domain = _DOMAINS[index % len(_DOMAINS)]
+            plan = UpstreamPlan(
+                names[0], self.plan.mean_ms, self.plan.slots, seed=index
+            )
+            added = await self.deployment.add_upstreams(plan, [domain])
+            for service in names[1:]:
+                again = added[0]._replace(
+                    vm=f'{service}-{index}', service=service
+                )
+                await self.deployment.list_upstream(again)
+
+    async def _add_daemon(self, domain: str) -> None:
+        await self.deployment.add_daemon(
+            domain,
+            environment={POLICY_FILE_VARIABLE: str(self.policy_path)},
+            module='cowslippond_standins.bench.daemon',
+        )
+
+
+def make_folder(path: pathlib.Path) -> pathlib.Path:
+    """Return a folder for logs, made if it is absent."""
+    path.mkdir(parents=True, exist_ok=True)
+    return path
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_plots.py
@@ -0,0 +1,60 @@
+"""Plots of the bench."""
+
+import pathlib
+from collections.abc import Sequence
+
+import matplotlib as mpl
+from matplotlib import pyplot
+
+from cowslippond_standins.bench._rows import Row, median_p99
+
+mpl.use('agg')
+
+_WIDTH_INCHES = 11
+_HEIGHT_INCHES = 5
+_BAR_ROOM = 0.8
+_TILT_DEGREES = 15
+
+
+def plot_p99(rows: Sequence[Row], path: pathlib.Path) -> None:
+    """Draw the p99 of each policy in each scenario."""
+    scenarios = list(dict.fromkeys(row.scenario for row in rows))
+    policies = list(dict.fromkeys(row.policy for row in rows))
+    figure, axes = pyplot.subplots(figsize=(_WIDTH_INCHES, _HEIGHT_INCHES))
+    width = _BAR_ROOM / len(policies)
+    for index, policy in enumerate(policies):
+        heights = []
+        for scenario in scenarios:
+            same = [row for row in rows if row.scenario == scenario]
+            heights.append(median_p99(same, policy))
+        places = [place + index * width for place in range(len(scenarios))]
+        axes.bar(places, heights, width, label=policy)
+    axes.set_xticks(range(len(scenarios)), scenarios, rotation=_TILT_DEGREES)
+    axes.set_yscale('log')
+    axes.set_ylabel('p99 in ms, median over the seeds')
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
+
+
+def plot_curves(rows: Sequence[Row], scenario: str, path: pathlib.Path) -> None:
+    """Draw the latency curve of each policy in one scenario, by seed."""
+    figure, axes = pyplot.subplots(figsize=(_WIDTH_INCHES, _HEIGHT_INCHES))
+    names = ('50', '90', '99', '99.9')
+    policies = list(dict.fromkeys(row.policy for row in rows))
+    for row in rows:
+        if row.scenario != scenario:
+            continue
+        colour = f'C{policies.index(row.policy)}'
+        curve = (row.p50, row.p90, row.p99, row.p999)
+        label = f'{row.policy}, seed {row.seed}'
+        axes.plot(names, curve, color=colour, marker='o', label=label)
+    axes.set_yscale('log')
+    axes.set_xlabel('percentile')
+    axes.set_ylabel('latency in ms')
+    axes.set_title(scenario)
+    axes.legend(fontsize='small')
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_policies.py
@@ -0,0 +1,63 @@
+"""The policies compared: a choice of upstream, with or without copies."""
+
+from typing import NamedTuple
+
+import orjson
+
+
+class Contender(NamedTuple):
+    """One policy of the comparison.
+
+    ``choice`` is the name in :mod:`cowslippond_standins.bench.daemon`. The
+    service document of ``service`` says whether late calls are copied.
+    """
+
+    name: str
+    choice: str
+    service: str
+
+    def host(self) -> str:
+        """Return the host of its calls."""
+        return f'{self.service}.example'
+
+
+_PLAIN = 'bench-plain'
+_COPYING = 'bench-copying'
+
+SHIPPED = 'shipped'
+CONTENDERS = (
+    Contender('random', 'random', _PLAIN),
+    Contender('round-robin', 'round-robin', _PLAIN),
+    Contender('two-choices', 'two-choices', _PLAIN),
+    Contender('least', 'least', _PLAIN),
+    Contender(SHIPPED, 'least', _COPYING),
+)
+_HEDGE_SHARES = ((_PLAIN, 0), (_COPYING, 0.1))
+_HEDGE_DELAY_MS = 20
+_DEADLINE_MS = 5000
+
+
+def documents(mean_ms: float) -> list[str]:
+    """Return the service documents of the bench.
+
+    :param mean_ms: mean service time in milliseconds.
+    """
+    texts = []
+    for service, share in _HEDGE_SHARES:
+        hedging: dict[str, float] = {'share_of_calls': share}
+        if share > 0:
+            hedging['delay_ms'] = _HEDGE_DELAY_MS
+        document = {
+            'service': service,
+            'match': [{'host': f'{service}.example'}],
+            'upstreams': {'slots': 2, 'mean_service_ms': mean_ms},
+            'deadline': {'default_ms': _DEADLINE_MS},
+            'hedging': hedging,
+        }
+        texts.append(orjson.dumps(document).decode())
+    return texts
+
+
+def services() -> list[str]:
+    """Return the names of the services."""
+    return [service for service, _ in _HEDGE_SHARES]
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_rows.py
@@ -0,0 +1,157 @@
+"""Rows of the bench, and the comparison between policies."""
+
+import statistics
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from rich.table import Table
+
+from cowslippond_standins.bench._policies import SHIPPED
+
+_DIGITS = 1
+_SHARE_DIGITS = 3
+_NAME_WIDTH = 20
+_POLICY_WIDTH = 12
+
+
+class Row(NamedTuple):
+    """One block: a scenario, a policy and a seed.
+
+    Latencies are in milliseconds and count calls that were not answered as
+    late as the longest wait. ``goodput`` gives the share of calls answered in
+    each step of the load. ``daemon_cpu`` is the share of a core that a daemon
+    used, ``daemon_megabytes`` its memory.
+    """
+
+    scenario: str
+    policy: str
+    seed: int
+    rate: float
+    calls: int
+    p50: float
+    p90: float
+    p99: float
+    p999: float
+    outcomes: dict[str, int]
+    reasons: dict[str, int]
+    retries: dict[str, int]
+    goodput: list[float]
+    probes_per_call: float
+    measuring_share: float
+    wasted_share: float
+    daemon_cpu: float
+    daemon_megabytes: float
+
+
+class Ratio(NamedTuple):
+    """The shipped policy's p99 over the best baseline's, over the seeds."""
+
+    scenario: str
+    best_baseline: str
+    median: float
+    lowest: float
+    highest: float
+
+
+def ratios(rows: Sequence[Row]) -> list[Ratio]:
+    """Return the comparison for each scenario."""
+    found = []
+    for scenario in dict.fromkeys(row.scenario for row in rows):
+        in_scenario = [row for row in rows if row.scenario == scenario]
+        ratio = _ratio(scenario, in_scenario)
+        if ratio is not None:
+            found.append(ratio)
+    return found
+
+
+def show_row(row: Row) -> str:
+    """Return a row as one line of text."""
+    answered = row.outcomes.get('answered', 0)
+    parts = (
+        row.scenario.ljust(_NAME_WIDTH),
+        row.policy.ljust(_POLICY_WIDTH),
+        f'seed {row.seed}',
+        f'p50 {row.p50:.1f} ms',
+        f'p99 {row.p99:.1f} ms',
+        f'{answered} of {row.calls} answered',
+    )
+    return ' '.join(parts)
+
+
+def show_ratio(ratio: Ratio) -> str:
+    """Return a comparison as one line of text."""
+    return (
+        f'{ratio.scenario}: p99 of shipped / {ratio.best_baseline} = '
+        f'{ratio.median:.2f} ({ratio.lowest:.2f} to {ratio.highest:.2f})'
+    )
+
+
+def median_p99(rows: Iterable[Row], policy: str) -> float:
+    """Return the median over the seeds of a policy's p99."""
+    found = [row.p99 for row in rows if row.policy == policy]
+    return statistics.median(found) if found else float('inf')
+
+
+def make_table(rows: Sequence[Row]) -> Table:
+    """Return a table with the medians over the seeds."""
+    columns = (
+        'scenario',
+        'policy',
+        'p50',
+        'p90',
+        'p99',
+        'p99.9',
+        'answered',
+        'retries/call',
+        'wasted',
+        'measuring',
+        'cpu',
+        'MB',
+    )
+    table = Table(*columns, title='medians over the seeds, latencies in ms')
+    for key in dict.fromkeys((row.scenario, row.policy) for row in rows):
+        same = [row for row in rows if (row.scenario, row.policy) == key]
+        table.add_row(*key, *_medians(same))
+    return table
+
+
+def _medians(same: Sequence[Row]) -> list[str]:
+    figures = [
+        [row.p50 for row in same],
+        [row.p90 for row in same],
+        [row.p99 for row in same],
+        [row.p999 for row in same],
+    ]
+    shares = [
+        [row.outcomes.get('answered', 0) / row.calls for row in same],
+        [sum(row.retries.values()) / row.calls for row in same],
+        [row.wasted_share for row in same],
+        [row.measuring_share for row in same],
+        [row.daemon_cpu for row in same],
+    ]
+    memory = [row.daemon_megabytes for row in same]
+    return [
+        *(_rounded(figure, _DIGITS) for figure in figures),
+        *(_rounded(share, _SHARE_DIGITS) for share in shares),
+        _rounded(memory, _DIGITS),
+    ]
+
+
+def _rounded(figures: Sequence[float], digits: int) -> str:
+    return str(round(statistics.median(figures), digits))
+
+
+def _ratio(scenario: str, rows: Sequence[Row]) -> Ratio | None:
+    baselines = {row.policy for row in rows} - {SHIPPED}
+    shipped = {row.seed: row.p99 for row in rows if row.policy == SHIPPED}
+    if not baselines or not shipped:
+        return None
+    best = min(baselines, key=lambda policy: median_p99(rows, policy))
+    found = [
+        shipped[row.seed] / row.p99
+        for row in rows
+        if row.policy == best and row.seed in shipped
+    ]
+    return Ratio(
+        scenario, best, statistics.median(found), min(found), max(found)
+    )
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_usage.py
@@ -0,0 +1,66 @@
+"""Processor time and memory of processes, and the work of upstreams."""
+
+import collections
+import os
+import pathlib
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+from cowslippond_core import Millis
+
+_MILLIS_PER_SECOND = 1000
+_BYTES_PER_MEGABYTE = 1_000_000
+_USER_TIME_FIELD = 11
+_TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
+_PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+
+
+class Work(NamedTuple):
+    """What the upstreams did in a block; times are of slots, in milliseconds.
+
+    ``wasted`` is the time of runs whose answer no one got.
+    """
+
+    runs: int
+    busy: Millis
+    wasted: Millis
+    probes: int
+
+    def wasted_share(self) -> float:
+        """Return the share of the work that was wasted."""
+        return self.wasted / self.busy if self.busy else 0
+
+
+def processor_time(process_id: int) -> Millis:
+    """Return the processor time that a process has used, in milliseconds."""
+    text = pathlib.Path(f'/proc/{process_id}/stat').read_text()
+    fields = text.rpartition(')')[2].split()
+    user, system = fields[_USER_TIME_FIELD : _USER_TIME_FIELD + 2]
+    ticks = int(user) + int(system)
+    return ticks / _TICKS_PER_SECOND * _MILLIS_PER_SECOND
+
+
+def memory(process_id: int) -> float:
+    """Return the resident memory of a process, in megabytes."""
+    text = pathlib.Path(f'/proc/{process_id}/statm').read_text()
+    return int(text.split()[1]) * _PAGE_BYTES / _BYTES_PER_MEGABYTE
+
+
+def work_of(ledgers: Iterable[Mapping[str, Any]]) -> Work:
+    """Return the work that ledgers record."""
+    busy: Millis = 0
+    wasted: Millis = 0
+    probes = 0
+    completed: collections.Counter[str] = collections.Counter()
+    runs = 0
+    for ledger in ledgers:
+        probes += len(ledger['probes'])
+        for run in ledger['runs']:
+            span = max(run['ended'] - run['started'], 0)
+            runs += 1
+            busy += span
+            is_useful = run['outcome'] == 'completed'
+            if not is_useful or completed[run['nonce']]:
+                wasted += span
+            completed[run['nonce']] += is_useful
+    return Work(runs, busy, wasted, probes)
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/daemon.py
@@ -0,0 +1,80 @@
+"""A daemon whose routing policy the bench switches while it runs.
+
+The seam is for the bench only: it is no setting of the daemon.
+"""
+
+import os
+import pathlib
+import random
+from collections.abc import Callable, Sequence
+from functools import partial
+from types import MappingProxyType
+
+from cowslippond_core import Clock, Millis, Sender
+from cowslippond_core._routing import (
+    LeastInFlight,
+    RandomChoice,
+    RoundRobin,
+    TwoChoices,
+    pick,
+)
+from cowslippond_core._upstreams import Upstream
+from cowslippond_daemon import _parts
+from cowslippond_daemon._program import main
+
+#: Environment variable that names the file with the name of the policy.
+POLICY_FILE_VARIABLE = 'COWSLIPPOND_BENCH_POLICY'
+
+#: The policies that a file may name.
+POLICIES = MappingProxyType[str, object](
+    {
+        'random': RandomChoice(),
+        'round-robin': RoundRobin(),
+        'two-choices': TwoChoices(),
+        'least': LeastInFlight(),
+    }
+)
+_READ_INTERVAL: Millis = 100
+
+
+class SwitchedPolicy:
+    """The policy that a file names, read again now and then.
+
+    :param path: the file.
+    """
+
+    def __init__(self, clock: Clock, path: pathlib.Path) -> None:
+        self.clock = clock
+        self.path = path
+        self.read_at: Millis = -_READ_INTERVAL
+        self.current = POLICIES['least']
+
+    def choose(
+        self, candidates: Sequence[Upstream], rng: random.Random
+    ) -> Upstream:
+        """Return the upstream to send to."""
+        now = self.clock.now()
+        if now - self.read_at >= _READ_INTERVAL:
+            self.read_at = now
+            self.current = POLICIES[self.path.read_text()]
+        return pick(self.current, candidates, rng)
+
+
+@pick.register
+def _pick_switched(
+    policy: SwitchedPolicy, candidates: Sequence[Upstream], rng: random.Random
+) -> Upstream:
+    return policy.choose(candidates, rng)
+
+
+def run() -> None:
+    """Run the daemon with the policy that the environment's file names."""
+    path = pathlib.Path(os.environ[POLICY_FILE_VARIABLE])
+    policy = SwitchedPolicy(Clock(), path)
+    make_sender: Callable[..., Sender] = partial(Sender, policy=policy)
+    vars(_parts)['Sender'] = make_sender
+    main()
+
+
+if __name__ == '__main__':
+    run()
--- a/packages/cowslippond-standins/src/cowslippond_standins/harness/_deployment.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/harness/_deployment.py
@@ -121,13 +121,40 @@
     async def add_daemon(
         self,
         failure_domain: str,
+        environment: Mapping[str, str] | None = None,
+        module: str = 'cowslippond_daemon',
         **changes: Any,
     ) -> DaemonHandle:
         """Start a daemon, wait for its admin address, and list it.
 
+        :param module: Python module to run.
+        :param environment: variables to add to those of this process.
+        :param module: Python module to run.
         :param changes: settings that replace those of the harness.
         """
-        daemon = self._start_daemon(failure_domain, changes)
+        addresses = _pick_addresses()
+        port = addresses['caller_address'].port
+        vm = f'entry-{port}'
+        settings = {
+            **_settings.daemon_settings(self.platform.url),
+            **{name: str(address) for name, address in addresses.items()},
+            'vm': vm,
+            'failure_domain': failure_domain,
+            'peers': [str(peer.peer_address) for peer in self.daemons],
+            'statsd_address': str(self.statsd_address),
+            **changes,
+        }
+        path = self.folder / f'{vm}.json'
+        path.write_bytes(orjson.dumps(settings, option=orjson.OPT_INDENT_2))
+        child = self.processes.start(
+            vm,
+            module,
+            f'--settings={path}',
+            environment={**self.daemon_environment, **(environment or {})},
+        )
+        daemon = DaemonHandle(
+            vm, failure_domain, settings_path=path, child=child, **addresses
+        )
         self.daemons.append(daemon)
         url = daemon.admin_url('/status')
         await self.processes.wait_ready(daemon.child, url)
@@ -247,39 +274,11 @@
             for index, domain in enumerate(failure_domains)
         ]
 
-    def _start_daemon(
-        self,
-        failure_domain: str,
-        changes: Mapping[str, Any],
-    ) -> DaemonHandle:
-        port = free_ports(_DAEMON_PORTS)
-        vm = f'entry-{port}'
-        addresses = {
-            'caller_address': Address(_HOST, port),
-            'admin_address': Address(_HOST, port + 1),
-            'peer_address': Address(_HOST, port + 2),
-        }
-        settings = {
-            **_settings.daemon_settings(self.platform.url),
-            **{name: str(address) for name, address in addresses.items()},
-            'vm': vm,
-            'failure_domain': failure_domain,
-            'peers': [str(peer.peer_address) for peer in self.daemons],
-            'statsd_address': str(self.statsd_address),
-            **changes,
-        }
-        path = self.folder / f'{vm}.json'
-        path.write_bytes(orjson.dumps(settings, option=orjson.OPT_INDENT_2))
-        child = self.processes.start(
-            vm,
-            'cowslippond_daemon',
-            f'--settings={path}',
-            environment=self.daemon_environment,
-        )
-        return DaemonHandle(
-            vm,
-            failure_domain,
-            settings_path=path,
-            child=child,
-            **addresses,
-        )
+
+def _pick_addresses() -> dict[str, Address]:
+    port = free_ports(_DAEMON_PORTS)
+    return {
+        'caller_address': Address(_HOST, port),
+        'admin_address': Address(_HOST, port + 1),
+        'peer_address': Address(_HOST, port + 2),
+    }
--- a/packages/cowslippond-standins/src/cowslippond_standins/upstream/_ledger.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/_ledger.py
@@ -70,6 +70,12 @@
         """Record a probe."""
         self.probes.append(self.clock.now())
 
+    def clear(self) -> None:
+        """Forget the runs and probes so far; the file is kept."""
+        self.runs.clear()
+        self.probes.clear()
+        self.counters.clear()
+
     def report(self, *, only_orders: bool) -> dict[str, Any]:
         """Return the ledger for the control port."""
         runs = [run for run in self.runs if run['order_key'] or not only_orders]
