Let freshness flow both ways in a round, and measure spreading

Cause: news of a failure domain was up to 7.6 s old in a fleet of 160, close to the bound of 8 s: only the asking side of a round learnt ages. Change: the asking side ends a round with a confirmation. The other side knows when its last answer went out, so the ages in it count from then. A command measures the cost for a daemon by peers, services and changes.

--- a/packages/cowslippond-core/src/cowslippond_core/_contact.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_contact.py
@@ -12,7 +12,9 @@
 
 from cowslippond_core._clock import Millis
 from cowslippond_core._membership import Daemon
-from cowslippond_core._wire import Witness
+from cowslippond_core._peer_messages import (
+    Witness,
+)
 
 #: How long the last outcome of reaching a peer counts, in milliseconds.
 ATTEMPT_WINDOW: Millis = 60_000
--- a/packages/cowslippond-core/src/cowslippond_core/_conversation.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_conversation.py
@@ -6,10 +6,12 @@
 
 from cowslippond_core._byte_budget import ByteBudget
 from cowslippond_core._metrics import Metric, Metrics
+from cowslippond_core._peer_messages import (
+    Message,
+)
 from cowslippond_core._wire import (
     LENGTH_BYTES,
     MAX_FRAME,
-    Message,
     WireError,
     decode_message,
     encode_message,
--- a/packages/cowslippond-core/src/cowslippond_core/_gossip.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_gossip.py
@@ -9,13 +9,16 @@
 from cowslippond_core._contact import Contact
 from cowslippond_core._document import AcceptedDocument
 from cowslippond_core._gossip_table import GossipTable
-from cowslippond_core._wire import (
+from cowslippond_core._peer_messages import (
+    Confirmation,
     Digest,
     Documents,
     Exchange,
     Message,
     Pull,
     TableRows,
+)
+from cowslippond_core._wire import (
     WireError,
 )
 
@@ -73,18 +76,11 @@
         :param fillers: the most rows among them that are not news.
         :param wanted: the most rows wanted in the answer.
         """
-        now = self.clock.now()
-        confirmed_at = self.catalogue.confirmed_at
-        digest = Digest(
-            self.catalogue.revision,
-            None if confirmed_at is None else now - confirmed_at,
-            self.contact.witnesses(now),
-        )
         return Exchange(
             self.fleet,
             self.address,
             self.contact.failure_domain,
-            digest,
+            self._digest(),
             self._take_rows(room, fillers),
             wanted,
         )
@@ -111,12 +107,16 @@
             return self.compose(MESSAGE_ROWS, FILLER_ROWS, MESSAGE_ROWS)
         return self.compose(0, 0, 0)
 
-    def learn(self, theirs: Exchange, asked_at: Millis) -> None:
+    def confirmation(self) -> Confirmation:
+        """Return the message that ends a round with a peer."""
+        return Confirmation(self.contact.failure_domain, self._digest())
+
+    def learn(self, theirs: Exchange | Confirmation, asked_at: Millis) -> None:
         """Take over what a peer confirms, after its documents.
 
-        :param theirs: the peer's answer.
-        :param asked_at: when it was asked, in milliseconds; ages in the
-            answer count from then.
+        :param theirs: what the peer wrote.
+        :param asked_at: a time before it was written, in milliseconds; ages
+            count from then.
         """
         digest = theirs.digest
         if digest.revision > self.catalogue.revision:
@@ -189,6 +189,15 @@
         self.take_documents(message)
         return Pull(self.catalogue.revision)
 
+    def _digest(self) -> Digest:
+        now = self.clock.now()
+        confirmed_at = self.catalogue.confirmed_at
+        return Digest(
+            self.catalogue.revision,
+            None if confirmed_at is None else now - confirmed_at,
+            self.contact.witnesses(now),
+        )
+
     def _take_rows(self, room: int, fillers: int) -> tuple[TableRows, ...]:
         told = []
         for table in self.tables.values():
--- a/packages/cowslippond-core/src/cowslippond_core/_peers.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_peers.py
@@ -13,7 +13,15 @@
 from cowslippond_core._gossip import Gossip
 from cowslippond_core._membership import Membership
 from cowslippond_core._metrics import Metric, Metrics
-from cowslippond_core._wire import Documents, Exchange, Pull, WireError
+from cowslippond_core._peer_messages import (
+    Confirmation,
+    Documents,
+    Exchange,
+    Pull,
+)
+from cowslippond_core._wire import (
+    WireError,
+)
 
 #: The most conversations that a daemon opens at a time.
 ACTIVE_PEERS = 8
@@ -107,16 +115,21 @@
     async def _answer_all(self, stream: SocketStream) -> None:
         talk = Conversation(stream, self.gossip.budget, self.metrics)
         try:
-            while True:
-                await self._answer_next(talk)
+            await self._answer_each(talk)
         except BROKEN_CONVERSATION as broken:
             _logger.debug('conversation ended', extra={'why': repr(broken)})
 
-    async def _answer_next(self, talk: Conversation) -> None:
-        with anyio.fail_after(seconds_of(_SILENCE_LIMIT)):
-            message = await talk.receive()
-        with anyio.fail_after(seconds_of(ANSWER_TIMEOUT)):
-            await talk.send(self.gossip.answer(message))
+    async def _answer_each(self, talk: Conversation) -> None:
+        answered_at = self.clock.now()
+        while True:
+            with anyio.fail_after(seconds_of(_SILENCE_LIMIT)):
+                message = await talk.receive()
+            if isinstance(message, Confirmation):
+                self.gossip.learn(message, answered_at)
+                continue
+            answered_at = self.clock.now()
+            with anyio.fail_after(seconds_of(ANSWER_TIMEOUT)):
+                await talk.send(self.gossip.answer(message))
 
     async def _keep_talking(self) -> None:
         while True:
@@ -171,6 +184,8 @@
         self.gossip.merge_rows(theirs)
         await self._even_out(talk, theirs.digest.revision)
         self.gossip.learn(theirs, asked_at)
+        with anyio.fail_after(seconds_of(ANSWER_TIMEOUT)):
+            await talk.send(self.gossip.confirmation())
         self.gossip.contact.note_attempt(address, asked_at, is_success=True)
         self.metrics.count(Metric.GOSSIP_EXCHANGES)
         self.is_new = False
--- a/packages/cowslippond-core/src/cowslippond_core/_wire.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_wire.py
@@ -1,10 +1,10 @@
-"""Messages between daemons, and their form as thrift frames."""
+"""The messages between daemons as thrift frames."""
 
 import math
 import pathlib
 from collections.abc import Iterable
 from functools import singledispatch
-from typing import Any, NamedTuple, TypeAlias
+from typing import Any
 
 import thriftpy2
 from thriftpy2.protocol.cybin import TCyBinaryProtocolFactory
@@ -15,6 +15,16 @@
 from cowslippond_core._clock import Millis
 from cowslippond_core._document import AcceptedDocument
 from cowslippond_core._gossip_table import GossipRow
+from cowslippond_core._peer_messages import (
+    Confirmation,
+    Digest,
+    Documents,
+    Exchange,
+    Message,
+    Pull,
+    TableRows,
+    Witness,
+)
 
 #: The largest frame that is read, in bytes.
 MAX_FRAME = 1_048_576
@@ -30,64 +40,6 @@
 _protocol = TCyBinaryProtocolFactory()
 
 
-class Witness(NamedTuple):
-    """News of a failure domain; ``age`` is in milliseconds."""
-
-    failure_domain: str
-    age: Millis
-
-
-class Digest(NamedTuple):
-    """What a daemon knows of the catalogue.
-
-    ``confirmed_age`` is the time since the revision was last known to be the
-    newest, in milliseconds; ``None`` if it never was.
-    """
-
-    revision: int
-    confirmed_age: Millis | None
-    witnesses: tuple[Witness, ...]
-
-
-class TableRows(NamedTuple):
-    """Rows of one gossip table."""
-
-    table: str
-    rows: tuple[GossipRow, ...]
-
-
-class Exchange(NamedTuple):
-    """Ask a peer for its state while telling one's own, or answer that."""
-
-    fleet: str
-    sender: str
-    failure_domain: str
-    digest: Digest
-    tables: tuple[TableRows, ...]
-    row_limit: int
-
-
-class Pull(NamedTuple):
-    """Ask for documents with a revision above ``after``."""
-
-    after: int
-
-
-class Documents(NamedTuple):
-    """Documents in the order of their revisions.
-
-    ``is_last`` says that there are none above these; the receiver then lacks
-    nothing up to ``revision``.
-    """
-
-    documents: tuple[AcceptedDocument, ...]
-    is_last: bool
-    revision: int
-
-
-Message: TypeAlias = Exchange | Pull | Documents
-
-
 class WireError(Exception):
     """A peer sent a frame that is no message.
 
@@ -125,6 +77,8 @@
         raise WireError(f'unreadable frame: {broken!r}') from broken
     if frame.exchange is not None:
         return _unpack_exchange(frame.exchange)
+    if frame.confirmation is not None:
+        return _unpack_confirmation(frame.confirmation)
     if frame.pull is not None:
         return Pull(_number(frame.pull.after))
     if frame.documents is not None:
@@ -150,6 +104,15 @@
     return _idl.Frame(exchange=exchange)
 
 
+@_pack.register
+def _pack_confirmation(message: Confirmation) -> Any:
+    confirmation = _idl.Confirmation(
+        failure_domain=message.failure_domain,
+        digest=_pack_digest(message.digest),
+    )
+    return _idl.Frame(confirmation=confirmation)
+
+
 @_pack.register
 def _pack_pull(message: Pull) -> Any:
     return _idl.Frame(pull=_idl.Pull(after=message.after))
@@ -215,9 +178,15 @@
     )
 
 
+def _unpack_confirmation(confirmation: Any) -> Confirmation:
+    return Confirmation(
+        _text(confirmation.failure_domain), _unpack_digest(confirmation.digest)
+    )
+
+
 def _unpack_digest(digest: Any) -> Digest:
     if digest is None:
-        raise WireError('an exchange without a digest')
+        raise WireError('a message without its digest')
     age = digest.confirmed_age_ms
     return Digest(
         _number(digest.revision),
--- a/packages/cowslippond-core/src/cowslippond_core/cowslippond.thrift
+++ b/packages/cowslippond-core/src/cowslippond_core/cowslippond.thrift
@@ -60,6 +60,16 @@
   6: i32 row_limit,
 }
 
+/**
+ * Ends a round: what the asking daemon knows after the answers. It has no
+ * answer. Written after the last answer arrived, so the answering daemon can
+ * tell how old it may be at most.
+ */
+struct Confirmation {
+  1: string failure_domain,
+  2: Digest digest,
+}
+
 /** Asks for Documents with a revision above one. */
 struct Pull {
   1: i64 after,
@@ -80,4 +90,5 @@
   1: optional Exchange exchange,
   2: optional Pull pull,
   3: optional Documents documents,
+  4: optional Confirmation confirmation,
 }
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/_spread_fleet.py
@@ -0,0 +1,285 @@
+"""A part of a fleet in one process, for the measurement of spreading."""
+
+import random
+import resource
+import time
+from functools import partial
+from typing import NamedTuple
+
+import anyio
+from cowslippond_core import (
+    AcceptedDocument,
+    Catalogue,
+    Clock,
+    ItemKey,
+    Metric,
+    Metrics,
+    Millis,
+    Put,
+    Spread,
+    SpreadSettings,
+    TableError,
+)
+from cowslippond_core._catalogue_layout import (
+    CHANGES,
+    DOCUMENTS,
+    HEAD,
+    CatalogueRow,
+    change_key,
+    document_key,
+    encode_row,
+)
+from cowslippond_core._table import Attributes
+from expression import Ok, Result
+
+_MILLIS_PER_SECOND = 1000
+_DOMAINS = 14
+_SEEDS = 3
+_NANOS_PER_MILLI = 1_000_000
+_PADDING = 2000
+
+
+class FleetPlan(NamedTuple):
+    """One row of the measurement.
+
+    ``changes_per_second`` are spread over all services; ``warm_up_s`` and
+    ``measured_s`` are in seconds; ``starts_at`` is the time at which warming
+    up began, in milliseconds since the Unix epoch.
+    """
+
+    daemons: int
+    services: int
+    changes_per_second: float
+    warm_up_s: float
+    measured_s: float
+    processes: int
+    base_port: int
+    starts_at: int
+
+
+class FleetFigures(NamedTuple):
+    """What one process measured, summed over its daemons.
+
+    ``cpu_s`` is in seconds, ``memory_kb`` is the process's peak. ``known`` is
+    the least number of daemons that a daemon knew at the end. ``delays`` are
+    those between the acceptance of a change and its being in force, and
+    ``ages`` those of confirmations and of the oldest news of a domain, all in
+    milliseconds.
+    """
+
+    daemons: int
+    wall_s: float
+    cpu_s: float
+    bytes_moved: int
+    rounds: int
+    failures: int
+    reads: int
+    memory_kb: int
+    known: int
+    delays: list[Millis]
+    confirmed_ages: list[Millis]
+    domain_ages: list[Millis]
+
+
+class ScheduledTable:
+    """A table whose changes happen by the clock, alike in all processes.
+
+    :param plan: how many services there are and how often they change.
+    """
+
+    def __init__(self, plan: FleetPlan) -> None:
+        self.plan = plan
+
+    def head(self) -> int:
+        """Return the newest revision by now."""
+        changed_s = self._changing_s()
+        changes = int(changed_s * self.plan.changes_per_second)
+        return self.plan.services + changes
+
+    def accepted_at(self, revision: int) -> Millis:
+        """Return when a change was accepted, in ms since the Unix epoch."""
+        index = revision - self.plan.services
+        after_s = self.plan.warm_up_s + index / self.plan.changes_per_second
+        return self.plan.starts_at + after_s * _MILLIS_PER_SECOND
+
+    async def get(self, key: ItemKey) -> Result[Attributes | None, TableError]:
+        """Return the head; no other item is asked for."""
+        if key == HEAD:
+            return Ok({'revision': self.head()})
+        return Ok(None)
+
+    async def put(self, put: Put) -> Result[None, TableError]:
+        """Do nothing; changes happen by the clock."""
+        return Ok(None)
+
+    async def transact(self, puts: object) -> Result[None, TableError]:
+        """Do nothing; changes happen by the clock."""
+        return Ok(None)
+
+    async def query(
+        self, partition: str, after: str, limit: int
+    ) -> Result[list[tuple[ItemKey, Attributes]], TableError]:
+        """Return changes after a revision, or documents after a service."""
+        if partition == CHANGES:
+            first = int(after) + 1
+            revisions = range(first, min(first + limit, self.head() + 1))
+            return Ok([_change_row(self.plan, rev) for rev in revisions])
+        rows = [
+            (document_key(accepted.service), _encode(accepted))
+            for accepted in self._newest()
+            if partition == DOCUMENTS and accepted.service > after
+        ]
+        return Ok(sorted(rows, key=_row_key)[:limit])
+
+    def _newest(self) -> list[AcceptedDocument]:
+        head = self.head()
+        first = max(head - self.plan.services, 0) + 1
+        return [_accepted(self.plan, rev) for rev in range(first, head + 1)]
+
+    def _changing_s(self) -> float:
+        now = time.time_ns() / _NANOS_PER_MILLI
+        elapsed = (now - self.plan.starts_at) / _MILLIS_PER_SECOND
+        return max(elapsed - self.plan.warm_up_s, 0)
+
+
+class FleetPart:
+    """The daemons of one process.
+
+    :param plan: the whole fleet.
+    :param part: which part of it this process runs, from 0.
+    """
+
+    def __init__(self, plan: FleetPlan, part: int) -> None:
+        self.plan = plan
+        self.table = ScheduledTable(plan)
+        self.clock = Clock()
+        self.delays: list[Millis] = []
+        indices = range(part, plan.daemons, plan.processes)
+        self.spreads = [self._make(index) for index in indices]
+        self.seen: dict[int, int] = {}
+
+    async def measure(self) -> FleetFigures:
+        """Run the daemons, warm up, and measure."""
+        async with anyio.create_task_group() as tasks:
+            for spread in self.spreads:
+                await tasks.start(spread.run)
+            await anyio.sleep(self._remaining_warm_up())
+            before = self._totals()
+            started_at = time.perf_counter()
+            cpu_before = time.process_time()
+            await anyio.sleep(self.plan.measured_s)
+            cpu_s = time.process_time() - cpu_before
+            wall_s = time.perf_counter() - started_at
+            figures = self._figures(before, wall_s, cpu_s)
+            tasks.cancel_scope.cancel()
+        return figures
+
+    def _note_change(self, catalogue: Catalogue) -> None:
+        now = self.clock.wall()
+        first = max(self.seen.get(id(catalogue), 0), self.plan.services) + 1
+        for newer in range(first, catalogue.revision + 1):
+            self.delays.append(now - self.table.accepted_at(newer))
+        self.seen[id(catalogue)] = catalogue.revision
+
+    def _remaining_warm_up(self) -> float:
+        elapsed = self.clock.wall() - self.plan.starts_at
+        return max(self.plan.warm_up_s - elapsed / _MILLIS_PER_SECOND, 0)
+
+    def _totals(self) -> dict[Metric, int]:
+        counted = (
+            Metric.GOSSIP_BYTES_SENT,
+            Metric.GOSSIP_BYTES_RECEIVED,
+            Metric.GOSSIP_EXCHANGES,
+            Metric.GOSSIP_FAILURES,
+            Metric.STORE_READS,
+        )
+        return {
+            metric: sum(
+                spread.metrics.totals[metric] for spread in self.spreads
+            )
+            for metric in counted
+        }
+
+    def _figures(
+        self, before: dict[Metric, int], wall_s: float, cpu_s: float
+    ) -> FleetFigures:
+        after = self._totals()
+        moved = {metric: after[metric] - before[metric] for metric in after}
+        sent = moved[Metric.GOSSIP_BYTES_SENT]
+        statuses = [spread.status() for spread in self.spreads]
+        return FleetFigures(
+            daemons=len(self.spreads),
+            wall_s=wall_s,
+            cpu_s=cpu_s,
+            bytes_moved=sent + moved[Metric.GOSSIP_BYTES_RECEIVED],
+            rounds=moved[Metric.GOSSIP_EXCHANGES],
+            failures=moved[Metric.GOSSIP_FAILURES],
+            reads=moved[Metric.STORE_READS],
+            memory_kb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
+            known=min(len(status.daemons) for status in statuses),
+            delays=self.delays,
+            confirmed_ages=[
+                status.confirmed_age
+                for status in statuses
+                if status.confirmed_age is not None
+            ],
+            domain_ages=[
+                max(status.domain_ages.values()) for status in statuses
+            ],
+        )
+
+    def _make(self, index: int) -> Spread:
+        plan = self.plan
+        settings = SpreadSettings(
+            fleet='spread-slopes',
+            peer_address=_address(plan, index),
+            admin_address=_address(plan, index),
+            failure_domain=_domain(index),
+            incarnation=str(index),
+            seeds=tuple(_address(plan, seed) for seed in range(_SEEDS)),
+            vm_list_url='',
+        )
+        catalogue = Catalogue(self.clock)
+        catalogue.listeners.append(partial(self._note_change, catalogue))
+        return Spread(
+            settings,
+            self.table,
+            self.clock,
+            catalogue,
+            Metrics(''),
+            random.Random(index),
+        )
+
+
+def _address(plan: FleetPlan, index: int) -> str:
+    port = plan.base_port + index
+    return f'127.0.0.1:{port}'
+
+
+def _domain(index: int) -> str:
+    number = index % _DOMAINS
+    return f'failure-domain-{number}'
+
+
+def _accepted(plan: FleetPlan, revision: int) -> AcceptedDocument:
+    earlier, index = divmod(revision - 1, plan.services)
+    service = f's{index}'
+    comment = '-' * _PADDING
+    text = (
+        f'// {comment}\n{{"service": "{service}",'
+        f'"match": [{{"host": "*", "path_prefix": "/{service}"}}],'
+        '"upstreams": {"slots": 2, "mean_service_ms": 8}}'
+    )
+    return AcceptedDocument(service, earlier + 1, revision, text, 'bench', 0)
+
+
+def _encode(accepted: AcceptedDocument) -> Attributes:
+    return encode_row(CatalogueRow(accepted, 'token'))
+
+
+def _change_row(plan: FleetPlan, revision: int) -> tuple[ItemKey, Attributes]:
+    return change_key(revision), _encode(_accepted(plan, revision))
+
+
+def _row_key(row: tuple[ItemKey, Attributes]) -> ItemKey:
+    return row[0]
--- a/tests/core/test_gossip.py
+++ b/tests/core/test_gossip.py
@@ -4,11 +4,13 @@
 from cowslippond_core import FRESHNESS_BOUND, GossipRow, GossipTable
 from cowslippond_core._contact import Contact
 from cowslippond_core._gossip import MAX_ROWS, Gossip
-from cowslippond_core._wire import (
-    MAX_FRAME,
+from cowslippond_core._peer_messages import (
     Documents,
     Exchange,
     Pull,
+)
+from cowslippond_core._wire import (
+    MAX_FRAME,
     WireError,
     decode_message,
     encode_message,
--- a/tests/core/test_outage_rule.py
+++ b/tests/core/test_outage_rule.py
@@ -12,7 +12,9 @@
 from cowslippond_core._contact import ATTEMPT_WINDOW, Contact
 from cowslippond_core._membership import Membership
 from cowslippond_core._outage_rule import OutageRule
-from cowslippond_core._wire import Witness
+from cowslippond_core._peer_messages import (
+    Witness,
+)
 from fakes import FakeClock
 
 DOMAINS = ('north', 'south', 'west')
