--- /dev/null
+++ b/tests/integration/shop.py
@@ -0,0 +1,177 @@
+"""A small deployment of the shop, its orders and what became of them."""
+
+import os
+import pathlib
+import sys
+from collections import Counter
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+
+import anyio
+from cowslippond_standins.harness._deployment import Deployment
+from cowslippond_standins.harness._handles import (
+    DaemonHandle,
+    UpstreamHandle,
+    UpstreamPlan,
+)
+from integration.client import Reply, call
+
+SERVICE = 'checkout'
+DOCUMENT = """{
+  "service": "checkout",
+  "match": [{"host": "shop.example", "path_prefix": "/"}],
+  "never_repeat": [
+    {
+      "methods": ["POST"],
+      "path": "/orders*",
+      "key_header": "idempotency-key",
+      "caller_header": "x-caller",
+    },
+  ],
+  "upstreams": {"slots": 2, "max_connections": 250, "mean_service_ms": 20},
+  "deadline": {"default_ms": 3000, "ceiling_ms": 6000},
+  "measuring": {"share_of_capacity": 0.01},
+  "retries": {"share_of_calls": 0.2},
+  "hedging": {"share_of_calls": 0.05, "delay_ms": 100},
+  "limits": {"concurrency": 64, "queue": 128},
+  "priority": "interactive",
+  "retirement": {"drain_ms": 6000},
+}"""
+_SEAMS = pathlib.Path(__file__).parent.parent / 'seams'
+_PATIENCE = 15
+
+
+async def place(
+    daemon: DaemonHandle,
+    key: str,
+    *,
+    work: int = 20,
+    size: int = 7,
+    deadline: int = 3000,
+    headers: Mapping[str, str] | None = None,
+) -> Reply:
+    """Send an order through a daemon.
+
+    :param work: how long it takes, in milliseconds.
+    :param size: of the answer, in bytes.
+    :param deadline: how long its caller waits, in milliseconds.
+    """
+    return await call(
+        daemon.caller_address,
+        'POST',
+        f'/orders?nonce=receipt&work={work}&size={size}',
+        headers={
+            'idempotency-key': key,
+            'x-caller': 'till-4',
+            'x-deadline-ms': str(deadline),
+            **(headers or {}),
+        },
+        body=b'one pass',
+    )
+
+
+class Shop:
+    """A running deployment with its daemons and upstreams."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        daemons: list[DaemonHandle],
+        upstreams: list[UpstreamHandle],
+    ) -> None:
+        self.deployment = deployment
+        self.platform = deployment.platform
+        self.daemons = daemons
+        self.upstreams = upstreams
+        self.replies: list[Reply] = []
+
+    async def place_and_keep(
+        self, daemon: DaemonHandle, key: str, work: int = 20
+    ) -> None:
+        """Send an order and keep what its caller is told."""
+        self.replies.append(await place(daemon, key, work=work))
+
+    async def place_late(self, daemon: DaemonHandle, key: str) -> None:
+        """Send an order whose caller waits for a second."""
+        self.replies.append(await place(daemon, key, deadline=1000))
+
+    async def runs_of(self, key: str) -> int:
+        """Return how often an order was run, by the upstreams' ledgers."""
+        runs = await self.deployment.runs()
+        return sum(run['order_key'] == key for run in runs)
+
+    async def wait_run(self, key: str) -> None:
+        """Wait until an order is running or has run."""
+        with anyio.fail_after(_PATIENCE):
+            while not await self.runs_of(key):
+                await anyio.sleep(0.01)
+
+    async def wait_settled(self, daemon: DaemonHandle) -> None:
+        """Wait until a daemon owes the table no write."""
+        with anyio.fail_after(_PATIENCE):
+            while (await daemon.status())['unsettled_claims']:
+                await anyio.sleep(0.02)
+
+    async def change_upstreams(self, **behaviour: object) -> None:
+        """Change how all upstreams behave."""
+        for upstream in self.upstreams:
+            await upstream.change(**behaviour)
+
+    async def set_faults(self, **faults: object) -> None:
+        """Switch faults of the table."""
+        await self.platform.control('set_faults', part='table', **faults)
+
+    async def clear_faults(self) -> None:
+        """Switch all faults of the platform off."""
+        await self.platform.control('clear_faults')
+
+    async def count(self, name: str) -> int:
+        """Return a counter of the table."""
+        counters = await self.platform.counters()
+        found: int = counters['table'].get(name, 0)
+        return found
+
+    async def upstream_counters(self) -> Counter[str]:
+        """Return the counters of the upstreams that run, added up."""
+        total: Counter[str] = Counter()
+        for upstream in self.upstreams:
+            if upstream.child.is_running():
+                total.update((await upstream.ledger())['counters'])
+        return total
+
+    def crashed(self) -> int:
+        """Return how many upstreams have ended."""
+        children = {upstream.child for upstream in self.upstreams}
+        return sum(not child.is_running() for child in children)
+
+
+@asynccontextmanager
+async def open_shop(
+    folder: pathlib.Path, daemons: int = 2, upstreams: int = 2
+) -> AsyncIterator[Shop]:
+    """Start a deployment whose upstreams are processes of their own.
+
+    The variable ``TEST_SEAM`` names a mechanism that is switched off in the
+    daemons, to see a proof fail.
+    """
+    async with Deployment(folder) as deployment:
+        for index in range(upstreams):
+            plan = UpstreamPlan(SERVICE, mean_ms=20, seed=index)
+            await deployment.add_upstreams(plan, [f'rvk-{index % 3 + 1}'])
+        await deployment.accept(DOCUMENT)
+        started = [
+            await deployment.add_daemon(f'rvk-{index + 1}', _environment())
+            for index in range(daemons)
+        ]
+        for daemon in started:
+            await deployment.wait_serving(daemon)
+        yield Shop(deployment, started, deployment.upstreams)
+
+
+def _environment() -> dict[str, str]:
+    seam = os.environ.get('TEST_SEAM')
+    if not seam:
+        return {}
+    sources = [entry for entry in sys.path if entry.endswith('src')]
+    path = [str(_SEAMS / seam), *sources]
+    return {'PYTHONPATH': os.pathsep.join(path)}
--- /dev/null
+++ b/tests/integration/test_orders.py
@@ -0,0 +1,234 @@
+"""Proofs that an order runs at most once, and that callers hear the truth."""
+
+import pathlib
+from collections import Counter
+from collections.abc import AsyncIterator
+
+import anyio
+import pytest
+from integration.client import Reply, call
+from integration.shop import Shop, open_shop, place
+
+pytestmark = pytest.mark.anyio
+
+_ALL = -1
+_LONG_WORK = 800
+
+
+@pytest.fixture
+async def shop(tmp_path: pathlib.Path) -> AsyncIterator[Shop]:
+    async with open_shop(tmp_path) as running:
+        yield running
+
+
+def told(reply: Reply) -> tuple[str, str]:
+    """Return the outcome and the reason of a refusal."""
+    assert reply.outcome, reply
+    assert int(reply.headers['retry-after']) > 0
+    return reply.outcome, reply.reason
+
+
+class TestRace:
+    async def test_order_through_two_daemons_at_once(self, shop: Shop) -> None:
+        keys = [f'race-{index}' for index in range(20)]
+        for key in keys:
+            async with anyio.create_task_group() as tasks:
+                for daemon in shop.daemons:
+                    tasks.start_soon(shop.place_and_keep, daemon, key)
+        statuses = Counter(reply.status for reply in shop.replies)
+        assert statuses[200] >= 20
+        assert statuses[409] > 0, 'no two orders met'
+        assert statuses[200] + statuses[409] == 40
+        assert [await shop.runs_of(key) for key in keys] == [1] * 20
+
+    async def test_repeat_through_another_daemon_gets_the_same(
+        self, shop: Shop
+    ) -> None:
+        first = await place(shop.daemons[0], 'small')
+        large = await place(shop.daemons[0], 'large', size=200_000)
+        await shop.wait_settled(shop.daemons[0])
+        again = await place(shop.daemons[1], 'small')
+        large_again = await place(shop.daemons[1], 'large', size=200_000)
+        assert (first.status, first.body) == (200, b'receipt')
+        assert (again.status, again.body) == (200, first.body)
+        assert len(large.body) == 200_000
+        assert large_again.body == large.body
+        assert await shop.runs_of('small') == 1
+        assert await shop.runs_of('large') == 1
+
+
+class TestClaimant:
+    async def test_killed_after_it_sent_the_order(self, shop: Shop) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                shop.place_and_keep, shop.daemons[0], 'killed', _LONG_WORK
+            )
+            await shop.wait_run('killed')
+            shop.daemons[0].child.kill()
+        assert [reply.status for reply in shop.replies] == [0]
+        repeat = await place(shop.daemons[1], 'killed', work=_LONG_WORK)
+        assert told(repeat) == ('unknown', 'key_in_progress')
+        await anyio.sleep(3)
+        later = await place(shop.daemons[1], 'killed', work=_LONG_WORK)
+        assert told(later) == ('unknown', 'key_outcome_lost')
+        assert await shop.runs_of('killed') == 1
+
+    async def test_paused_while_the_order_runs(self, shop: Shop) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                shop.place_and_keep, shop.daemons[0], 'paused', 500
+            )
+            await shop.wait_run('paused')
+            shop.daemons[0].child.freeze()
+            await anyio.sleep(3.2)
+            repeat = await place(shop.daemons[1], 'paused', work=500)
+            shop.daemons[0].child.thaw()
+        assert told(repeat)[0] == 'unknown'
+        await shop.wait_settled(shop.daemons[0])
+        assert await shop.runs_of('paused') == 1
+
+    async def test_paused_between_claim_and_send(self, shop: Shop) -> None:
+        await shop.set_faults(delay_ms=500)
+        writes = await shop.count('writes')
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(shop.place_late, shop.daemons[0], 'late')
+            await anyio.sleep(0.3)
+            shop.daemons[0].child.freeze()
+            await anyio.sleep(1.2)
+            assert await shop.count('writes') == writes + 1, 'not claimed'
+            await shop.clear_faults()
+            repeat = await place(shop.daemons[1], 'late')
+            shop.daemons[0].child.thaw()
+        assert told(repeat)[0] == 'unknown'
+        assert told(shop.replies[0]) == ('not-run', 'deadline')
+        assert await shop.runs_of('late') == 0
+        await shop.wait_settled(shop.daemons[0])
+        assert (await place(shop.daemons[1], 'late')).status == 200
+        assert await shop.runs_of('late') == 1
+
+
+class TestTable:
+    async def test_outage_refuses_and_does_not_run(self, shop: Shop) -> None:
+        await shop.set_faults(outage='cut')
+        refused = await place(shop.daemons[0], 'outage')
+        repeat = await place(
+            shop.daemons[1], 'outage', headers={'x-attempt': '1'}
+        )
+        assert told(refused) == ('not-run', 'claim_unavailable')
+        assert told(repeat) == ('unknown', 'claim_unavailable')
+        assert await shop.runs_of('outage') == 0
+        await shop.clear_faults()
+        await shop.wait_settled(shop.daemons[0])
+        await shop.wait_settled(shop.daemons[1])
+        assert (await place(shop.daemons[1], 'outage')).status == 200
+        assert await shop.runs_of('outage') == 1
+
+    @pytest.mark.parametrize('lost', ['cut', 'hang'])
+    async def test_answers_lost_after_the_claim_took_effect(
+        self, shop: Shop, lost: str
+    ) -> None:
+        await shop.set_faults(drop_answers=1, lost_answer=lost)
+        reply = await place(shop.daemons[0], 'lost')
+        assert await shop.count('answers_dropped') == 1
+        assert (reply.status, reply.body) == (200, b'receipt')
+        await shop.wait_settled(shop.daemons[0])
+        again = await place(shop.daemons[1], 'lost')
+        assert again.body == b'receipt'
+        assert await shop.runs_of('lost') == 1
+
+    async def test_outage_between_claim_and_record(self, shop: Shop) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                shop.place_and_keep, shop.daemons[0], 'unrecorded', 500
+            )
+            await shop.wait_run('unrecorded')
+            await shop.set_faults(outage='error')
+        assert shop.replies[0].status == 200
+        during = await place(shop.daemons[1], 'unrecorded', work=500)
+        assert during.outcome
+        await shop.clear_faults()
+        await shop.wait_settled(shop.daemons[0])
+        again = await place(shop.daemons[1], 'unrecorded', work=500)
+        assert (again.status, again.body) == (200, b'receipt')
+        assert await shop.runs_of('unrecorded') == 1
+
+
+class TestUpstream:
+    async def test_that_sheds_sends_the_order_elsewhere(
+        self, shop: Shop
+    ) -> None:
+        await shop.upstreams[0].change(draining=True)
+        replies = [
+            await place(shop.daemons[0], f'shed-{index}') for index in range(6)
+        ]
+        assert (await shop.upstream_counters())['draining'] > 0
+        assert {reply.status for reply in replies} == {200}
+        runs = [await shop.runs_of(f'shed-{index}') for index in range(6)]
+        assert runs == [1] * 6
+
+    async def test_that_all_shed_leave_the_key_free(self, shop: Shop) -> None:
+        await shop.change_upstreams(draining=True)
+        refused = await place(shop.daemons[0], 'free', deadline=500)
+        assert refused.outcome == 'not-run'
+        assert await shop.runs_of('free') == 0
+        await shop.wait_settled(shop.daemons[0])
+        repeat = await place(shop.daemons[1], 'free', deadline=500)
+        assert repeat.outcome == 'not-run'
+
+    async def test_whose_answer_breaks_off_leaves_it_unknown(
+        self, shop: Shop
+    ) -> None:
+        await shop.change_upstreams(truncate=1)
+        cut = await place(shop.daemons[0], 'cut', size=5000)
+        assert (await shop.upstream_counters())['truncated'] == 1
+        assert told(cut) == ('unknown', 'answer_lost')
+        await shop.wait_settled(shop.daemons[0])
+        repeat = await place(shop.daemons[1], 'cut', size=5000)
+        assert told(repeat)[0] == 'unknown'
+        assert await shop.runs_of('cut') == 1
+
+
+class TestCaller:
+    async def test_that_leaves_finds_its_answer_later(self, shop: Shop) -> None:
+        with anyio.move_on_after(0.3) as patience:
+            await place(shop.daemons[0], 'left', work=_LONG_WORK)
+        assert patience.cancelled_caught
+        assert await shop.runs_of('left') == 1
+        await anyio.sleep(1)
+        await shop.wait_settled(shop.daemons[0])
+        again = await place(shop.daemons[1], 'left', work=_LONG_WORK)
+        assert (again.status, again.body) == (200, b'receipt')
+        assert await shop.runs_of('left') == 1
+
+
+class TestCrashingRequest:
+    async def test_is_contained_and_others_are_served(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async with open_shop(tmp_path, daemons=3, upstreams=6) as shop:
+            served = [
+                await call(daemon.caller_address, path='/prints')
+                for daemon in shop.daemons * 8
+            ]
+            told = []
+            for turn in range(30):
+                daemon = shop.daemons[turn % 3]
+                told.append(
+                    await call(
+                        daemon.caller_address,
+                        'PUT',
+                        '/parts/7',
+                        body=b'CRASH',
+                    )
+                )
+                await anyio.sleep(0.01)
+            after = [
+                await call(daemon.caller_address, path='/prints')
+                for daemon in shop.daemons * 8
+            ]
+            assert {reply.status for reply in served} == {200}
+            assert 0 < shop.crashed() <= 3
+            assert {reply.outcome for reply in told} <= {'unknown', 'not-run'}
+            assert told[-1].reason == 'quarantined'
+            assert int(told[-1].headers['retry-after']) > 10
+            assert {reply.status for reply in after} == {200}
