Prove orders with real processes, and tell all daemons of a crash at once

Cause: in a fleet of 3 daemons one crashing request ended 6 upstreams. The first break stayed doubtful, because the kernel still took a connection for the ending process; and the other daemons heard of it only after the 200 ms pause between rounds of gossip, while the caller was back within 20 ms. Ruled out: holding the answer back until gossip has gone round; the caller is told at once, after at most 40 ms. Change: the probe after a break waits up to 5 ms for the end of its own connection; marks of a certain crash are pushed to every known daemon.

--- a/packages/cowslippond-core/src/cowslippond_core/_crash_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_crash_watch.py
@@ -1,6 +1,7 @@
 """What the end of a send tells about crashes of its upstream."""
 
 import anyio
+from anyio.abc import ByteStream
 
 from cowslippond_core._attempt import Attempt, Lost
 from cowslippond_core._clock import Millis, seconds_of
@@ -10,6 +11,7 @@
 
 # A crashed process refuses at once; a machine that is gone does not.
 _LONGEST_PROBE: Millis = 50
+_LONGEST_END: Millis = 5
 _CRASH_SPAN: Millis = 50
 
 
@@ -47,6 +49,7 @@
     is_refusing = await _is_refusing(upstream.address)
     if is_refusing or connections.have_all_broken(since):
         quarantine.confirm_crash(upstream.address)
+        await quarantine.push_news()
 
 
 async def _is_refusing(address: str) -> bool:
@@ -58,5 +61,17 @@
         return False
     except OSError as failed:
         return isinstance(failed.__cause__, ConnectionRefusedError)
-    await stream.aclose()
+    # The kernel may take a connection for a process that is just ending.
+    async with stream:
+        return await _is_ended(stream)
+
+
+async def _is_ended(stream: ByteStream) -> bool:
+    try:
+        with anyio.fail_after(seconds_of(_LONGEST_END)):
+            await stream.receive(1)
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return True
+    except TimeoutError:
+        return False
     return False
--- a/packages/cowslippond-core/src/cowslippond_core/_quarantine.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_quarantine.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 from weakref import WeakValueDictionary
 
@@ -53,7 +53,8 @@
 class Quarantine:
     """The requests that this daemon refuses because they crash upstreams.
 
-    ``listeners`` are told what this daemon finds out by itself.
+    ``listeners`` are told what this daemon finds out by itself; ``push_news``
+    waits a short time until the other daemons know it.
 
     :param clock: its wall clock dates crashes for other daemons, its
         monotonic one tells old connections from new.
@@ -66,6 +67,7 @@
         self.breakages: dict[str, _Breakage] = {}
         self.turns: WeakValueDictionary[str, anyio.Lock] = WeakValueDictionary()
         self.listeners: list[Callable[[SuspectNews], None]] = []
+        self.push_news: Callable[[], Awaitable[None]] = _push_nothing
 
     def check(self, fingerprint: str) -> CallRefusal | None:
         """Return why a call may not be sent now, or ``None``.
@@ -207,3 +209,7 @@
     def _tell(self, kind: NewsKind, fingerprint: str, mark: CrashMark) -> None:
         for listener in self.listeners:
             listener(SuspectNews(kind, fingerprint, mark))
+
+
+async def _push_nothing() -> None:
+    """Do nothing, as there are no other daemons."""
--- a/packages/cowslippond-core/src/cowslippond_core/_spread.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_spread.py
@@ -20,6 +20,7 @@
 from cowslippond_core._quarantine import Quarantine
 from cowslippond_core._quarantine_gossip import share_quarantine
 from cowslippond_core._table import Table
+from cowslippond_core._urgent_news import UrgentNews
 from cowslippond_core._vm_list import Vm
 from cowslippond_core._vm_list_poller import VmListPoller
 
@@ -123,6 +124,13 @@
     def share_quarantine(self, quarantine: Quarantine) -> None:
         """Pass on what a quarantine finds out, as soon as it does."""
         share_quarantine(quarantine, self.tables['quarantine'])
+        quarantine.push_news = UrgentNews(
+            'quarantine',
+            self.gossip,
+            self.membership,
+            self.clock,
+            self.metrics,
+        ).push
 
     def vms(self) -> tuple[Vm, ...]:
         """Return the newest list of VMs that could be read."""
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_urgent_news.py
@@ -0,0 +1,88 @@
+"""Passes the newest rows of a table to every known daemon at once."""
+
+import logging
+
+import anyio
+
+from cowslippond_core._clock import Clock, Millis, seconds_of
+from cowslippond_core._conversation import BROKEN_CONVERSATION, Conversation
+from cowslippond_core._gossip import Gossip
+from cowslippond_core._membership import Membership
+from cowslippond_core._metrics import Metrics
+from cowslippond_core._wire import TableRows
+
+#: The longest wait for the daemons to take the news, in milliseconds.
+PATIENCE: Millis = 40
+
+#: The least time between two pushes on average, in milliseconds, and how many
+#: may follow each other at once.
+PUSH_INTERVAL: Millis = 2000
+PUSH_BURST = 4
+
+_NEWEST_ROWS = 4
+_MOST_DAEMONS = 256
+
+_logger = logging.getLogger(__name__)
+
+
+class UrgentNews:
+    """Pushes rows that must be known before a caller can try again.
+
+    Ordinary gossip passes the rows on as well, so a push may be left out or
+    fail; it only makes them known sooner.
+
+    :param table: the name of the table whose rows are pushed.
+    :param gossip: composes the message.
+    :param membership: who gets it.
+    :param clock: bounds the wait and the rate.
+    :param metrics: counts the bytes.
+    """
+
+    def __init__(
+        self,
+        table: str,
+        gossip: Gossip,
+        membership: Membership,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.table = table
+        self.gossip = gossip
+        self.membership = membership
+        self.clock = clock
+        self.metrics = metrics
+        self.next_at: Millis = 0
+
+    async def push(self) -> None:
+        """Return when the daemons know the newest rows, or patience ends."""
+        if not self._is_due():
+            return
+        newest = self.gossip.tables[self.table].rows()[-_NEWEST_ROWS:]
+        told = TableRows(self.table, tuple(newest))
+        with anyio.move_on_after(seconds_of(PATIENCE)):
+            async with anyio.create_task_group() as tasks:
+                for daemon in self.membership.known()[:_MOST_DAEMONS]:
+                    tasks.start_soon(self._tell, daemon.address, told)
+
+    def _is_due(self) -> bool:
+        now = self.clock.now()
+        earliest = now - PUSH_INTERVAL * PUSH_BURST
+        due_at = max(self.next_at, earliest) + PUSH_INTERVAL
+        if due_at > now:
+            return False
+        self.next_at = due_at
+        return True
+
+    async def _tell(self, address: str, told: TableRows) -> None:
+        host, _, port = address.rpartition(':')
+        message = self.gossip.compose(0, 0, 0)._replace(tables=(told,))
+        try:
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                talk = Conversation(stream, self.gossip.budget, self.metrics)
+                await talk.send(message)
+                await talk.receive()
+        except BROKEN_CONVERSATION as broken:
+            _logger.debug(
+                'peer did not take the news',
+                extra={'peer': address, 'why': repr(broken)},
+            )
--- a/tests/integration/seams/sitecustomize.py
+++ b/tests/integration/seams/sitecustomize.py
@@ -89,10 +89,124 @@
     _budgets.ShareBudget.take = lambda *_: True
 
 
+def _take_over_lapsed_claims() -> None:
+    import time
+
+    from cowslippond_core import _claim_rows, _claims
+
+    is_decided = _claims._is_decided
+
+    def is_decided_or_lapsed(claim: Any, row: Any) -> bool:
+        is_lapsed = row.until < time.time() * 1000
+        if row.state is _claim_rows.ClaimState.CLAIMED and is_lapsed:
+            return False
+        return is_decided(claim, row)
+
+    _claims._is_decided = is_decided_or_lapsed
+
+
+def _give_up_lost_claims() -> None:
+    from cowslippond_core import _claim_outcomes, _claims
+
+    claim_row = _claims.Claims.claim
+
+    async def claim(claims: Any, claim: Any) -> Any:
+        read = claims._read
+
+        async def fail(item: Any) -> Any:
+            unread = await read(item)
+            return unread.map(lambda row: None)
+
+        claims._read = fail
+        return await claim_row(claims, claim)
+
+    _claims.Claims.claim = claim
+    assert _claim_outcomes
+
+
+def _run_without_table() -> None:
+    from cowslippond_core import _claim_outcomes, _claims
+
+    claim_row = _claims.Claims.claim
+
+    async def claim_or_run(claims: Any, claim: Any) -> Any:
+        outcome = await claim_row(claims, claim)
+        if isinstance(outcome, _claim_outcomes.ClaimUnavailable):
+            return _claim_outcomes.ClaimGranted(claim)
+        return outcome
+
+    _claims.Claims.claim = claim_or_run
+
+
+def _keep_claims() -> None:
+    from cowslippond_core import _claims
+    from expression import Ok
+
+    async def keep(claims: Any, claim: Any) -> Any:
+        return Ok(None)
+
+    _claims.Claims.release = keep
+    _claims.Claims.fence = keep
+
+
+def _release_unknown_outcomes() -> None:
+    from cowslippond_core import _claim_backlog, _claim_flow, _messages
+
+    send_claimed = _claim_flow.ClaimFlow._send
+
+    async def send_and_release(flow: Any, claim: Any, send: Any) -> Any:
+        end = await send_claimed(flow, claim, send)
+        if isinstance(end, _messages.CallRefusal):
+            flow.backlog.add(_claim_backlog.ReleaseClaim(claim))
+        return end
+
+    _claim_flow.ClaimFlow._send = send_and_release
+
+
+def _cancel_claimed_calls() -> None:
+    from types import SimpleNamespace
+
+    import anyio
+    from cowslippond_core import _claim_flow
+
+    def scope(**options: Any) -> Any:
+        return anyio.CancelScope()
+
+    _claim_flow.anyio = SimpleNamespace(
+        CancelScope=scope, move_on_after=anyio.move_on_after
+    )
+
+
+def _send_late() -> None:
+    from cowslippond_core import _claim, _clock
+
+    elapsed = _clock.Clock.now
+    _claim.Claim.may_send = lambda *_: True
+    skipped = [float(0)]
+    last = [float(0)]
+
+    def now(clock: Any) -> float:
+        # Without the time of a pause, a process never learns of it.
+        current = elapsed(clock)
+        if last[0] and current - last[0] > 500:
+            skipped[0] += current - last[0]
+        last[0] = current
+        return current - skipped[0]
+
+    _clock.Clock.now = now
+
+
 SEAMS = MappingProxyType(
     {
         'freshness': _serve_stale_versions,
         'claims': _send_without_claim,
+        'no_takeover': _take_over_lapsed_claims,
+        'read_back': _give_up_lost_claims,
+        'claim_outage': _run_without_table,
+        'release': _keep_claims,
+        'unknown_outcomes': _release_unknown_outcomes,
+        'shield': _cancel_claimed_calls,
+        'late_send': _send_late,
         'idempotence': _repeat_orders,
         'leaving': _ignore_leaving,
         'retirement': _stop_at_once,
