--- a/packages/cowslippond-standins/src/cowslippond_standins/_stream.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/_stream.py
@@ -9,6 +9,8 @@
 from cowslippond_standins._address import Address
 
 CHUNK_BYTES = 65_536
+BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
+CLOSED = (*BROKEN, RuntimeError)
 _LINGER_OFF = struct.pack('ii', 1, 0)
 
 
@@ -29,3 +31,15 @@
     except OSError:
         return
     await anyio.aclose_forcefully(stream)
+
+
+async def end_sending(stream: SocketStream) -> None:
+    """Close one direction of a connection, unless it is closed already.
+
+    The event loop reports a transport that it closed by a plain
+    :exc:`RuntimeError`.
+    """
+    try:
+        await stream.send_eof()
+    except CLOSED:
+        return
--- a/packages/cowslippond-standins/src/cowslippond_standins/balancer.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/balancer.py
@@ -111,8 +111,7 @@
     except _BROKEN:
         scope.cancel()
         return
-    with contextlib.suppress(*_BROKEN):
-        await sink.send_eof()
+    await _stream.end_sending(sink)
 
 
 async def _is_healthy(backend: Backend) -> bool:
--- a/packages/cowslippond-standins/src/cowslippond_standins/fault_proxy/_link.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fault_proxy/_link.py
@@ -160,7 +160,7 @@
                 await sink.send(chunk)
                 self.counters[f'bytes_{direction}'] += len(chunk)
         if direction not in relay.silent:
-            await sink.send_eof()
+            await _stream.end_sending(sink)
 
     async def _passes(
         self, relay: Relay, direction: Direction, chunk: bytes
--- /dev/null
+++ b/tests/integration/test_own_answers.py
@@ -0,0 +1,275 @@
+"""Every caller receives the whole answer to its own request."""
+
+import os
+from collections import Counter
+from functools import partial
+
+import anyio
+import pytest
+from cowslippond_standins.harness._deployment import Deployment
+from cowslippond_standins.harness._handles import (
+    DaemonHandle,
+    LinkHandle,
+    UpstreamHandle,
+    UpstreamPlan,
+)
+from cowslippond_standins.upstream._request import body_of
+from integration.client import DOMAINS, Reply, apply, call
+from integration.shop import DOCUMENT, SERVICE
+
+pytestmark = pytest.mark.anyio
+
+MEBIBYTE = 1024 * 1024
+AFTER = tuple(f'after-{index}' for index in range(10, 22))
+SIZES = (0, 1, 65_535, 65_536, 65_537, MEBIBYTE)
+
+
+class Path:
+    """One daemon and upstreams that it reaches through fault links."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        daemon: DaemonHandle,
+        links: list[LinkHandle],
+        upstreams: list[UpstreamHandle],
+    ) -> None:
+        self.deployment = deployment
+        self.daemon = daemon
+        self.links = links
+        self.upstreams = upstreams
+
+    async def ask(self, nonce: str, size: int = 64, **query: int) -> Reply:
+        """Look something up; the body of its answer is known."""
+        fields = {'nonce': nonce, 'size': size, 'work': 5, **query}
+        target = '&'.join(f'{name}={text}' for name, text in fields.items())
+        return await call(self.daemon.caller_address, path=f'/look?{target}')
+
+    async def raw(self, request: bytes) -> bytes:
+        """Send bytes on one connection and read until it ends."""
+        address = self.daemon.caller_address
+        stream = await anyio.connect_tcp(address.host, address.port)
+        chunks = []
+        async with stream:
+            await stream.send(request)
+            with anyio.move_on_after(5):
+                async for chunk in stream:
+                    chunks.append(chunk)
+        return b''.join(chunks)
+
+    async def repeats(self) -> int:
+        """Return how many calls the daemon sent again, or copied."""
+        counters = (await self.daemon.status())['counters']
+        return sum(
+            count
+            for name, count in counters.items()
+            if name.startswith('retries.')
+        )
+
+    async def count(self, name: str) -> int:
+        """Return a counter over all links."""
+        found: Counter[str] = Counter()
+        for link in self.links:
+            found.update(await self.deployment.proxy.counters(link))
+        return found[name]
+
+
+async def open_path(deployment: Deployment, upstreams: int = 1) -> Path:
+    """Start a daemon and upstreams behind links of the fault proxy."""
+    handles = await deployment.add_upstreams(
+        UpstreamPlan(SERVICE, mean_ms=5),
+        [DOMAINS[index % len(DOMAINS)] for index in range(upstreams)],
+        queue=16,
+    )
+    links = []
+    for handle in handles:
+        link = await deployment.proxy.open(handle.vm, handle.address)
+        await deployment.platform.control('remove_vm', vm=handle.vm)
+        await deployment.list_upstream(
+            handle._replace(listed_address=link.address)
+        )
+        links.append(link)
+    await apply(deployment, DOCUMENT)
+    daemon = await deployment.add_daemon(DOMAINS[0])
+    await deployment.wait_serving(daemon)
+    return Path(deployment, daemon, links, handles)
+
+
+def encode_get(target: str, *, is_last: bool) -> bytes:
+    """Return a lookup as it goes over a connection."""
+    end = 'Connection: close\r\n\r\n' if is_last else '\r\n'
+    head = f'GET {target} HTTP/1.1\r\nHost: shop.example\r\n'
+    return (head + end).encode()
+
+
+async def keep(
+    replies: dict[str, Reply], path: Path, nonce: str, **query: int
+) -> None:
+    replies[nonce] = await path.ask(nonce, **query)
+
+
+class TestBodies:
+    @pytest.mark.parametrize('chunked', [0, 1])
+    async def test_answers_of_all_sizes_are_whole(
+        self, deployment: Deployment, chunked: int
+    ) -> None:
+        path = await open_path(deployment)
+        for size in SIZES:
+            reply = await path.ask('abc', size, chunked=chunked)
+            assert reply.status == 200
+            assert reply.body == body_of('abc', size)
+
+    async def test_largest_bodies_both_ways(
+        self, deployment: Deployment
+    ) -> None:
+        """64 MiB pass in both directions while the daemon stays small."""
+        path = await open_path(deployment)
+        size = 64 * MEBIBYTE
+        before = resident_bytes(path.daemon)
+        reply = await path.ask('large', size)
+        assert reply.body == body_of('large', size)
+        sent = await call(
+            path.daemon.caller_address,
+            'PUT',
+            '/store?nonce=kept&work=1',
+            body=os.urandom(MEBIBYTE) * 64,
+        )
+        assert sent.status == 200
+        assert sent.headers['x-body-length'] == str(size)
+        grown = resident_bytes(path.daemon) - before
+        assert grown < 16 * MEBIBYTE
+
+
+def resident_bytes(daemon: DaemonHandle) -> int:
+    """Return the memory of a daemon's process."""
+    pid = daemon.child.popen.pid
+    with open(f'/proc/{pid}/statm') as statm:
+        pages = int(statm.read().split()[1])
+    return pages * os.sysconf('SC_PAGE_SIZE')
+
+
+class TestLateAnswers:
+    async def test_held_answer_reaches_nobody_else(
+        self, deployment: Deployment
+    ) -> None:
+        """An answer that comes after its caller gave up goes nowhere."""
+        path = await open_path(deployment)
+        assert (await path.ask('warm')).status == 200
+        proxy, link = deployment.proxy, path.links[0]
+        await proxy.command('faults', link, holding=True)
+        late = await call(
+            path.daemon.caller_address,
+            path='/look?nonce=late&size=64&work=5',
+            headers={'x-deadline-ms': '300'},
+        )
+        assert late.outcome == 'unknown'
+        await proxy.command('faults', link, holding=False)
+        replies: dict[str, Reply] = {}
+        async with anyio.create_task_group() as tasks:
+            for index in range(20):
+                nonce = f'own-{index}'
+                tasks.start_soon(keep, replies, path, nonce)
+            await proxy.command('release', link)
+        assert await path.count('held') > 0
+        for nonce, reply in replies.items():
+            assert reply.status == 200
+            assert reply.body == body_of(nonce, 64)
+
+    @pytest.mark.parametrize('chunked', [0, 1])
+    async def test_truncated_answer_does_not_end_cleanly(
+        self, deployment: Deployment, chunked: int
+    ) -> None:
+        """The caller can tell that an answer was cut short."""
+        path = await open_path(deployment)
+        await path.upstreams[0].change(truncate=1)
+        target = f'/look?nonce=cut&size=200000&work=1&chunked={chunked}'
+        received = await path.raw(encode_get(target, is_last=True))
+        ledger = await path.upstreams[0].ledger()
+        assert ledger['counters']['truncated'] == 1
+        head, _, body = received.partition(b'\r\n\r\n')
+        assert head.startswith(b'HTTP/1.1 200')
+        assert len(body) < 200_000
+        assert not received.endswith(b'0\r\n\r\n')
+
+
+class TestSilentConnections:
+    async def test_old_connections_go_silent_while_new_ones_work(
+        self, deployment: Deployment
+    ) -> None:
+        """Calls get answers from new connections; orders are never at risk."""
+        path = await open_path(deployment)
+        replies: dict[str, Reply] = {}
+        async with anyio.create_task_group() as tasks:
+            for index in range(12):
+                tasks.start_soon(
+                    partial(keep, replies, path, f'w{index}', work=50)
+                )
+        assert {reply.status for reply in replies.values()} == {200}
+        await deployment.proxy.command('silence', path.links[0])
+        assert await path.count('silenced') > 0
+        order = await call(
+            path.daemon.caller_address,
+            'POST',
+            '/orders?nonce=receipt&work=5',
+            headers={'idempotency-key': 'k1', 'x-caller': 'till-1'},
+        )
+        assert (order.status, order.body) == (200, b'receipt')
+        assert (await path.ask('first')).status == 200
+        repeats = await path.repeats()
+        late: dict[str, Reply] = {}
+        async with anyio.create_task_group() as tasks:
+            for nonce in AFTER:
+                tasks.start_soon(keep, late, path, nonce)
+        for nonce, reply in late.items():
+            assert (reply.status, reply.body) == (200, body_of(nonce, 64))
+        # The first silence made every older connection suspect.
+        assert await path.repeats() - repeats <= 3
+
+
+class TestSmuggling:
+    @pytest.mark.parametrize(
+        'head',
+        [
+            'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n',
+            'Content-Length: 3\r\nContent-Length: 4\r\n',
+            'Transfer-Encoding: chunked, identity\r\n',
+            'Content-Length : 3\r\n',
+            'X-Folded: a\r\n b\r\nContent-Length: 0\r\n',
+        ],
+    )
+    async def test_doubtful_framing_is_refused(
+        self, deployment: Deployment, head: str
+    ) -> None:
+        path = await open_path(deployment)
+        request = f'POST /look HTTP/1.1\r\nHost: shop.example\r\n{head}\r\n'
+        received = await path.raw(f'{request}0\r\n\r\n'.encode())
+        assert received.startswith(b'HTTP/1.1 400')
+        assert not await deployment.runs()
+
+    async def test_bad_chunk_size_runs_nothing(
+        self, deployment: Deployment
+    ) -> None:
+        path = await open_path(deployment)
+        received = await path.raw(
+            b'POST /look HTTP/1.1\r\nHost: shop.example\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n'
+        )
+        assert not received.startswith(b'HTTP/1.1 200')
+        assert not await deployment.runs()
+
+    async def test_pipelined_calls_get_their_own_answers_in_order(
+        self, deployment: Deployment
+    ) -> None:
+        path = await open_path(deployment, upstreams=3)
+        nonces = [f'pipe-{index}' for index in range(6)]
+        requests = [
+            encode_get(
+                f'/look?nonce={nonce}&size=16&work={work}',
+                is_last=nonce == nonces[-1],
+            )
+            for nonce, work in zip(nonces, (60, 50, 40, 30, 20, 10))
+        ]
+        received = await path.raw(b''.join(requests))
+        places = [received.find(body_of(nonce, 16)) for nonce in nonces]
+        assert -1 not in places
+        assert places == sorted(places)
