--- a/packages/cowslippond-core/src/cowslippond_core/_field_report.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_field_report.py
@@ -21,8 +21,10 @@
 
     def is_valid(self, path: str) -> bool:
         """Say whether no finding concerns a field or one inside it."""
+        inside = (f'{path}.', f'{path}[')
         return not any(
-            found.place.path.startswith(path) for found in self.findings
+            found.place.path == path or found.place.path.startswith(inside)
+            for found in self.findings
         )
 
     def record(self, path: str, node: JsonNode) -> None:
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_check.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_check.py
@@ -20,16 +20,18 @@
     """Check documents, and report the findings of all files together."""
     findings: list[Finding] = []
     services: list[str] = []
+    lines: list[str] = []
     for path in paths:
         read = read_document_file(path)
         if read.is_error():
             findings.extend(read.error)
             continue
         services.append(read.ok.service)
+        lines.append(f'{path}: ok')
     if findings:
         return findings_outcome(findings)
     record = {'findings': [], 'services': services}
-    return Outcome(ExitCode.DONE, record, [f'{len(services)} documents, ok'])
+    return Outcome(ExitCode.DONE, record, lines)
 
 
 def read_document_file(
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_exit_codes.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_exit_codes.py
@@ -16,3 +16,4 @@
     UNKNOWN = 5
     NOT_IN_FORCE = 6
     NOT_FOUND = 7
+    INTERRUPTED = 130
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_in_force.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_in_force.py
@@ -22,14 +22,14 @@
 class Coverage(NamedTuple):
     """How far the newest version of a service is in force.
 
-    ``accepted_at`` is in milliseconds since the Unix epoch, ``None`` if only
+    ``accepted_at_ms`` is in milliseconds since the Unix epoch, ``None`` if only
     daemons know the version. ``lagging`` names the VMs that have an older
     version or did not answer.
     """
 
     service: str
     newest: int
-    accepted_at: int | None
+    accepted_at_ms: int | None
     in_force_count: int
     lagging: tuple[str, ...]
 
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_program.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_program.py
@@ -26,21 +26,28 @@
 from cowslippond_ctl._platform import PlatformLink, read_platform
 from cowslippond_ctl._status import StatusReader
 
+_INTERRUPTED = (
+    'interrupted; a change that was being applied may have been accepted, '
+    'see "cowslippondctl history SERVICE"\n'
+)
 _MILLIS_PER_SECOND = 1000
 _DEFAULT_HISTORY = 20
 
 
 def main() -> None:
     """Run the ``cowslippondctl`` command."""
-    sys.exit(
-        defopt.run(
+    try:
+        code = defopt.run(
             [check, apply, show, history, status, diff, fields],
             argparse_kwargs={
                 'prog': 'cowslippondctl',
                 'description': 'Change and watch services.',
             },
         )
-    )
+    except KeyboardInterrupt:
+        sys.stderr.write(_INTERRUPTED)
+        code = ExitCode.INTERRUPTED
+    sys.exit(int(code))
 
 
 def check(*files: pathlib.Path, json: bool = False) -> int:
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_status.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_status.py
@@ -156,8 +156,8 @@
 
 def _service_cells(coverage: Coverage, wall: int) -> tuple[str, ...]:
     age = 'not known'
-    if coverage.accepted_at is not None:
-        age = f'{show_age(wall - coverage.accepted_at)} ago'
+    if coverage.accepted_at_ms is not None:
+        age = f'{show_age(wall - coverage.accepted_at_ms)} ago'
     total = coverage.in_force_count + len(coverage.lagging)
     return (
         coverage.service,
