Prove by random faults that operators are told the truth

Cause: single faults were tested; lost, late and refused writes of several operators at once were not.

--- /dev/null
+++ b/tests/core/test_catalogue_random.py
@@ -0,0 +1,164 @@
+"""Operators, lost answers and late writes drawn at random, then the ledger."""
+
+import enum
+import random
+from collections.abc import Sequence
+from types import MappingProxyType
+
+import anyio
+import pytest
+from cowslippond_core import (
+    AcceptedDocument,
+    ApplyError,
+    ApplyFault,
+    Put,
+    TableError,
+    TableFault,
+    accept_document,
+)
+from cowslippond_core._catalogue_layout import CHANGES, DOCUMENTS, HEAD
+from expression import Error, Result
+from fakes import FakeClock, FakeTable
+
+pytestmark = pytest.mark.anyio
+
+SERVICES = ('stock', 'checkout', 'taker')
+# Both services of the last two claim the same calls, so one of them loses.
+PREFIXES = MappingProxyType(
+    {'stock': '/stock', 'checkout': '/pay', 'taker': '/pay'}
+)
+OPERATORS = 8
+
+
+class Fate(enum.StrEnum):
+    """What becomes of one write."""
+
+    SERVED = 'served'
+    THROTTLED = 'throttled'
+    HELD = 'held'
+    ANSWER_LOST = 'answer lost'
+    REQUEST_LOST = 'request lost'
+
+
+FAULTS = tuple(fate for fate in Fate if fate is not Fate.SERVED)
+SERVED = (Fate.SERVED, Fate.SERVED, Fate.SERVED)
+
+
+class RandomTable(FakeTable):
+    """A table that loses requests and answers, and lets writes land late.
+
+    :param rng: draws the faults.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__()
+        self.rng = rng
+        self.held: list[Sequence[Put]] = []
+
+    async def transact(self, puts: Sequence[Put]) -> Result[None, TableError]:
+        fate = self._draw_fate()
+        if fate is Fate.SERVED:
+            return await super().transact(puts)
+        if fate is Fate.THROTTLED:
+            return Error(TableError(TableFault.UNAVAILABLE, fate))
+        if fate is Fate.HELD:
+            self.held.append(puts)
+        if fate is Fate.ANSWER_LOST:
+            await super().transact(puts)
+        return Error(TableError(TableFault.UNKNOWN, fate))
+
+    def _draw_fate(self) -> Fate:
+        # The first write always meets a fault, so that every seed has one.
+        fates = FAULTS if self.write_count == 0 else (*FAULTS, *SERVED)
+        self.write_count += 1
+        return self.rng.choice(fates)
+
+    async def land(self) -> None:
+        """Let the writes that are held back reach the table, in any order."""
+        while True:
+            await anyio.lowlevel.checkpoint()
+            if not self.held or self.rng.randrange(3):
+                continue
+            late = self.held.pop(self.rng.randrange(len(self.held)))
+            await FakeTable.transact(self, late)
+
+
+def document(service: str) -> str:
+    prefix = PREFIXES[service]
+    match = f'[{{"host": "shop.example", "path_prefix": "{prefix}"}}]'
+    slots = '{"slots": 2, "mean_service_ms": 8}'
+    fields = f'"service": "{service}", "match": {match}, "upstreams": {slots}'
+    return fields.join('{}')
+
+
+async def operate(
+    table: RandomTable,
+    author: str,
+    outcomes: dict[str, Result[AcceptedDocument, ApplyError]],
+) -> None:
+    service = table.rng.choice(SERVICES)
+    expected = table.rng.choice([None, None, 0, 1])
+    outcomes[author] = await accept_document(
+        table, document(service), author, expected, FakeClock()
+    )
+
+
+async def run_operators(
+    seed: int,
+) -> tuple[RandomTable, dict[str, Result[AcceptedDocument, ApplyError]]]:
+    table = RandomTable(random.Random(seed))
+    outcomes: dict[str, Result[AcceptedDocument, ApplyError]] = {}
+    async with anyio.create_task_group() as background:
+        background.start_soon(table.land)
+        async with anyio.create_task_group() as operators:
+            for index in range(OPERATORS):
+                operators.start_soon(operate, table, f'op-{index}', outcomes)
+        while table.held:
+            await anyio.lowlevel.checkpoint()
+        background.cancel_scope.cancel()
+    return table, outcomes
+
+
+def rows_of(table: FakeTable, partition: str) -> list[dict[str, object]]:
+    return [
+        dict(attributes)
+        for key, attributes in sorted(table.rows.items())
+        if key.partition == partition
+    ]
+
+
+@pytest.mark.parametrize('seed', range(60))
+async def test_every_operator_is_told_the_truth(seed: int) -> None:
+    table, outcomes = await run_operators(seed)
+    changes = rows_of(table, CHANGES)
+    authors = [change['author'] for change in changes]
+    assert len(outcomes) == OPERATORS
+    assert len(set(authors)) == len(authors)
+    for author, outcome in outcomes.items():
+        if outcome.is_ok():
+            row = changes[outcome.ok.revision - 1]
+            assert (row['author'], row['version']) == (
+                author,
+                outcome.ok.version,
+            )
+        elif outcome.error.fault is not ApplyFault.UNKNOWN:
+            assert author not in authors, outcome.error
+
+
+@pytest.mark.parametrize('seed', range(60))
+async def test_versions_count_without_gaps(seed: int) -> None:
+    table, _ = await run_operators(seed)
+    changes = rows_of(table, CHANGES)
+    revisions = [change['revision'] for change in changes]
+    assert revisions == list(range(1, len(changes) + 1))
+    assert table.rows.get(HEAD, {'revision': 0})['revision'] == len(changes)
+    for newest in rows_of(table, DOCUMENTS):
+        versions = [
+            change['version']
+            for change in changes
+            if change['service'] == newest['service']
+        ]
+        assert versions == list(range(1, len(versions) + 1))
+        assert newest['version'] == len(versions)
+    services = {change['service'] for change in changes}
+    assert not {'checkout', 'taker'} <= services
