Use the library's public names in the operator tool

Cause: the tool reached into private modules of the library. Ruled out: nothing. Change: public names for what it needs; its package names all that it imports.

--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -10,6 +10,10 @@
 from cowslippond_core._catalogue import Catalogue as Catalogue
 from cowslippond_core._catalogue import DocumentReader as DocumentReader
 from cowslippond_core._catalogue import InForce as InForce
+from cowslippond_core._catalogue_layout import CatalogueRow as CatalogueRow
+from cowslippond_core._catalogue_reader import (
+    read_change_rows as read_change_rows,
+)
 from cowslippond_core._catalogue_reader import read_changes as read_changes
 from cowslippond_core._catalogue_reader import read_documents as read_documents
 from cowslippond_core._catalogue_reader import read_head as read_head
@@ -41,8 +45,14 @@
 from cowslippond_core._document import RouteMatch as RouteMatch
 from cowslippond_core._document import ServiceDocument as ServiceDocument
 from cowslippond_core._document import UpstreamCapacity as UpstreamCapacity
+from cowslippond_core._document_fields import DOCUMENT_SPEC as DOCUMENT_SPEC
 from cowslippond_core._document_reader import read_document as read_document
 from cowslippond_core._dynamo import DynamoTable as DynamoTable
+from cowslippond_core._field_reader import FieldSource as FieldSource
+from cowslippond_core._field_reader import read_fields as read_fields
+from cowslippond_core._field_rows import FieldRow as FieldRow
+from cowslippond_core._field_rows import list_fields as list_fields
+from cowslippond_core._field_rows import markdown_rows as markdown_rows
 from cowslippond_core._findings import Finding as Finding
 from cowslippond_core._findings import Place as Place
 from cowslippond_core._findings import format_finding as format_finding
@@ -82,6 +92,8 @@
 )
 from cowslippond_core._reasons import RefusalReason as RefusalReason
 from cowslippond_core._reasons import RetryReason as RetryReason
+from cowslippond_core._route_overlap import Overlap as Overlap
+from cowslippond_core._route_overlap import find_overlaps as find_overlaps
 from cowslippond_core._sender import Sender as Sender
 from cowslippond_core._service_state import ServiceState as ServiceState
 from cowslippond_core._settings import LogSettings as LogSettings
@@ -89,6 +101,9 @@
 from cowslippond_core._settings import RetireSettings as RetireSettings
 from cowslippond_core._settings import Settings as Settings
 from cowslippond_core._settings import read_settings as read_settings
+from cowslippond_core._settings_fields import PLATFORM_SPEC as PLATFORM_SPEC
+from cowslippond_core._settings_fields import SETTINGS_SPEC as SETTINGS_SPEC
+from cowslippond_core._settings_fields import report_nothing as report_nothing
 from cowslippond_core._spread import Spread as Spread
 from cowslippond_core._spread import SpreadSettings as SpreadSettings
 from cowslippond_core._spread import SpreadStatus as SpreadStatus
--- a/packages/cowslippond-core/src/cowslippond_core/_catalogue_writer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_catalogue_writer.py
@@ -62,8 +62,7 @@
     read = read_document(text, 'document')
     if read.is_error():
         return Error(ApplyError(ApplyFault.INVALID, findings=read.error))
-    change = _Change(table, read.ok, text, author, clock)
-    change.expected_version = expected_version
+    change = _Change(table, read.ok, text, author, expected_version, clock)
     return await change.run()
 
 
@@ -80,6 +79,7 @@
         document: ServiceDocument,
         text: str,
         author: str,
+        expected_version: int | None,
         clock: Clock,
     ) -> None:
         self.table = table
@@ -87,7 +87,7 @@
         self.text = text
         self.author = author
         self.clock = clock
-        self.expected_version: int | None = None
+        self.expected_version = expected_version
         self.token = uuid.uuid4().hex
         self.doubtful: set[int] = set()
         self.last_error = TableError(TableFault.CONFLICT, 'not tried')
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_apply.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_apply.py
@@ -8,12 +8,12 @@
     ApplyFault,
     Clock,
     Finding,
+    Overlap,
     Table,
     accept_document,
     read_document,
+    read_text_file,
 )
-from cowslippond_core._route_overlap import Overlap
-from cowslippond_core._text_file import read_text_file
 from rich.console import RenderableType
 
 from cowslippond_ctl._check import findings_outcome
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_changes.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_changes.py
@@ -1,8 +1,12 @@
 """The changes of one service, newest first."""
 
-from cowslippond_core import Table, TableError, read_head
-from cowslippond_core._catalogue_layout import CatalogueRow
-from cowslippond_core._catalogue_reader import read_change_rows
+from cowslippond_core import (
+    CatalogueRow,
+    Table,
+    TableError,
+    read_change_rows,
+    read_head,
+)
 from expression import Error, Ok, Result
 
 # Revisions, of all services, read in one step back.
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_check.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_check.py
@@ -8,8 +8,8 @@
     ServiceDocument,
     format_finding,
     read_document,
+    read_text_file,
 )
-from cowslippond_core._text_file import read_text_file
 from expression import Error, Result
 
 from cowslippond_ctl._exit_codes import ExitCode
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_daemons.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_daemons.py
@@ -6,8 +6,13 @@
 import anyio
 import httpcore
 import orjson
-from cowslippond_core import Millis, seconds_of
-from cowslippond_core._vm_list import ENTRY_SERVICE, Vm, VmState
+from cowslippond_core import (
+    ENTRY_SERVICE,
+    Millis,
+    Vm,
+    VmState,
+    seconds_of,
+)
 from expression import Error, Ok, Result
 
 _OK_STATUS = 200
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_diff.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_diff.py
@@ -3,8 +3,11 @@
 import difflib
 import pathlib
 
-from cowslippond_core import Table, read_newest_document
-from cowslippond_core._text_file import read_text_file
+from cowslippond_core import (
+    Table,
+    read_newest_document,
+    read_text_file,
+)
 
 from cowslippond_ctl._changes import find_version
 from cowslippond_ctl._check import findings_outcome, read_document_file
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_fields.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_fields.py
@@ -3,9 +3,13 @@
 from types import MappingProxyType
 from typing import Literal, TypeAlias
 
-from cowslippond_core._document_fields import DOCUMENT_SPEC
-from cowslippond_core._field_rows import list_fields, markdown_rows
-from cowslippond_core._settings_fields import PLATFORM_SPEC, SETTINGS_SPEC
+from cowslippond_core import (
+    DOCUMENT_SPEC,
+    PLATFORM_SPEC,
+    SETTINGS_SPEC,
+    list_fields,
+    markdown_rows,
+)
 
 from cowslippond_ctl._exit_codes import ExitCode
 from cowslippond_ctl._outcome import Outcome
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_history.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_history.py
@@ -2,11 +2,11 @@
 
 from cowslippond_core import (
     AcceptedDocument,
+    CatalogueRow,
     Table,
     read_documents,
     read_newest_document,
 )
-from cowslippond_core._catalogue_layout import CatalogueRow
 
 from cowslippond_ctl._changes import find_changes, find_version
 from cowslippond_ctl._exit_codes import ExitCode
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_platform.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_platform.py
@@ -4,10 +4,16 @@
 import pathlib
 from typing import Any, NamedTuple
 
-from cowslippond_core import Finding, Millis, Place
-from cowslippond_core._field_reader import FieldSource, read_fields
-from cowslippond_core._settings_fields import PLATFORM_SPEC, report_nothing
-from cowslippond_core._text_file import read_text_file
+from cowslippond_core import (
+    PLATFORM_SPEC,
+    FieldSource,
+    Finding,
+    Millis,
+    Place,
+    read_fields,
+    read_text_file,
+    report_nothing,
+)
 from expression import Error, Result
 
 PLATFORM_VARIABLE = 'COWSLIPPOND_PLATFORM'
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_status.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_status.py
@@ -3,8 +3,14 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from cowslippond_core import Clock, Millis, Table, read_documents
-from cowslippond_core._vm_list import Vm, fetch_vms
+from cowslippond_core import (
+    Clock,
+    Millis,
+    Table,
+    Vm,
+    fetch_vms,
+    read_documents,
+)
 from expression import Error, Ok, Result
 from rich.console import RenderableType
 
