Settle a change whose last try lost its answer

Cause: after the last try the history was not read again, so an accepted change could be reported as unknown; the new test failed on it. Ruled out: more tries. Change: one more reading of the history before giving up.

--- a/packages/cowslippond-core/src/cowslippond_core/_catalogue_writer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_catalogue_writer.py
@@ -99,6 +99,9 @@
             settled = await self._try_once()
             if settled is not None:
                 return settled
+        found = await self._settle_doubtful()
+        if found.is_ok() and found.ok is not None:
+            return Ok(found.ok)
         return Error(self._give_up())
 
     async def _back_off(self, attempt: int) -> None:
--- a/tests/core/test_catalogue_writer.py
+++ b/tests/core/test_catalogue_writer.py
@@ -175,6 +175,14 @@
         assert accepted.ok.version == 1
         assert change_rows(table) == [('stock', 1)]
 
+    async def test_answer_lost_on_the_last_try_is_settled_too(self) -> None:
+        table = FakeTable()
+        table.lost_requests = 9
+        table.lost_answers = 1
+        accepted = await accept(table)
+        assert table.write_count == 10
+        assert accepted.ok.version == 1
+
     async def test_outcome_that_stays_open_is_reported_as_unknown(self) -> None:
         table = FakeTable()
         table.lost_requests = 1000
