Tell an outage of the table apart when it says nothing

Cause: an outage answered by 503 without a body left the fault's text empty, and status took the table for reachable (exit code 0 in place of 4). Ruled out: the list of VMs and the daemons, which answered. Change: a failed call always has a text.

--- a/packages/cowslippond-core/src/cowslippond_core/_catalogue_writer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_catalogue_writer.py
@@ -198,7 +198,7 @@
         return None
 
     def _give_up(self) -> ApplyError:
-        detail = self.last_error.detail
+        detail = self.last_error.detail or self.last_error.fault
         if self.doubtful:
             revisions = tuple(sorted(self.doubtful))
             return ApplyError(
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_outcome.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_outcome.py
@@ -64,9 +64,15 @@
     return Outcome(code, {'fault': fault, 'message': message}, (message,))
 
 
+def describe_error(error: TableError) -> str:
+    """Return what is known of a failed call to the table, never empty."""
+    return error.detail or f'it answered nothing ({error.fault})'
+
+
 def table_failed(error: TableError) -> Outcome:
     """Return the outcome of a reading that the table did not answer."""
-    message = f'the platform table cannot be read: {error.detail}'
+    detail = describe_error(error)
+    message = f'the platform table cannot be read: {detail}'
     return fail(ExitCode.UNAVAILABLE, 'unavailable', message)
 
 
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_status.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_status.py
@@ -17,7 +17,7 @@
 from cowslippond_ctl._daemons import DaemonView, ask_daemons, entry_vms
 from cowslippond_ctl._exit_codes import ExitCode
 from cowslippond_ctl._in_force import Coverage, Deployment, Lag, compare
-from cowslippond_ctl._outcome import Outcome, Record, fail
+from cowslippond_ctl._outcome import Outcome, Record, describe_error, fail
 from cowslippond_ctl._times import show_age
 from cowslippond_ctl._views import grid
 
@@ -70,7 +70,9 @@
         documents = await read_documents(self.table)
         daemons = await ask_daemons(vms.ok, self.timeout)
         if documents.is_error():
-            return Ok(Survey(compare((), daemons), documents.error.detail))
+            return Ok(
+                Survey(compare((), daemons), describe_error(documents.error))
+            )
         return Ok(Survey(compare(documents.ok, daemons), ''))
 
     async def _fetch_vms(self) -> Result[Sequence[Vm], str]:
--- a/tests/ctl/test_status.py
+++ b/tests/ctl/test_status.py
@@ -190,11 +190,14 @@
             fleet.set_versions({'stock': 2}, {'stock': 2})
         assert outcomes[0].code is ExitCode.DONE
 
+    @pytest.mark.parametrize('detail', ['down', ''])
     async def test_outage_of_the_table_is_told_and_daemons_are_shown(
-        self, fleet: Fleet
+        self, fleet: Fleet, detail: str
     ) -> None:
+        """An outage without any text was once taken to be none."""
         fleet.set_versions({'stock': 2}, {'stock': 1})
         fleet.table.is_down = True
+        fleet.table.down_detail = detail
         outcome = await fleet.status()
         assert outcome.code is ExitCode.UNAVAILABLE
         assert outcome.record['table_fault']
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -28,6 +28,7 @@
     def __init__(self) -> None:
         self.rows: dict[ItemKey, Attributes] = {}
         self.is_down = False
+        self.down_detail = 'down'
         self.lost_answers = 0
         self.lost_requests = 0
         self.read_count = 0
@@ -37,7 +38,7 @@
         self.read_count += 1
         await anyio.lowlevel.checkpoint()
         if self.is_down:
-            return Error(TableError(TableFault.UNAVAILABLE, 'down'))
+            return Error(TableError(TableFault.UNAVAILABLE, self.down_detail))
         return Ok(self.rows.get(key))
 
     async def put(self, put: Put) -> Result[None, TableError]:
@@ -47,7 +48,7 @@
         self.write_count += 1
         await anyio.lowlevel.checkpoint()
         if self.is_down:
-            return Error(TableError(TableFault.UNAVAILABLE, 'down'))
+            return Error(TableError(TableFault.UNAVAILABLE, self.down_detail))
         if self.lost_requests:
             self.lost_requests -= 1
             return Error(TableError(TableFault.UNKNOWN, 'request lost'))
@@ -66,7 +67,7 @@
         self.read_count += 1
         await anyio.lowlevel.checkpoint()
         if self.is_down:
-            return Error(TableError(TableFault.UNAVAILABLE, 'down'))
+            return Error(TableError(TableFault.UNAVAILABLE, self.down_detail))
         found = [
             (key, attributes)
             for key, attributes in sorted(self.rows.items())
