--- a/packages/cowslippond-core/src/cowslippond_core/_catalogue_writer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_catalogue_writer.py
@@ -62,8 +62,7 @@
     read = read_document(text, 'document')
     if read.is_error():
         return Error(ApplyError(ApplyFault.INVALID, findings=read.error))
-    change = _Change(table, read.ok, text, author, clock)
-    change.expected_version = expected_version
+    change = _Change(table, read.ok, text, author, expected_version, clock)
     return await change.run()
 
 
@@ -80,6 +79,7 @@
         document: ServiceDocument,
         text: str,
         author: str,
+        expected_version: int | None,
         clock: Clock,
     ) -> None:
         self.table = table
@@ -87,7 +87,7 @@
         self.text = text
         self.author = author
         self.clock = clock
-        self.expected_version: int | None = None
+        self.expected_version = expected_version
         self.token = uuid.uuid4().hex
         self.doubtful: set[int] = set()
         self.last_error = TableError(TableFault.CONFLICT, 'not tried')
@@ -99,6 +99,9 @@
             settled = await self._try_once()
             if settled is not None:
                 return settled
+        found = await self._settle_doubtful()
+        if found.is_ok() and found.ok is not None:
+            return Ok(found.ok)
         return Error(self._give_up())
 
     async def _back_off(self, attempt: int) -> None:
@@ -195,7 +198,7 @@
         return None
 
     def _give_up(self) -> ApplyError:
-        detail = self.last_error.detail
+        detail = self.last_error.detail or self.last_error.fault
         if self.doubtful:
             revisions = tuple(sorted(self.doubtful))
             return ApplyError(
