--- a/packages/cowslippond-standins/src/cowslippond_standins/bench/daemon.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/daemon.py
@@ -22,6 +22,8 @@
 from cowslippond_daemon import _parts
 from cowslippond_daemon._program import main
 
+from cowslippond_standins.bench._probing import ProbingPolicy
+
 #: Environment variable that names the file with the name of the policy.
 POLICY_FILE_VARIABLE = 'COWSLIPPOND_BENCH_POLICY'
 
@@ -32,6 +34,7 @@
         'round-robin': RoundRobin(),
         'two-choices': TwoChoices(),
         'least': LeastInFlight(),
+        'probing': ProbingPolicy(Clock()),
     }
 )
 _READ_INTERVAL: Millis = 100
--- a/packages/cowslippond-standins/src/cowslippond_standins/upstream/_app.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/_app.py
@@ -146,6 +146,7 @@
                 self._crash(run)
             outcome = await self._work(run, receive, deadline)
         self.ledger.end(run, outcome)
+        self.load.note_span(run['ended'] - run['started'])
         return outcome
 
     def _release(self) -> None:
--- a/packages/cowslippond-standins/src/cowslippond_standins/upstream/_load.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/_load.py
@@ -1,5 +1,8 @@
 """What an upstream tells of its load, in time, late or wrong."""
 
+import collections
+import statistics
+
 from cowslippond_core import Clock, Millis
 from cowslippond_core import _headers as headers
 
@@ -9,6 +12,7 @@
 from cowslippond_standins.upstream._slots import Slots
 
 _WINDOW: Millis = 1000
+_SPANS = 16
 
 
 class LoadMeter:
@@ -24,12 +28,17 @@
         self.window_start = clock.now()
         self.window_calls = 0
         self.rate: float = 0
+        self.spans: collections.deque[Millis] = collections.deque(maxlen=_SPANS)
 
     def changed(self) -> None:
         """Take note that a call came or went."""
         if self.behaviour.faults.report_lag_ms > 0:
             self.history.write(self.clock.now(), self.slots.in_flight())
 
+    def note_span(self, span: Millis) -> None:
+        """Take note how long a call ran, in milliseconds."""
+        self.spans.append(span)
+
     def count(self) -> None:
         """Count a call that begins."""
         now = self.clock.now()
@@ -52,9 +61,13 @@
 
     def probe_answer(self) -> Answer:
         """Return the answer to a probe."""
-        answer = json_answer({'in_flight': self._told()})
+        told = {'in_flight': self._told(), 'latency_ms': self._latency()}
+        answer = json_answer(told)
         return answer._replace(headers=(*answer.headers, *self.report()))
 
+    def _latency(self) -> Millis:
+        return statistics.median(self.spans) if self.spans else 0
+
     def _told(self) -> int:
         if self.behaviour.faults.load_report == LoadReport.WRONG:
             return self.behaviour.faults.report_wrong
