--- /dev/null
+++ b/tests/standins/test_demo.py
@@ -0,0 +1,45 @@
+"""The demo ends every process that it started, however it is stopped."""
+
+import pathlib
+import signal
+import time
+
+import pytest
+from cowslippond_standins.harness._process import Child
+
+STARTED_AT_LEAST = 3
+
+
+def children_of(process_id: int) -> set[int]:
+    task = pathlib.Path(f'/proc/{process_id}/task/{process_id}/children')
+    return {int(text) for text in task.read_text().split()}
+
+
+def is_running(process_id: int) -> bool:
+    status = pathlib.Path(f'/proc/{process_id}/status')
+    try:
+        return 'State:\tZ' not in status.read_text()
+    except OSError:
+        return False
+
+
+def wait_for_children(demo: Child) -> set[int]:
+    while len(children_of(demo.popen.pid)) < STARTED_AT_LEAST:
+        assert demo.is_running(), demo.log()
+        time.sleep(0.05)
+    return children_of(demo.popen.pid)
+
+
+class TestInterruption:
+    @pytest.mark.parametrize('stop', [signal.SIGINT, signal.SIGTERM])
+    def test_stopped_demo_leaves_no_process(
+        self, tmp_path: pathlib.Path, stop: signal.Signals
+    ) -> None:
+        demo = Child('demo', 'cowslippond_standins.demo', [], tmp_path, {})
+        try:
+            started = wait_for_children(demo)
+            demo.popen.send_signal(stop)
+            assert demo.popen.wait(20) != 0
+        finally:
+            demo.kill()
+        assert not [one for one in started if is_running(one)]
