Keep seeds from becoming hubs, and pass urgent news on beyond the bytes

All daemons that start together know only the seeds, stayed with them for 30 s, and the seed had no bytes left for rows. Ruled out: loss of rows; daemons that were no seeds passed theirs on. Change: conversations are short while a daemon is young and 10 s later on; without bytes left the news of urgent tables is still told, heartbeats are not. Addresses and rows that make no sense are refused. The answering side has its own module, and its tests run on uvloop, as the daemon does: the selector loop of Python 3.11 reports an invalid state when a listener is cancelled while a connection arrives.

--- a/packages/cowslippond-core/src/cowslippond_core/_conversation.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_conversation.py
@@ -5,6 +5,7 @@
 from anyio.streams.buffered import BufferedByteReceiveStream
 
 from cowslippond_core._byte_budget import ByteBudget
+from cowslippond_core._clock import Millis
 from cowslippond_core._metrics import Metric, Metrics
 from cowslippond_core._peer_messages import (
     Message,
@@ -17,10 +18,14 @@
     encode_message,
 )
 
+#: The longest wait for an answer, in milliseconds.
+ANSWER_TIMEOUT: Millis = 2000
+
 #: How a conversation ends when the other daemon or the way to it fails.
 BROKEN_CONVERSATION = (
     OSError,
     TimeoutError,
+    UnicodeError,
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
     anyio.EndOfStream,
--- a/packages/cowslippond-core/src/cowslippond_core/_gossip.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_gossip.py
@@ -22,8 +22,8 @@
     WireError,
 )
 
-#: The bytes a second that gossip may take, both directions together. New
-#: documents are passed on also beyond it.
+#: The bytes a second that gossip may take, both directions together. Beyond
+#: it only digests, new documents and news of urgent tables are passed on.
 GOSSIP_RATE = 20_000
 GOSSIP_DEPTH = 65_536
 
@@ -31,9 +31,6 @@
 MESSAGE_ROWS = 16
 FILLER_ROWS = 3
 
-#: How often a daemon sends a row as news.
-NEWS_SENDS = 3
-
 #: The most rows that a daemon which has just started may ask for.
 MAX_ROWS = 700
 
@@ -69,11 +66,10 @@
         self.clock = clock
         self.budget = ByteBudget(clock, GOSSIP_RATE, GOSSIP_DEPTH)
 
-    def compose(self, room: int, fillers: int, wanted: int) -> Exchange:
+    def compose(self, room: int, wanted: int) -> Exchange:
         """Return the state of this daemon.
 
         :param room: the most rows to tell.
-        :param fillers: the most rows among them that are not news.
         :param wanted: the most rows wanted in the answer.
         """
         return Exchange(
@@ -81,7 +77,7 @@
             self.address,
             self.contact.failure_domain,
             self._digest(),
-            self._take_rows(room, fillers),
+            self._take_rows(room),
             wanted,
         )
 
@@ -94,18 +90,15 @@
             TableRows(table.name, tuple(table.rows()[-room:]))
             for table in self.tables.values()
         ]
-        return self.compose(0, 0, 0)._replace(tables=tuple(told))
+        return self.compose(0, 0)._replace(tables=tuple(told))
 
     def ask(self, is_new: bool) -> Exchange:
         """Return the message that opens a round with a peer.
 
         :param is_new: whether this daemon still lacks what peers know.
         """
-        if is_new:
-            return self.compose(MESSAGE_ROWS, FILLER_ROWS, MAX_ROWS)
-        if self.budget.has_room():
-            return self.compose(MESSAGE_ROWS, FILLER_ROWS, MESSAGE_ROWS)
-        return self.compose(0, 0, 0)
+        wanted = MAX_ROWS if is_new else MESSAGE_ROWS
+        return self.compose(MESSAGE_ROWS, wanted)
 
     def confirmation(self) -> Confirmation:
         """Return the message that ends a round with a peer."""
@@ -176,9 +169,7 @@
         wanted = min(max(message.row_limit, 0), MAX_ROWS)
         if wanted > MESSAGE_ROWS:
             return self.compose_all(wanted)
-        if self.budget.has_room():
-            return self.compose(wanted, FILLER_ROWS, 0)
-        return self.compose(0, 0, 0)
+        return self.compose(wanted, 0)
 
     @answer.register
     def _answer_pull(self, message: Pull) -> Message:
@@ -198,10 +189,14 @@
             self.contact.witnesses(now),
         )
 
-    def _take_rows(self, room: int, fillers: int) -> tuple[TableRows, ...]:
+    def _take_rows(self, room: int) -> tuple[TableRows, ...]:
+        has_room = self.budget.has_room()
+        fillers = FILLER_ROWS if has_room else 0
         told = []
         for table in self.tables.values():
-            rows = table.take(room, fillers, NEWS_SENDS)
+            if not (has_room or table.is_urgent):
+                continue
+            rows = table.take(room, fillers)
             if not rows:
                 continue
             room -= len(rows)
--- a/packages/cowslippond-core/src/cowslippond_core/_gossip_table.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_gossip_table.py
@@ -11,12 +11,20 @@
 
 from cowslippond_core._clock import Clock, Millis
 
+#: How often a daemon sends a row as news unless a table is told otherwise.
+DEFAULT_SENDS = 6
+
 #: How many rows a table holds unless it is told otherwise.
 DEFAULT_CAPACITY = 4096
 
 # The largest key and text together, in bytes.
 _MAX_ROW = 480
 
+# The longest time that a row lives, and how far the clock of its writer may
+# run ahead, in milliseconds.
+_MAX_LIFETIME: Millis = 3_600_000
+_MAX_AHEAD: Millis = 86_400_000
+
 
 class GossipRow(NamedTuple):
     """One row as it is passed on.
@@ -46,14 +54,24 @@
     :param name: the same on all daemons.
     :param clock: the clock of expiry.
     :param capacity: the most rows kept.
+    :param sends: how often a row is sent as news.
+    :param is_urgent: whether news is passed on beyond the bytes a second that
+        gossip may take.
     """
 
     def __init__(
-        self, name: str, clock: Clock, capacity: int = DEFAULT_CAPACITY
+        self,
+        name: str,
+        clock: Clock,
+        capacity: int = DEFAULT_CAPACITY,
+        sends: int = DEFAULT_SENDS,
+        is_urgent: bool = True,
     ) -> None:
         self.name = name
         self.clock = clock
         self.capacity = capacity
+        self.sends = sends
+        self.is_urgent = is_urgent
         self.kept: OrderedDict[str, _Kept] = OrderedDict()
         self.fresh: OrderedDict[str, int] = OrderedDict()
         self.cursor: list[str] = []
@@ -78,12 +96,12 @@
 
         :returns: whether the row was news.
         """
-        if len(f'{row.key}{row.text}'.encode()) > _MAX_ROW:
+        if not self._is_plausible(row):
             return False
-        kept = self.kept.get(row.key)
-        if row.remaining <= 0 or not _is_later(row, kept):
+        if not _is_later(row, self.kept.get(row.key)):
             return False
-        expires_at = self.clock.now() + row.remaining
+        lifetime = min(row.remaining, _MAX_LIFETIME)
+        expires_at = self.clock.now() + lifetime
         self.kept[row.key] = _Kept(row.text, row.stamp, expires_at)
         self.kept.move_to_end(row.key)
         self.fresh[row.key] = 0
@@ -117,7 +135,7 @@
         for key in expired:
             self._forget(key)
 
-    def take(self, limit: int, fillers: int, sends: int) -> list[GossipRow]:
+    def take(self, limit: int, fillers: int) -> list[GossipRow]:
         """Choose rows for the next message and note that they are sent.
 
         Rows that are news go first, each for a number of messages. The rest
@@ -125,9 +143,8 @@
 
         :param limit: the most rows.
         :param fillers: the most rows that are not news.
-        :param sends: how often a row is sent as news.
         """
-        chosen = self._take_news(limit, sends)
+        chosen = self._take_news(limit)
         room = min(limit - len(chosen), fillers)
         chosen.extend(self._take_in_turn(room, set(chosen)))
         now = self.clock.now()
@@ -137,11 +154,16 @@
             if self.kept[key].expires_at > now
         ]
 
-    def _take_news(self, limit: int, sends: int) -> list[str]:
+    def _is_plausible(self, row: GossipRow) -> bool:
+        if row.remaining <= 0 or row.stamp > self.clock.wall() + _MAX_AHEAD:
+            return False
+        return len(f'{row.key}{row.text}'.encode()) <= _MAX_ROW
+
+    def _take_news(self, limit: int) -> list[str]:
         chosen = list(self.fresh)[:limit]
         for key in chosen:
             sent = self.fresh.pop(key) + 1
-            if sent < sends:
+            if sent < self.sends:
                 self.fresh[key] = sent
         return chosen
 
--- a/packages/cowslippond-core/src/cowslippond_core/_membership.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_membership.py
@@ -95,7 +95,8 @@
             for vm in vms
             if vm.service == ENTRY_SERVICE
         }
-        for address in tuple(self.met):
+        # A list without any daemon, not even this one, is no evidence.
+        for address in tuple(self.met if self.listed else ()):
             if address in self.listed or self._has_heartbeat(address):
                 continue
             self.met.pop(address)
--- a/packages/cowslippond-core/src/cowslippond_core/_peers.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_peers.py
@@ -1,4 +1,4 @@
-"""Conversations with peers: those this daemon opens and those it answers."""
+"""The conversations with peers that a daemon opens."""
 
 import logging
 import random
@@ -6,15 +6,17 @@
 from contextlib import contextmanager
 
 import anyio
-from anyio.abc import SocketStream
 
 from cowslippond_core._clock import Clock, Millis, seconds_of
-from cowslippond_core._conversation import BROKEN_CONVERSATION, Conversation
+from cowslippond_core._conversation import (
+    ANSWER_TIMEOUT,
+    BROKEN_CONVERSATION,
+    Conversation,
+)
 from cowslippond_core._gossip import Gossip
 from cowslippond_core._membership import Membership
 from cowslippond_core._metrics import Metric, Metrics
 from cowslippond_core._peer_messages import (
-    Confirmation,
     Documents,
     Exchange,
     Pull,
@@ -30,29 +32,26 @@
 #: milliseconds.
 ROUND_INTERVAL: Millis = 500
 
-#: The longest wait for a connection and for an answer, in milliseconds.
+#: The longest wait for a connection, in milliseconds.
 CONNECT_TIMEOUT: Millis = 1000
-ANSWER_TIMEOUT: Millis = 2000
 
 #: How long a daemon talks with one peer before it chooses another, in
 #: milliseconds on average.
-CONVERSATION_TIME: Millis = 30_000
+CONVERSATION_TIME: Millis = 10_000
 
 #: The least time between two rounds of one conversation, in milliseconds.
 LEAST_PAUSE: Millis = 200
 
-# Waits in milliseconds: for a peer to become known, after a failed
-# conversation, and for the next message of a peer.
+# Waits in milliseconds: for a peer to become known, and after a failed
+# conversation.
 _IDLE_WAIT: Millis = 200
 _RETRY_WAIT: Millis = 500
-_SILENCE_LIMIT: Millis = 60_000
+
+_MAX_PORT = 65_535
 
 # A wait is drawn from this part of it up to half of it more.
 _LEAST_JITTER = 0.75
 
-# The most conversations that a daemon answers at a time.
-_MAX_ANSWERED = 256
-
 _logger = logging.getLogger(__name__)
 
 
@@ -86,7 +85,7 @@
         self.busy: set[str] = set()
         self.news = anyio.Event()
         self.is_new = True
-        self.answered = 0
+        self.started_at = clock.now()
 
     def announce(self) -> None:
         """Start a round in each conversation at once."""
@@ -104,33 +103,6 @@
             for _ in range(ACTIVE_PEERS):
                 slots.start_soon(self._keep_talking)
 
-    async def serve(self, stream: SocketStream) -> None:
-        """Answer a peer until it ends the conversation or falls silent."""
-        async with stream:
-            if self.answered >= _MAX_ANSWERED:
-                return
-            with self._count_answered():
-                await self._answer_all(stream)
-
-    async def _answer_all(self, stream: SocketStream) -> None:
-        talk = Conversation(stream, self.gossip.budget, self.metrics)
-        try:
-            await self._answer_each(talk)
-        except BROKEN_CONVERSATION as broken:
-            _logger.debug('conversation ended', extra={'why': repr(broken)})
-
-    async def _answer_each(self, talk: Conversation) -> None:
-        answered_at = self.clock.now()
-        while True:
-            with anyio.fail_after(seconds_of(_SILENCE_LIMIT)):
-                message = await talk.receive()
-            if isinstance(message, Confirmation):
-                self.gossip.learn(message, answered_at)
-                continue
-            answered_at = self.clock.now()
-            with anyio.fail_after(seconds_of(ANSWER_TIMEOUT)):
-                await talk.send(self.gossip.answer(message))
-
     async def _keep_talking(self) -> None:
         while True:
             address = self.membership.choose(self.draw, self.busy)
@@ -158,10 +130,10 @@
         return True
 
     async def _talk_in_rounds(self, address: str) -> None:
-        host, _, port = address.rpartition(':')
-        ends_at = self.clock.now() + self._jitter(CONVERSATION_TIME)
+        host, port = _split_address(address)
+        ends_at = self.clock.now() + self._conversation_time()
         with anyio.fail_after(seconds_of(CONNECT_TIMEOUT)):
-            stream = await anyio.connect_tcp(host, int(port))
+            stream = await anyio.connect_tcp(host, port)
         async with stream:
             talk = Conversation(stream, self.gossip.budget, self.metrics)
             while self.clock.now() < ends_at:
@@ -226,6 +198,14 @@
         with anyio.move_on_after(seconds_of(max(rest, 0))):
             await news.wait()
 
+    def _conversation_time(self) -> Millis:
+        """Return how long to talk; short at first, when few are known.
+
+        Otherwise daemons that start together would all stay with the seeds.
+        """
+        age = self.clock.now() - self.started_at
+        return min(self._jitter(CONVERSATION_TIME), age)
+
     def _jitter(self, span: Millis) -> Millis:
         return span * (_LEAST_JITTER + self.draw.random() / 2)
 
@@ -237,10 +217,9 @@
         finally:
             self.busy.discard(address)
 
-    @contextmanager
-    def _count_answered(self) -> Iterator[None]:
-        self.answered += 1
-        try:
-            yield
-        finally:
-            self.answered -= 1
+
+def _split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    if port.isdecimal() and int(port) <= _MAX_PORT:
+        return host, int(port)
+    raise WireError(f'not an address: {address!r}')
--- a/packages/cowslippond-core/src/cowslippond_core/_spread.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_spread.py
@@ -15,6 +15,7 @@
 from cowslippond_core._membership import Daemon, Membership
 from cowslippond_core._metrics import Metric, Metrics
 from cowslippond_core._outage_rule import OutageRule
+from cowslippond_core._peer_server import PeerServer
 from cowslippond_core._peers import Peers
 from cowslippond_core._poller import Poller
 from cowslippond_core._quarantine import Quarantine
@@ -24,6 +25,10 @@
 from cowslippond_core._vm_list_poller import VmListPoller
 
 _GAUGE_INTERVAL: Millis = 1000
+_DAEMONS = 'daemons'
+
+# A lost heartbeat is followed by the next one.
+_HEARTBEAT_SENDS = 3
 
 
 class SpreadSettings(NamedTuple):
@@ -89,11 +94,14 @@
         draw = draw or random.Random()
         self.tables = {
             name: GossipTable(name, clock)
-            for name in ('leaving', 'ejections', 'quarantine', 'daemons')
+            for name in ('leaving', 'ejections', 'quarantine')
         }
+        self.tables[_DAEMONS] = GossipTable(
+            _DAEMONS, clock, sends=_HEARTBEAT_SENDS, is_urgent=False
+        )
         self.leaving = Leaving(clock, self.tables['leaving'])
         self.membership = Membership(
-            clock, self.tables['daemons'], _own_daemon(settings), settings.seeds
+            clock, self.tables[_DAEMONS], _own_daemon(settings), settings.seeds
         )
         self.contact = Contact(settings.failure_domain)
         self.outage_rule = OutageRule(self.contact, self.membership)
@@ -106,6 +114,7 @@
             clock,
         )
         self.peers = Peers(self.gossip, self.membership, clock, draw, metrics)
+        self.server = PeerServer(self.gossip, clock, metrics)
         self.poller = Poller(
             table, catalogue, self.membership, clock, draw, metrics
         )
@@ -175,7 +184,7 @@
         async with listener, anyio.create_task_group() as tasks:
             bound = listener.extra(SocketAttribute.local_port)
             self._adopt_address(f'{host}:{bound}')
-            tasks.start_soon(listener.serve, self.peers.serve)
+            tasks.start_soon(listener.serve, self.server.serve)
             tasks.start_soon(self.peers.run)
             tasks.start_soon(self.poller.run)
             if self.settings.vm_list_url:
@@ -192,7 +201,7 @@
         self.vm_list.listeners.append(self.membership.apply_list)
         self.vm_list.listeners.append(self.leaving.apply_list)
         for name, table in self.tables.items():
-            if name != 'daemons':
+            if name != _DAEMONS:
                 table.writers.append(self.peers.announce_rows)
 
     def _adopt_address(self, address: str) -> None:
--- a/packages/cowslippond-core/src/cowslippond_core/_vm_list.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_vm_list.py
@@ -98,7 +98,9 @@
         return []
 
 
-def _read_targets(targets: list[str], labels: dict[str, str]) -> list[Vm]:
+def _read_targets(targets: Any, labels: dict[str, str]) -> list[Vm]:
+    if not isinstance(targets, list):
+        raise TypeError('targets are no list')
     return [
         Vm(
             name=labels['vm'],
--- a/packages/cowslippond-standins/src/cowslippond_standins/_spread_fleet.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/_spread_fleet.py
@@ -11,7 +11,9 @@
     AcceptedDocument,
     Catalogue,
     Clock,
+    GossipRow,
     ItemKey,
+    LeavingSource,
     Metric,
     Metrics,
     Millis,
@@ -35,6 +37,10 @@
 _MILLIS_PER_SECOND = 1000
 _DOMAINS = 14
 _SEEDS = 3
+_MARK_INTERVAL_S = 0.5
+
+#: How many upstreams are marked as leaving while measuring.
+MARKS = 6
 _NANOS_PER_MILLI = 1_000_000
 _PADDING = 2000
 
@@ -60,10 +66,12 @@
 class FleetFigures(NamedTuple):
     """What one process measured, summed over its daemons.
 
-    ``cpu_s`` is in seconds, ``memory_kb`` is the process's peak. ``known`` is
-    the least number of daemons that a daemon knew at the end. ``delays`` are
-    those between the acceptance of a change and its being in force, and
-    ``ages`` those of confirmations and of the oldest news of a domain, all in
+    ``cpu_s`` is in seconds, ``memory_kb`` is the process's peak,
+    ``most_bytes`` are those of the daemon that moved most. ``known`` is
+    the least number of daemons that a daemon knew at the end. ``mark_delays``
+    are those between the marking of a leaving upstream and its being known,
+    ``delays`` those between the acceptance of a change and its being in force;
+    ages are those of confirmations and of the oldest news of a domain, all in
     milliseconds.
     """
 
@@ -71,11 +79,13 @@
     wall_s: float
     cpu_s: float
     bytes_moved: int
+    most_bytes: int
     rounds: int
     failures: int
     reads: int
     memory_kb: int
     known: int
+    mark_delays: list[Millis]
     delays: list[Millis]
     confirmed_ages: list[Millis]
     domain_ages: list[Millis]
@@ -153,9 +163,12 @@
         self.plan = plan
         self.table = ScheduledTable(plan)
         self.clock = Clock()
+        self.part = part
         self.delays: list[Millis] = []
+        self.mark_delays: list[Millis] = []
         indices = range(part, plan.daemons, plan.processes)
         self.spreads = [self._make(index) for index in indices]
+        self.bytes_before: list[int] = []
         self.seen: dict[int, int] = {}
 
     async def measure(self) -> FleetFigures:
@@ -165,6 +178,9 @@
                 await tasks.start(spread.run)
             await anyio.sleep(self._remaining_warm_up())
             before = self._totals()
+            self.bytes_before = [_bytes_of(spread) for spread in self.spreads]
+            if self.part == 0:
+                tasks.start_soon(self._mark)
             started_at = time.perf_counter()
             cpu_before = time.process_time()
             await anyio.sleep(self.plan.measured_s)
@@ -174,6 +190,15 @@
             tasks.cancel_scope.cancel()
         return figures
 
+    async def _mark(self) -> None:
+        for index in range(MARKS):
+            address = f'10.0.0.1:{index}'
+            self.spreads[0].leaving.mark(address, LeavingSource.ANSWER)
+            await anyio.sleep(_MARK_INTERVAL_S)
+
+    def _note_mark(self, row: GossipRow) -> None:
+        self.mark_delays.append(self.clock.wall() - row.stamp)
+
     def _note_change(self, catalogue: Catalogue) -> None:
         now = self.clock.wall()
         first = max(self.seen.get(id(catalogue), 0), self.plan.services) + 1
@@ -212,11 +237,18 @@
             wall_s=wall_s,
             cpu_s=cpu_s,
             bytes_moved=sent + moved[Metric.GOSSIP_BYTES_RECEIVED],
+            most_bytes=max(
+                _bytes_of(spread) - earlier
+                for spread, earlier in zip(
+                    self.spreads, self.bytes_before, strict=True
+                )
+            ),
             rounds=moved[Metric.GOSSIP_EXCHANGES],
             failures=moved[Metric.GOSSIP_FAILURES],
             reads=moved[Metric.STORE_READS],
             memory_kb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
             known=min(len(status.daemons) for status in statuses),
+            mark_delays=self.mark_delays,
             delays=self.delays,
             confirmed_ages=[
                 status.confirmed_age
@@ -241,7 +273,7 @@
         )
         catalogue = Catalogue(self.clock)
         catalogue.listeners.append(partial(self._note_change, catalogue))
-        return Spread(
+        spread = Spread(
             settings,
             self.table,
             self.clock,
@@ -249,6 +281,14 @@
             Metrics(''),
             random.Random(index),
         )
+        spread.tables['leaving'].listeners.append(self._note_mark)
+        return spread
+
+
+def _bytes_of(spread: Spread) -> int:
+    totals = spread.metrics.totals
+    received = totals[Metric.GOSSIP_BYTES_RECEIVED]
+    return totals[Metric.GOSSIP_BYTES_SENT] + received
 
 
 def _address(plan: FleetPlan, index: int) -> str:
--- a/packages/cowslippond-standins/src/cowslippond_standins/spread_slopes.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/spread_slopes.py
@@ -20,6 +20,7 @@
 import orjson
 
 from cowslippond_standins._spread_fleet import (
+    MARKS,
     FleetFigures,
     FleetPart,
     FleetPlan,
@@ -43,7 +44,8 @@
     """One size and what it cost a daemon.
 
     ``core_share`` is in per cent of one core, ``kb_per_second`` counts both
-    directions, delays and ages are in milliseconds.
+    directions, the most is that of the busiest daemon; delays and ages are in milliseconds. ``marks_known`` is the
+    share of daemons that learnt of an upstream marked as leaving.
     """
 
     sweep: str
@@ -52,11 +54,14 @@
     changes_per_second: float
     core_share: float
     kb_per_second: float
+    most_kb_per_second: float
     rounds_per_second: float
     reads_per_second: float
     memory_mb: float
     failures: int
     known: int
+    marks_known: float
+    mark_delay_max: float
     delay_p50: float
     delay_p99: float
     delay_max: float
@@ -152,7 +157,9 @@
     lived_s = sum(part.wall_s * part.daemons for part in parts)
     wall_s = statistics.fmean(part.wall_s for part in parts)
     delays = sorted(delay for part in parts for delay in part.delays)
+    marks = [delay for part in parts for delay in part.mark_delays]
     bytes_moved = sum(part.bytes_moved for part in parts)
+    most_bytes = max(part.most_bytes for part in parts)
     return Row(
         sweep=sweep,
         daemons=plan.daemons,
@@ -160,11 +167,14 @@
         changes_per_second=plan.changes_per_second,
         core_share=sum(part.cpu_s for part in parts) / lived_s * _PERCENT,
         kb_per_second=bytes_moved / lived_s / _KILOBYTE,
+        most_kb_per_second=most_bytes / wall_s / _KILOBYTE,
         rounds_per_second=sum(part.rounds for part in parts) / lived_s,
         reads_per_second=sum(part.reads for part in parts) / wall_s,
         memory_mb=max(part.memory_kb for part in parts) / _KILOBYTE,
         failures=sum(part.failures for part in parts),
         known=min(part.known for part in parts),
+        marks_known=len(marks) / plan.daemons / MARKS,
+        mark_delay_max=max(marks, default=0),
         delay_p50=_centile(delays, _MEDIAN),
         delay_p99=_centile(delays, _TAIL),
         delay_max=max(delays, default=0),
--- a/tests/core/test_gossip.py
+++ b/tests/core/test_gossip.py
@@ -60,7 +60,7 @@
         gossip.catalogue.offer(accepted_as('till', 1, 1))
         gossip.tables['leaving'].put('a', 'b', 100)
         gossip.catalogue.confirm(0, 1)
-        asked = gossip.compose(16, 3, 16)
+        asked = gossip.compose(16, 16)
         for message in (asked, Pull(7), gossip.documents_after(0)):
             frame = encode_message(message)
             assert decode_message(frame[4:]) == message
@@ -115,16 +115,18 @@
         assert len(encode_message(answer)) <= MAX_FRAME
         assert len(new.tables['daemons'].kept) == MAX_ROWS
 
-    def test_without_bytes_left_only_the_digest_is_told(self):
+    def test_without_bytes_left_only_urgent_news_is_told(self):
         clock = FakeClock()
         gossip = make_gossip(clock)
-        gossip.tables['leaving'].put('a', 'b', 60_000)
+        gossip.tables['daemons'].is_urgent = False
+        for table in gossip.tables.values():
+            table.put('a', 'b', 600_000)
         gossip.budget.spend(10**6)
-        assert not gossip.ask(is_new=False).tables
+        told = gossip.ask(is_new=False).tables
+        assert [rows.table for rows in told] == ['leaving']
 
         clock.current += 60_000
-        gossip.tables['leaving'].put('a', 'b', 60_000)
-        assert gossip.ask(is_new=False).tables
+        assert len(gossip.ask(is_new=False).tables) == 2
 
 
 class TestLearning:
--- a/tests/core/test_gossip_table.py
+++ b/tests/core/test_gossip_table.py
@@ -1,5 +1,6 @@
 """Rows that are passed on: the later write wins, and all is bounded."""
 
+import pytest
 from cowslippond_core import GossipRow, GossipTable
 from fakes import FakeClock
 from hypothesis import given
@@ -31,7 +32,7 @@
 
     def test_a_write_wins_over_a_row_of_a_clock_that_runs_ahead(self):
         table = GossipTable('t', FakeClock(1000))
-        table.merge(GossipRow('key', 'ahead', 10**15, 1000))
+        table.merge(GossipRow('key', 'ahead', 3_600_000, 1000))
         table.put('key', 'written', 1000)
 
         assert table.text_of('key') == 'written'
@@ -66,17 +67,24 @@
 
         assert [row.key for row in table.rows()] == ['b', 'c']
 
-    def test_an_oversized_row_is_refused(self):
-        table = GossipTable('t', FakeClock())
-        assert not table.merge(GossipRow('key', 'x' * 1000, 1, 1000))
+    @pytest.mark.parametrize(
+        'row',
+        [
+            GossipRow('key', 'x' * 1000, 1, 1000),
+            GossipRow('key', 'from the far future', 2**63 - 1, 1000),
+            GossipRow('key', 'expired', 1, 0),
+        ],
+    )
+    def test_an_implausible_row_is_refused(self, row):
+        assert not GossipTable('t', FakeClock()).merge(row)
 
     def test_news_is_sent_a_few_times_and_the_rest_in_turn(self):
-        table = GossipTable('t', FakeClock())
+        table = GossipTable('t', FakeClock(), sends=2)
         for key in 'abcdef':
             table.put(key, '', 1000)
-        news = [table.take(3, 0, 2) for _ in range(4)]
+        news = [table.take(3, 0) for _ in range(4)]
         assert all(len(rows) == 3 for rows in news)
-        assert not table.take(3, 0, 2)
+        assert not table.take(3, 0)
 
-        in_turn = [table.take(3, 2, 2) for _ in range(3)]
+        in_turn = [table.take(3, 2) for _ in range(3)]
         assert {row.key for rows in in_turn for row in rows} == set('abcdef')
--- a/tests/core/test_spread.py
+++ b/tests/core/test_spread.py
@@ -32,6 +32,16 @@
         return super().now() + self.jump
 
 
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict[str, bool]]:
+    """Use uvloop, as the daemon does.
+
+    The selector loop of Python 3.11 reports an invalid state when a listener
+    is cancelled while a connection arrives.
+    """
+    return 'asyncio', {'use_uvloop': True}
+
+
 async def eventually(check: Callable[[], bool]) -> None:
     with anyio.fail_after(PATIENCE_S):
         while not check():
@@ -212,6 +222,14 @@
             )
             tasks.cancel_scope.cancel()
 
+    async def test_addresses_that_are_none_do_no_harm(self):
+        seeds = ('', 'x', '127.0.0.1:', '127.0.0.1:99999', 'a..b:1', ':x')
+        spread = make_spread(FakeTable(), seeds=seeds)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(spread.run)
+            await eventually(lambda: len(spread.contact.attempts) == len(seeds))
+            tasks.cancel_scope.cancel()
+
     async def test_a_stranger_on_the_peer_port_does_no_harm(self):
         async with anyio.create_task_group() as tasks:
             fleet = await start_fleet(tasks, FakeTable(), 2)
--- a/tests/core/test_vm_list.py
+++ b/tests/core/test_vm_list.py
@@ -45,7 +45,13 @@
 
     @pytest.mark.parametrize(
         'bad',
-        [{}, 7, {'targets': ['a:1']}, {'targets': ['a:1'], 'labels': {}}],
+        [
+            {},
+            7,
+            {'targets': 'a:1', 'labels': dict(LABELS)},
+            {'targets': ['a:1']},
+            {'targets': ['a:1'], 'labels': {}},
+        ],
     )
     def test_a_bad_entry_does_not_hide_the_others(self, bad):
         good = {'targets': ['10.0.0.1:80'], 'labels': dict(LABELS)}
