--- a/packages/cowslippond-standins/src/cowslippond_standins/_spread_fleet.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/_spread_fleet.py
@@ -178,7 +178,7 @@
                 await tasks.start(spread.run)
             await anyio.sleep(self._remaining_warm_up())
             before = self._totals()
-            self.bytes_before = [_bytes_of(spread) for spread in self.spreads]
+            self.bytes_before = [_bytes_of(one) for one in self.spreads]
             if self.part == 0:
                 tasks.start_soon(self._mark)
             started_at = time.perf_counter()
@@ -238,10 +238,8 @@
             cpu_s=cpu_s,
             bytes_moved=sent + moved[Metric.GOSSIP_BYTES_RECEIVED],
             most_bytes=max(
-                _bytes_of(spread) - earlier
-                for spread, earlier in zip(
-                    self.spreads, self.bytes_before, strict=True
-                )
+                _bytes_of(spread) - self.bytes_before[index]
+                for index, spread in enumerate(self.spreads)
             ),
             rounds=moved[Metric.GOSSIP_EXCHANGES],
             failures=moved[Metric.GOSSIP_FAILURES],
--- a/packages/cowslippond-standins/src/cowslippond_standins/spread_slopes.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/spread_slopes.py
@@ -148,7 +148,8 @@
 
 def measure_part(plan: FleetPlan, part: int) -> FleetFigures:
     """Run one process's part of a fleet."""
-    return anyio.run(FleetPart(plan, part).measure)
+    fleet = FleetPart(plan, part)
+    return anyio.run(fleet.measure, backend_options={'use_uvloop': True})
 
 
 def _summarise(
