--- a/packages/cowslippond-core/src/cowslippond_core/_gossip_table.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_gossip_table.py
@@ -76,6 +76,7 @@
         self.fresh: OrderedDict[str, int] = OrderedDict()
         self.cursor: list[str] = []
         self.listeners: list[Callable[[GossipRow], None]] = []
+        self.writers: list[Callable[[], None]] = []
 
     def put(self, key: str, text: str, time_to_live: Millis) -> None:
         """Write a row that is passed on to all daemons.
@@ -87,6 +88,8 @@
         if kept is not None:
             stamp = max(stamp, kept.stamp + 1)
         self.merge(GossipRow(key, text, stamp, time_to_live))
+        for wake in self.writers:
+            wake()
 
     def merge(self, row: GossipRow) -> bool:
         """Keep a row if it is newer than the one known.
--- a/packages/cowslippond-core/src/cowslippond_core/_spread.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_spread.py
@@ -10,7 +10,7 @@
 from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._contact import Contact
 from cowslippond_core._gossip import Gossip
-from cowslippond_core._gossip_table import GossipRow, GossipTable
+from cowslippond_core._gossip_table import GossipTable
 from cowslippond_core._leaving import Leaving
 from cowslippond_core._membership import Daemon, Membership
 from cowslippond_core._metrics import Metric, Metrics
@@ -200,18 +200,15 @@
         self.catalogue.listeners.append(self.peers.announce)
         self.vm_list.listeners.append(self.membership.apply_list)
         self.vm_list.listeners.append(self.leaving.apply_list)
-        for table in self.tables.values():
-            if table.is_urgent:
-                table.listeners.append(self._pass_on)
+        for name, table in self.tables.items():
+            if name != _DAEMONS:
+                table.writers.append(self.peers.announce_rows)
 
     def _adopt_address(self, address: str) -> None:
         self.gossip.address = address
         own = self.membership.own
         self.membership.own = own._replace(address=address)
 
-    def _pass_on(self, _: GossipRow) -> None:
-        self.peers.announce_rows()
-
     async def _beat(self) -> None:
         while True:
             self.membership.beat()
