Claim orders whose body is passed on without being held

Cause: a keyed call of more than 64 KiB was refused as a bad request, because its digest could not be known before it was sent. Ruled out: comparing only the first bytes; a repeat with another end would get the answer of a different order. Change: the rest is digested while it passes and recorded with the answer; a repeat's body is read whole before it gets that answer.

--- a/packages/cowslippond-core/src/cowslippond_core/_call_identity.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_call_identity.py
@@ -1,6 +1,7 @@
 """What tells whether two calls are the same order, and the same request."""
 
 import hashlib
+from collections.abc import AsyncIterator
 from typing import NamedTuple
 
 from cowslippond_core._messages import CallRequest
@@ -37,10 +38,41 @@
 def digest_request(request: CallRequest) -> str:
     """Return the digest by which a key used for another call is found.
 
-    It covers the method, the target and the bytes of the body that were read.
+    It covers the method, the target and the bytes of the body that were read;
+    :class:`RestDigest` covers those that were not.
     """
     digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-    for part in (request.method, request.target, request.body):
+    ending = b'whole' if request.rest is None else b'open'
+    for part in (request.method, request.target, request.body, ending):
         digest.update(len(part).to_bytes(_LENGTH_BYTES))
         digest.update(part)
     return digest.hexdigest()
+
+
+class RestDigest:
+    """The digest of the rest of a body, taken while it passes.
+
+    :param rest: the parts of the body that were not read yet.
+    """
+
+    def __init__(self, rest: AsyncIterator[bytes]) -> None:
+        self.rest = rest
+        self.digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+        self.is_whole = False
+
+    async def pass_on(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body."""
+        async for part in self.rest:
+            self.digest.update(part)
+            yield part
+        self.is_whole = True
+
+    async def take(self) -> None:
+        """Read the parts of the body without keeping them."""
+        async for part in self.rest:
+            self.digest.update(part)
+        self.is_whole = True
+
+    def text(self) -> str:
+        """Return the digest, empty if the body was not passed on whole."""
+        return self.digest.hexdigest() if self.is_whole else ''
--- a/packages/cowslippond-core/src/cowslippond_core/_claim.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_claim.py
@@ -32,8 +32,13 @@
 
 
 class RecordedAnswer(NamedTuple):
-    """An answer held whole; ``body`` of ``None`` was too large to keep."""
+    """An answer held whole; ``body`` of ``None`` was too large to keep.
+
+    ``rest_digest`` is that of the part of the request's body that was passed
+    on without being held, empty if there was none or not all was passed on.
+    """
 
     status: int
     headers: HeaderList
     body: bytes | None
+    rest_digest: str = ''
--- a/packages/cowslippond-core/src/cowslippond_core/_claim_flow.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_claim_flow.py
@@ -6,7 +6,11 @@
 
 import anyio
 
-from cowslippond_core._call_identity import CallIdentity, digest_request
+from cowslippond_core._call_identity import (
+    CallIdentity,
+    RestDigest,
+    digest_request,
+)
 from cowslippond_core._claim import Claim, RecordedAnswer
 from cowslippond_core._claim_backlog import (
     ClaimBacklog,
@@ -21,9 +25,12 @@
     whole_body,
 )
 from cowslippond_core._claim_outcomes import (
+    AnswerNotKept,
+    AnswerRecorded,
     ClaimGranted,
     ClaimOutcome,
     ClaimUnavailable,
+    KeyReused,
 )
 from cowslippond_core._claims import Claims
 from cowslippond_core._clock import Clock, seconds_of
@@ -37,8 +44,9 @@
 from cowslippond_core._reasons import RefusalReason
 
 _KEPT_BYTES = 262_144
+_LOST_RETRY_AFTER_MS = 60_000
 
-Send: TypeAlias = Callable[[], Awaitable[CallEnd]]
+Send: TypeAlias = Callable[[CallRequest], Awaitable[CallEnd]]
 
 
 @runtime_checkable
@@ -54,6 +62,14 @@
     is_whole: bool
 
 
+class _Run(NamedTuple):
+    """A claimed call about to be sent."""
+
+    claim: Claim
+    request: CallRequest
+    rest: RestDigest | None
+
+
 class ClaimFlow:
     """Runs keyed calls at most once.
 
@@ -90,15 +106,19 @@
         :param send: sends the call; must return by the call's deadline. A
             refusal with :attr:`Outcome.NOT_RUN` is a promise.
         """
+        rest = None
         if request.rest is not None:
-            return refuse_call(Outcome.NOT_RUN, RefusalReason.BAD_REQUEST)
+            rest = RestDigest(request.rest)
+            request = request._replace(rest=rest.pass_on())
         claim = self.claims.propose(
             identity, digest_request(request), request.deadline
         )
         outcome = await self._claim(claim)
         if isinstance(outcome, ClaimGranted):
             with anyio.CancelScope(shield=True):
-                return await self._send(outcome.claim, send)
+                return await self._send(_Run(claim, request, rest), send)
+        if rest is not None and isinstance(outcome, AnswerRecorded):
+            outcome = await _compare_rest(outcome, rest)
         return end_of(outcome, request)
 
     async def _claim(self, claim: Claim) -> ClaimOutcome:
@@ -110,21 +130,22 @@
                 doubt.pop_all()
         return outcome
 
-    async def _send(self, claim: Claim, send: Send) -> CallEnd:
+    async def _send(self, run: _Run, send: Send) -> CallEnd:
+        claim = run.claim
         if not claim.may_send(self.clock.now()):
             self.backlog.add(ReleaseClaim(claim))
             return refuse_call(Outcome.NOT_RUN, RefusalReason.DEADLINE)
         left = claim.deadline - self.clock.now()
         with anyio.move_on_after(seconds_of(left)):
-            end = await send()
+            end = await send(run.request)
             if isinstance(end, CallAnswer):
-                return await self._keep(claim, end)
+                return await self._keep(run, end)
             if end.outcome is Outcome.NOT_RUN:
                 self.backlog.add(ReleaseClaim(claim))
             return end
         return refuse_call(Outcome.UNKNOWN, RefusalReason.ANSWER_LOST)
 
-    async def _keep(self, claim: Claim, answer: CallAnswer) -> CallEnd:
+    async def _keep(self, run: _Run, answer: CallAnswer) -> CallEnd:
         async with AsyncExitStack() as closing:
             closing.push_async_callback(_close, answer.chunks)
             try:
@@ -133,13 +154,29 @@
                 return refuse_call(Outcome.UNKNOWN, RefusalReason.ANSWER_LOST)
             closing.pop_all()
         body = held.body if held.is_whole else None
-        recorded = RecordedAnswer(answer.status, answer.headers, body)
-        self.backlog.add(RecordAnswer(claim, recorded))
+        rest_digest = run.rest.text() if run.rest else ''
+        recorded = RecordedAnswer(
+            answer.status, answer.headers, body, rest_digest
+        )
+        self.backlog.add(RecordAnswer(run.claim, recorded))
         if held.is_whole:
             return answer._replace(chunks=whole_body(held.body))
         return answer._replace(chunks=_resume(held.body, answer.chunks))
 
 
+async def _compare_rest(
+    outcome: AnswerRecorded, rest: RestDigest
+) -> ClaimOutcome:
+    """Return the outcome for a repeat whose body was not read whole yet."""
+    await rest.take()
+    recorded = outcome.answer
+    if not recorded.rest_digest:
+        return AnswerNotKept(recorded.status, _LOST_RETRY_AFTER_MS)
+    if recorded.rest_digest != rest.text():
+        return KeyReused()
+    return outcome
+
+
 def _is_doubtful(outcome: ClaimOutcome) -> bool:
     if isinstance(outcome, ClaimUnavailable):
         return outcome.is_doubtful
--- a/packages/cowslippond-core/src/cowslippond_core/_claim_rows.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_claim_rows.py
@@ -41,6 +41,7 @@
     digest: str
     stored_at: str
     is_kept: bool
+    rest_digest: str
 
 
 class ClaimRow(NamedTuple):
--- a/packages/cowslippond-core/src/cowslippond_core/_claims.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_claims.py
@@ -260,7 +260,9 @@
             body = found.ok or b''
         if not head.is_kept or digest_bytes(body) != head.digest:
             return AnswerNotKept(head.status, _LOST_RETRY_AFTER_MS)
-        return AnswerRecorded(RecordedAnswer(head.status, head.headers, body))
+        return AnswerRecorded(
+            RecordedAnswer(head.status, head.headers, body, head.rest_digest)
+        )
 
 
 def _may_take_effect(error: TableError) -> bool:
@@ -311,6 +313,7 @@
         digest_bytes(body),
         stored_at,
         answer.body is not None,
+        answer.rest_digest,
     )
 
 
--- a/packages/cowslippond-core/src/cowslippond_core/_sender.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sender.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 from cowslippond_core._attempt import Attempt
+from cowslippond_core._budgets import is_first_attempt
 from cowslippond_core._clock import Clock
 from cowslippond_core._crash_watch import note_end
 from cowslippond_core._hooks import SendingHooks
@@ -66,8 +67,9 @@
         refusal = await self._admit(service, request)
         if refusal is not None:
             return not_run(refusal, self.ctx.rng)
-        service.retry_budget.note_send()
-        service.hedge_budget.note_send()
+        if is_first_attempt(request.attempt):
+            service.retry_budget.note_send()
+            service.hedge_budget.note_send()
         started_at = clock.now()
         try:
             result = await Sending(self.ctx, service, request).run()
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
@@ -1,6 +1,7 @@
 """Decides on a call: which service it is for, and how it may run."""
 
 import logging
+from functools import partial
 
 from cowslippond_core import (
     CallAnswer,
@@ -76,7 +77,7 @@
         return await self.parts.claims.run(
             request,
             identity,
-            lambda: self.parts.sender.send(state, request),
+            partial(self.parts.sender.send, state),
         )
 
     def _make_request(
--- a/tests/claim_world.py
+++ b/tests/claim_world.py
@@ -151,6 +151,8 @@
         self.body = body
         self.runs: list[str] = []
         self.refuses = False
+        self.takes_body = True
+        self.taken = b''
         self.on_run: Callable[[], None] | None = None
         self.chunks: AsyncIterator[bytes] | None = None
         self.running = anyio.Event()
@@ -164,6 +166,8 @@
             )
         self.running.set()
         await self.finish.wait()
+        if request.rest is not None and self.takes_body:
+            self.taken = b''.join([part async for part in request.rest])
         self.runs.append(request.request_id)
         if self.on_run is not None:
             self.on_run()
--- a/tests/core/test_claim_flow.py
+++ b/tests/core/test_claim_flow.py
@@ -51,9 +51,7 @@
         identity: CallIdentity = KEY,
     ) -> CallEnd:
         sent = request or make_request('r1')
-        return await daemon.flow.run(
-            sent, identity, lambda: self.upstream.send(sent)
-        )
+        return await daemon.flow.run(sent, identity, self.upstream.send)
 
     async def place(self, daemon: Daemon, name: str) -> None:
         self.ends.append(await self.order(daemon, make_request(name)))
@@ -65,6 +63,10 @@
         self.table.is_down = True
 
 
+def large_request(name: str, tail: bytes) -> CallRequest:
+    return make_request(name)._replace(rest=chunks_of(tail))
+
+
 def fail_hard() -> None:
     raise RuntimeError('killed')
 
@@ -152,6 +154,35 @@
         assert len(world.upstream.runs) == 2
 
 
+class TestLargeRequest:
+    async def test_repeat_gets_the_recorded_answer(self, world: World) -> None:
+        first = await world.order(world.first, large_request('r1', b'tail'))
+        assert await read_whole(first) == b'receipt'
+        await world.first.drain()
+        again = await world.order(world.second, large_request('r2', b'tail'))
+        assert await read_whole(again) == b'receipt'
+        assert world.upstream.runs == ['r1']
+        assert world.upstream.taken == b'tail'
+
+    async def test_repeat_with_another_end_is_refused(
+        self, world: World
+    ) -> None:
+        await world.order(world.first, large_request('r1', b'tail'))
+        await world.first.drain()
+        again = await world.order(world.second, large_request('r2', b'other'))
+        assert reason_of(again)[1] is RefusalReason.KEY_REUSED
+
+    async def test_repeat_of_a_body_not_taken_whole_is_not_compared(
+        self, world: World
+    ) -> None:
+        world.upstream.takes_body = False
+        await world.order(world.first, large_request('r1', b'tail'))
+        await world.first.drain()
+        again = await world.order(world.second, large_request('r2', b'tail'))
+        assert reason_of(again)[1] is RefusalReason.ANSWER_NOT_KEPT
+        assert world.upstream.runs == ['r1']
+
+
 class TestRace:
     async def test_of_two_daemons_runs_the_call_once(
         self, world: World
--- a/tests/core/test_claims_random.py
+++ b/tests/core/test_claims_random.py
@@ -2,7 +2,6 @@
 
 import random
 from collections import Counter
-from functools import partial
 
 import anyio
 from claim_world import (
@@ -62,8 +61,8 @@
     async def ask_again(self) -> None:
         """Repeat the call when no fault is left."""
         last = make_request('last')
-        send = partial(self.upstream.send, last)
-        self.told['last'] = await self.daemons[0].flow.run(last, KEY, send)
+        flow = self.daemons[0].flow
+        self.told['last'] = await flow.run(last, KEY, self.upstream.send)
 
     async def _call(self, name: str) -> None:
         daemon = self.rng.choice(self.daemons)
@@ -72,9 +71,7 @@
             async with anyio.create_task_group() as tasks:
                 if self._is_drawn(30):
                     tasks.start_soon(self._leave, scope)
-                end = await daemon.flow.run(
-                    request, KEY, partial(self._send, request)
-                )
+                end = await daemon.flow.run(request, KEY, self._send)
                 self.told[name] = end
                 if isinstance(end, CallAnswer):
                     self.answers.append(
--- a/tests/integration/seams/sitecustomize.py
+++ b/tests/integration/seams/sitecustomize.py
@@ -21,7 +21,7 @@
     from cowslippond_core import _claim_flow
 
     async def run(flow: Any, request: Any, identity: Any, send: Any) -> Any:
-        return await send()
+        return await send(request)
 
     _claim_flow.ClaimFlow.run = run
 
--- a/tests/integration/shop.py
+++ b/tests/integration/shop.py
@@ -45,6 +45,7 @@
     size: int = 7,
     deadline: int = 3000,
     headers: Mapping[str, str] | None = None,
+    body: bytes = b'one pass',
 ) -> Reply:
     """Send an order through a daemon.
 
@@ -62,7 +63,7 @@
             'x-deadline-ms': str(deadline),
             **(headers or {}),
         },
-        body=b'one pass',
+        body=body,
     )
 
 
--- a/tests/integration/test_orders.py
+++ b/tests/integration/test_orders.py
@@ -21,7 +21,7 @@
 
 def told(reply: Reply) -> tuple[str, str]:
     """Return the outcome and the reason of a refusal."""
-    assert reply.outcome, reply
+    assert reply.outcome, reply.headers
     assert int(reply.headers['retry-after']) > 0
     return reply.outcome, reply.reason
 
@@ -33,11 +33,11 @@
             async with anyio.create_task_group() as tasks:
                 for daemon in shop.daemons:
                     tasks.start_soon(shop.place_and_keep, daemon, key)
+        assert {await shop.runs_of(key) for key in keys} == {1}
         statuses = Counter(reply.status for reply in shop.replies)
         assert statuses[200] >= 20
         assert statuses[409] > 0, 'no two orders met'
         assert statuses[200] + statuses[409] == 40
-        assert {await shop.runs_of(key) for key in keys} == {1}
 
     async def test_repeat_through_another_daemon_gets_the_same(
         self, shop: Shop
@@ -54,6 +54,19 @@
         assert await shop.runs_of('small') == 1
         assert await shop.runs_of('large') == 1
 
+    async def test_repeat_of_a_large_request_is_compared_whole(
+        self, shop: Shop
+    ) -> None:
+        body = bytes(300_000)
+        first = await place(shop.daemons[0], 'upload', body=body)
+        await shop.wait_settled(shop.daemons[0])
+        again = await place(shop.daemons[1], 'upload', body=body)
+        other = await place(shop.daemons[1], 'upload', body=bytes(300_001))
+        assert (first.status, again.status) == (200, 200)
+        assert first.headers['x-body-length'] == '300000'
+        assert told(other) == ('not-run', 'key_reused')
+        assert await shop.runs_of('upload') == 1
+
 
 class TestClaimant:
     async def test_killed_after_it_sent_the_order(self, shop: Shop) -> None:
