Leave a table alone that is down, and spread the callers it sends away

Cause: a claim refused by a throttled table was tried three times at once, each with a read, which triples the load on a table that already has too much; and all callers were told to come back after the same 2 s. Ruled out: nothing. Change: a write that had no effect ends the claim; the time to come back is drawn from 1 to 4 s.

--- a/packages/cowslippond-core/src/cowslippond_core/_claims.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_claims.py
@@ -4,6 +4,7 @@
 leaves the outcome of the call unknown until its row expires.
 """
 
+import random
 import uuid
 from typing import NamedTuple, TypeAlias
 
@@ -49,7 +50,8 @@
 _RECORD_LIFE_MS = 7 * _DAY_MS
 _INLINE_BYTES = 32_768
 _CLAIM_TRIES = 3
-_STORE_RETRY_AFTER_MS = 2000
+_SOONEST_RETRY_MS = 1000
+_LATEST_RETRY_MS = 4000
 _LOST_RETRY_AFTER_MS = 60_000
 _IN_PROGRESS_RETRY_AFTER_MS = 1000
 _ABSENT = (Condition('pk', None),)
@@ -100,6 +102,7 @@
         self.clock = clock
         self.vm = vm
         self.settings = settings or ClaimSettings()
+        self.draw = random.Random()
 
     def propose(
         self, identity: CallIdentity, request_digest: str, deadline: Millis
@@ -137,14 +140,14 @@
             if written.is_ok():
                 return ClaimGranted(claim)
             is_doubtful = is_doubtful or _may_take_effect(written.error)
-            found = await self._read(claim.item)
+            found = await self._read_back(claim.item, written.error)
             if found.is_error():
                 break
             row = found.ok
             if row is not None and _is_decided(claim, row):
                 return await self._judge(claim, row)
             conditions = _claim_conditions(row)
-        return ClaimUnavailable(_STORE_RETRY_AFTER_MS, is_doubtful)
+        return ClaimUnavailable(self._retry_after(), is_doubtful)
 
     async def record(
         self, claim: Claim, answer: RecordedAnswer
@@ -195,6 +198,10 @@
             return Error(TableError(TableFault.UNKNOWN, detail))
         return Ok(None)
 
+    def _retry_after(self) -> Millis:
+        """Return a time that spreads callers who were refused together."""
+        return self.draw.uniform(_SOONEST_RETRY_MS, _LATEST_RETRY_MS)
+
     async def _finish(
         self, claim: Claim, ending: _Ending
     ) -> Result[None, StoreError]:
@@ -232,6 +239,14 @@
             Put(claim.item, encode_row(row), conditions)
         )
 
+    async def _read_back(
+        self, item: ItemKey, failed: TableError
+    ) -> Result[ClaimRow | None, TableError]:
+        """Read a row after a failed write; leave a table alone that is down."""
+        if failed.fault is TableFault.UNAVAILABLE:
+            return Error(failed)
+        return await self._read(item)
+
     async def _read(self, item: ItemKey) -> Result[ClaimRow | None, TableError]:
         found = await self.table.get(item)
         if found.is_error():
@@ -256,7 +271,7 @@
         if head.stored_at:
             found = await self.object_store.get(head.stored_at)
             if found.is_error():
-                return AnswerNotKept(head.status, _STORE_RETRY_AFTER_MS)
+                return AnswerNotKept(head.status, self._retry_after())
             body = found.ok or b''
         if not head.is_kept or digest_bytes(body) != head.digest:
             return AnswerNotKept(head.status, _LOST_RETRY_AFTER_MS)
--- a/packages/cowslippond-core/src/cowslippond_core/_urgent_news.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_urgent_news.py
@@ -9,7 +9,7 @@
 from cowslippond_core._gossip import Gossip
 from cowslippond_core._membership import Membership
 from cowslippond_core._metrics import Metrics
-from cowslippond_core._wire import TableRows
+from cowslippond_core._peer_messages import TableRows
 
 #: The longest wait for the daemons to take the news, in milliseconds.
 PATIENCE: Millis = 40
