Ask a busy upstream again soon, and copy later

Cause: the pause after an answer of 'no free slot' doubled each time and a call had six sends, so that at 70 % load 3 to 5 % of the calls were refused and the tail waited for pauses of up to 200 ms; copies at p95 used up their budget; an upstream that fails fast gave its errors to callers. Change: the pause is the mean time to a free slot and grows only after twelve such answers in a row; 40 sends; copies after 1.5 times p95; status 500 of an idempotent call is retried within the budget; three failures in a row eject.

--- a/packages/cowslippond-core/src/cowslippond_core/_ejection.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_ejection.py
@@ -5,7 +5,7 @@
 from cowslippond_core._clock import Millis
 from cowslippond_core._upstreams import Upstream
 
-_WEIGHT_TO_EJECT = 5
+_FAILURES_TO_EJECT = 3
 _FIRST_EJECTION: Millis = 500
 _LONGEST_EJECTION: Millis = 20000
 _MOST_DOUBLINGS = 8
@@ -18,7 +18,6 @@
     upstream: Upstream,
     peers: Collection[Upstream],
     now: Millis,
-    weight: int,
 ) -> None:
     """Count a failed call, and eject the upstream after several in a row.
 
@@ -27,11 +26,10 @@
 
     :param peers: all upstreams of the service.
     :param now: on the clock, in milliseconds.
-    :param weight: how much the failure counts.
     """
-    upstream.health.failure_weight += weight
+    upstream.health.failures_in_row += 1
     is_due = upstream.health.is_on_probation or (
-        upstream.health.failure_weight >= _WEIGHT_TO_EJECT
+        upstream.health.failures_in_row >= _FAILURES_TO_EJECT
     )
     if not is_due or upstream.health.ejected_until > now:
         return
@@ -47,7 +45,7 @@
 
 def note_success(upstream: Upstream) -> None:
     """Count a good answer, which ends probation."""
-    upstream.health.failure_weight = 0
+    upstream.health.failures_in_row = 0
     upstream.health.is_on_probation = False
     upstream.health.ejections = max(upstream.health.ejections - 1, 0)
 
--- a/packages/cowslippond-core/src/cowslippond_core/_limits.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_limits.py
@@ -8,7 +8,8 @@
 from cowslippond_core._document import LimitPolicy
 from cowslippond_core._reasons import RefusalReason
 
-_DECREASE = 0.9
+_DECREASE = 0.8
+_INCREASE = 0.5
 _DECREASE_EVERY: Millis = 50
 _HOLD_WEIGHT = 0.1
 
@@ -17,8 +18,8 @@
     """Bound the calls of one service that a process holds.
 
     The bound on running calls adapts: it falls by a factor while the upstreams
-    have no free slot, and grows by about one for each round of good answers
-    while it is used up, as in TCP's congestion avoidance.
+    have no free slot, and grows with good answers while it is used up, as in
+    TCP's congestion avoidance.
 
     :param policy: the bounds that the service's document sets.
     :param clock: tells how long a call may still wait.
@@ -82,7 +83,7 @@
         """
         self.hold += _HOLD_WEIGHT * (hold - self.hold)
         if self.running + 1 >= self.limit:
-            raised = self.limit + 1 / self.limit
+            raised = self.limit + _INCREASE / self.limit
             self.limit = min(raised, float(self.policy.concurrency))
 
     def _has_room(self) -> bool:
--- a/packages/cowslippond-core/src/cowslippond_core/_observations.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_observations.py
@@ -16,8 +16,6 @@
 from cowslippond_core._service_state import ServiceState
 
 _FIRST_ERROR_STATUS = 500
-_LOSS_WEIGHT = 2
-_ERROR_WEIGHT = 1
 _TIMEOUT_FACTOR = 4
 
 
@@ -58,7 +56,7 @@
     note_report(upstream, answered.answer.headers, now)
     if is_error(answered):
         peers = service.upstreams.by_address.values()
-        note_failure(upstream, peers, now, _ERROR_WEIGHT)
+        note_failure(upstream, peers, now)
         return
     latency = now - attempt.sent_at
     service.latency.note(latency)
@@ -80,7 +78,7 @@
         fingerprint = attempt.request.fingerprint
         hooks.on_break(attempt.upstream, fingerprint, now)
     peers = service.upstreams.by_address.values()
-    note_failure(attempt.upstream, peers, now, _LOSS_WEIGHT)
+    note_failure(attempt.upstream, peers, now)
 
 
 def _note_not_run(
@@ -93,8 +91,8 @@
     now = attempt.clock.now()
     if refused.reason is NotRunReason.CONNECT_FAILED:
         peers = service.upstreams.by_address.values()
-        note_failure(upstream, peers, now, _LOSS_WEIGHT)
+        note_failure(upstream, peers, now)
         return
-    note_shed(upstream, now)
+    note_shed(upstream, service.document.upstreams, now)
     if refused.reason is NotRunReason.DRAINING:
         hooks.mark_leaving(upstream.address, 'answer')
--- a/packages/cowslippond-core/src/cowslippond_core/_retries.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_retries.py
@@ -14,7 +14,7 @@
 from cowslippond_core._messages import CallRequest
 from cowslippond_core._reasons import RetryReason
 
-_RETRIED_STATUSES = frozenset((502, 503, 504))
+_RETRIED_STATUSES = frozenset((500, 502, 503, 504))
 
 _NOT_RUN_REASONS = MappingProxyType(
     {
--- a/packages/cowslippond-core/src/cowslippond_core/_sending.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -25,10 +25,12 @@
 from cowslippond_core._service_state import ServiceState
 from cowslippond_core._upstreams import Upstream
 
-#: The most sends of one call by one process.
-MAX_SENDS = 6
+#: The most sends of one call by one process, those that an upstream refused
+#: for want of a free slot included.
+MAX_SENDS = 40
 
 _SILENCE_FACTOR = 4
+_HEDGE_FACTOR = 1.5
 _LEAST_SILENCE: Millis = 200
 
 
@@ -169,7 +171,8 @@
 
     def _hedge_time(self) -> Millis:
         hedging = self.service.document.hedging
-        delay = max(hedging.delay_ms, self.service.latency.p95)
+        late = self.service.latency.p95 * _HEDGE_FACTOR
+        delay = max(hedging.delay_ms, late)
         return min(self.clock.now() + delay, self.request.deadline)
 
     def _may_hedge_now(self) -> bool:
--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -15,7 +15,7 @@
     """How calls on an upstream have failed lately."""
 
     def __init__(self) -> None:
-        self.failure_weight = 0
+        self.failures_in_row = 0
         self.ejections = 0
         self.ejected_until: Millis = 0
         self.is_on_probation = False
