Keep routing policies to compare with

Cause: the shipped policy had nothing to be measured against. Change: random, round robin, two choices, least in flight, and probing by the published Prequal rule, chosen by name for measurements only. Conclusion: kept as baselines.

--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -2,6 +2,7 @@
 
 from cowslippond_core._apply_errors import ApplyError as ApplyError
 from cowslippond_core._apply_errors import ApplyFault as ApplyFault
+from cowslippond_core._baselines import make_policy as make_policy
 from cowslippond_core._budgets import BudgetSettings as BudgetSettings
 from cowslippond_core._budgets import ShareBudget as ShareBudget
 from cowslippond_core._budgets import is_first_attempt as is_first_attempt
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_prequal.py
@@ -0,0 +1,132 @@
+"""Routing by probes, kept as a baseline for measurements.
+
+The rule is that of Wydrowski et al., "Load is not what you should balance:
+Introducing Prequal" (NSDI 2024): a pool of recent probe results, from which
+the fastest upstream is chosen among those with few calls in flight.
+"""
+
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import anyio
+
+from cowslippond_core._clock import Clock, Millis, seconds_of
+from cowslippond_core._exchange import Exchange
+from cowslippond_core._load import note_report
+from cowslippond_core._routing import after_send, pick
+from cowslippond_core._upstreams import Upstream
+
+_POOL_SIZE = 16
+_FEWEST_RESULTS = 2
+_LONGEST_AGE: Millis = 1000
+_PROBE_TIMEOUT: Millis = 100
+_HOT_QUANTILE = 0.84
+_USES = 3
+_PROBE = b'GET /load HTTP/1.1\r\nhost: probe\r\n\r\n'
+
+
+class ProbeResult(NamedTuple):
+    """What one probe found."""
+
+    upstream: Upstream
+    in_flight: float
+    probed_at: Millis
+    uses_left: int
+
+
+class ProbePool:
+    """The recent probe results of one sender.
+
+    :param clock: tells the age of results.
+    :param probes_per_call: mean number of probes for each send.
+    """
+
+    def __init__(self, clock: Clock, probes_per_call: float) -> None:
+        self.clock = clock
+        self.probes_per_call = probes_per_call
+        self.owed: float = 0
+        self.probes = 0
+        self.pool: list[ProbeResult] = []
+
+    def fresh(self, candidates: Sequence[Upstream]) -> list[ProbeResult]:
+        """Return the usable results about some upstreams."""
+        oldest = self.clock.now() - _LONGEST_AGE
+        self.pool = [one for one in self.pool if one.probed_at >= oldest]
+        return [one for one in self.pool if one.upstream in candidates]
+
+    def use(self, chosen: ProbeResult) -> None:
+        """Count a use of a result; after some uses it is dropped.
+
+        The call that goes there is added to the calls in flight.
+        """
+        self.pool.remove(chosen)
+        if chosen.uses_left > 1:
+            self.pool.append(
+                chosen._replace(
+                    in_flight=chosen.in_flight + 1,
+                    uses_left=chosen.uses_left - 1,
+                )
+            )
+
+    async def probe(self, upstream: Upstream) -> None:
+        """Ask an upstream for its load."""
+        self.probes += 1
+        taken = await upstream.connections.take(is_fresh=False)
+        if taken.is_error():
+            return
+        connection = taken.ok
+        exchange = Exchange(is_head=False)
+        connection.begin(exchange)
+        with anyio.move_on_after(seconds_of(_PROBE_TIMEOUT)):
+            await connection.send(_PROBE)
+            while await exchange.next_chunk():
+                exchange.chunks.clear()
+        if connection.end_call():
+            upstream.connections.give_back(connection)
+        if not exchange.is_complete:
+            return
+        now = self.clock.now()
+        note_report(upstream, tuple(exchange.headers), now)
+        self._add(
+            ProbeResult(upstream, upstream.load.reported_in_flight, now, _USES)
+        )
+
+    def _add(self, found: ProbeResult) -> None:
+        if len(self.pool) >= _POOL_SIZE:
+            self.pool.pop(0)
+        self.pool.append(found)
+
+
+@pick.register
+def _pick_probed(
+    policy: ProbePool, candidates: Sequence[Upstream], rng: random.Random
+) -> Upstream:
+    known = policy.fresh(candidates)
+    if len(known) < _FEWEST_RESULTS:
+        return rng.choice(candidates)
+    counts = sorted(one.in_flight for one in known)
+    hot_above = counts[int(len(counts) * _HOT_QUANTILE)]
+    cold = [one for one in known if one.in_flight < hot_above]
+    chosen = min(cold, key=_latency) if cold else min(known, key=_in_flight)
+    policy.use(chosen)
+    return chosen.upstream
+
+
+@after_send.register
+def _probe_after_send(
+    policy: ProbePool, candidates: Sequence[Upstream], rng: random.Random
+) -> None:
+    policy.owed += policy.probes_per_call
+    while policy.owed >= 1:
+        policy.owed -= 1
+        upstream = rng.choice(candidates)
+        upstream.connections.tasks.start_soon(policy.probe, upstream)
+
+
+def _latency(known: ProbeResult) -> Millis:
+    return known.upstream.latency
+
+
+def _in_flight(known: ProbeResult) -> float:
+    return known.in_flight
--- a/packages/cowslippond-core/src/cowslippond_core/_routing.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_routing.py
@@ -37,6 +37,18 @@
     raise TypeError(f'{policy!r} is no routing policy')
 
 
+@singledispatch
+def after_send(
+    policy: object, candidates: Sequence[Upstream], rng: random.Random
+) -> None:
+    """Let a policy act on a send; most have nothing to do.
+
+    :param policy: how upstreams are chosen.
+    :param candidates: the upstreams that the send could have gone to.
+    :param rng: draws what is left to chance.
+    """
+
+
 @pick.register
 def _pick_least(
     policy: LeastInFlight, candidates: Sequence[Upstream], rng: random.Random
--- a/packages/cowslippond-core/src/cowslippond_core/_sending.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -21,7 +21,7 @@
 from cowslippond_core._reasons import RefusalReason, RetryReason
 from cowslippond_core._refusals import not_run, refusal_of
 from cowslippond_core._retries import is_repeatable, retry_reason
-from cowslippond_core._routing import pick
+from cowslippond_core._routing import after_send, pick
 from cowslippond_core._service_state import ServiceState
 from cowslippond_core._upstreams import Upstream
 
@@ -116,6 +116,7 @@
     def _pick(self, free: list[Upstream]) -> Upstream:
         chosen = pick(self.ctx.policy, free, self.ctx.rng)
         chosen.chosen_at = self.clock.now()
+        after_send(self.ctx.policy, free, self.ctx.rng)
         return chosen
 
     def _make_copy(self) -> Attempt | None:
