--- a/packages/cowslippond-core/src/cowslippond_core/_spread.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_spread.py
@@ -17,7 +17,10 @@
 from cowslippond_core._outage_rule import OutageRule
 from cowslippond_core._peers import Peers
 from cowslippond_core._poller import Poller
+from cowslippond_core._quarantine import Quarantine
+from cowslippond_core._quarantine_gossip import share_quarantine
 from cowslippond_core._table import Table
+from cowslippond_core._urgent_news import UrgentNews
 from cowslippond_core._vm_list import Vm
 from cowslippond_core._vm_list_poller import VmListPoller
 
@@ -118,6 +121,17 @@
         """
         return self.tables[name]
 
+    def share_quarantine(self, quarantine: Quarantine) -> None:
+        """Pass on what a quarantine finds out, as soon as it does."""
+        share_quarantine(quarantine, self.tables['quarantine'])
+        quarantine.push_news = UrgentNews(
+            'quarantine',
+            self.gossip,
+            self.membership,
+            self.clock,
+            self.metrics,
+        ).push
+
     def vms(self) -> tuple[Vm, ...]:
         """Return the newest list of VMs that could be read."""
         return self.vm_list.vms
@@ -206,6 +220,9 @@
         self.metrics.gauge(
             Metric.DOCUMENTS_IN_FORCE, len(self.catalogue.in_force)
         )
+        self.metrics.gauge(
+            Metric.DOCUMENTS_UNREADABLE, self.catalogue.unreadable
+        )
         self.metrics.gauge(Metric.DAEMONS_KNOWN, self.membership.count())
         self.metrics.gauge(Metric.UPSTREAMS_LEAVING, len(self.leaving.marks))
         if confirmed_age is not None:
--- a/packages/cowslippond-core/src/cowslippond_core/_wire.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_wire.py
@@ -1,24 +1,38 @@
-"""Messages between daemons, and their form as thrift frames."""
+"""The messages between daemons as thrift frames."""
 
 import math
 import pathlib
 from collections.abc import Iterable
 from functools import singledispatch
-from typing import Any, NamedTuple, TypeAlias
+from typing import Any
 
 import thriftpy2
 from thriftpy2.protocol.cybin import TCyBinaryProtocolFactory
 from thriftpy2.thrift import TException
 from thriftpy2.utils import deserialize, serialize
+from xxhash import xxh3_64_digest
 
 from cowslippond_core._clock import Millis
 from cowslippond_core._document import AcceptedDocument
 from cowslippond_core._gossip_table import GossipRow
+from cowslippond_core._peer_messages import (
+    Confirmation,
+    Digest,
+    Documents,
+    Exchange,
+    Message,
+    Pull,
+    TableRows,
+    Witness,
+)
 
 #: The largest frame that is read, in bytes.
 MAX_FRAME = 1_048_576
 
-_LENGTH_BYTES = 4
+#: The length that goes before a frame, in bytes.
+LENGTH_BYTES = 4
+
+_CHECKSUM_BYTES = 8
 _MAX_AGE: Millis = 2_000_000_000
 _IDL = pathlib.Path(__file__).with_name('cowslippond.thrift')
 
@@ -26,64 +40,6 @@
 _protocol = TCyBinaryProtocolFactory()
 
 
-class Witness(NamedTuple):
-    """News of a failure domain; ``age`` is in milliseconds."""
-
-    failure_domain: str
-    age: Millis
-
-
-class Digest(NamedTuple):
-    """What a daemon knows of the catalogue.
-
-    ``confirmed_age`` is the time since the revision was last known to be the
-    newest, in milliseconds; ``None`` if it never was.
-    """
-
-    revision: int
-    confirmed_age: Millis | None
-    witnesses: tuple[Witness, ...]
-
-
-class TableRows(NamedTuple):
-    """Rows of one gossip table."""
-
-    table: str
-    rows: tuple[GossipRow, ...]
-
-
-class Exchange(NamedTuple):
-    """Ask a peer for its state while telling one's own, or answer that."""
-
-    fleet: str
-    sender: str
-    failure_domain: str
-    digest: Digest
-    tables: tuple[TableRows, ...]
-    row_limit: int
-
-
-class Pull(NamedTuple):
-    """Ask for documents with a revision above ``after``."""
-
-    after: int
-
-
-class Documents(NamedTuple):
-    """Documents in the order of their revisions.
-
-    ``is_last`` says that there are none above these; the receiver then lacks
-    nothing up to ``revision``.
-    """
-
-    documents: tuple[AcceptedDocument, ...]
-    is_last: bool
-    revision: int
-
-
-Message: TypeAlias = Exchange | Pull | Documents
-
-
 class WireError(Exception):
     """A peer sent a frame that is no message.
 
@@ -98,24 +54,31 @@
 def encode_message(message: Message) -> bytes:
     """Return a message as a frame, its length included."""
     packed: bytes = serialize(_pack(message), _protocol)
-    return len(packed).to_bytes(_LENGTH_BYTES, 'big') + packed
+    checked = xxh3_64_digest(packed) + packed
+    return len(checked).to_bytes(LENGTH_BYTES, 'big') + checked
 
 
-def decode_message(packed: bytes) -> Message:
+def decode_message(checked: bytes) -> Message:
     """Return the message of a frame.
 
-    The protocol's reader passes over what it does not know and leaves out
-    what is cut off, so each field is checked here.
+    The protocol's reader takes cut or damaged bytes for a message with other
+    numbers in it, and may read for seconds on them. So only bytes that match
+    their checksum reach it.
 
-    :param packed: the frame without its length.
+    :param checked: the frame without its length.
     :raises WireError: if it is none.
     """
+    packed = checked[_CHECKSUM_BYTES:]
+    if xxh3_64_digest(packed) != checked[:_CHECKSUM_BYTES]:
+        raise WireError('a frame whose checksum does not match')
     try:
         frame = deserialize(_idl.Frame(), packed, _protocol)
     except (TException, ValueError, EOFError) as broken:
         raise WireError(f'unreadable frame: {broken!r}') from broken
     if frame.exchange is not None:
         return _unpack_exchange(frame.exchange)
+    if frame.confirmation is not None:
+        return _unpack_confirmation(frame.confirmation)
     if frame.pull is not None:
         return Pull(_number(frame.pull.after))
     if frame.documents is not None:
@@ -141,6 +104,15 @@
     return _idl.Frame(exchange=exchange)
 
 
+@_pack.register
+def _pack_confirmation(message: Confirmation) -> Any:
+    confirmation = _idl.Confirmation(
+        failure_domain=message.failure_domain,
+        digest=_pack_digest(message.digest),
+    )
+    return _idl.Frame(confirmation=confirmation)
+
+
 @_pack.register
 def _pack_pull(message: Pull) -> Any:
     return _idl.Frame(pull=_idl.Pull(after=message.after))
@@ -206,9 +178,15 @@
     )
 
 
+def _unpack_confirmation(confirmation: Any) -> Confirmation:
+    return Confirmation(
+        _text(confirmation.failure_domain), _unpack_digest(confirmation.digest)
+    )
+
+
 def _unpack_digest(digest: Any) -> Digest:
     if digest is None:
-        raise WireError('an exchange without a digest')
+        raise WireError('a message without its digest')
     age = digest.confirmed_age_ms
     return Digest(
         _number(digest.revision),
--- a/packages/cowslippond-core/src/cowslippond_core/cowslippond.thrift
+++ b/packages/cowslippond-core/src/cowslippond_core/cowslippond.thrift
@@ -1,7 +1,8 @@
 /**
- * What daemons say to each other, as structs of the binary protocol, each in
- * one frame. A connection is a conversation: the daemon that opened it sends
- * a message, the other one answers it, and so on.
+ * What daemons say to each other. A frame is its length (4 bytes, big-endian),
+ * the XXH3 checksum of the rest (8 bytes) and a Frame in the binary protocol.
+ * A connection is a conversation: the daemon that opened it sends a message,
+ * the other one answers it, and so on.
  */
 
 namespace py cowslippond
@@ -59,6 +60,16 @@
   6: i32 row_limit,
 }
 
+/**
+ * Ends a round: what the asking daemon knows after the answers. It has no
+ * answer. Written after the last answer arrived, so the answering daemon can
+ * tell how old it may be at most.
+ */
+struct Confirmation {
+  1: string failure_domain,
+  2: Digest digest,
+}
+
 /** Asks for Documents with a revision above one. */
 struct Pull {
   1: i64 after,
@@ -79,4 +90,5 @@
   1: optional Exchange exchange,
   2: optional Pull pull,
   3: optional Documents documents,
+  4: optional Confirmation confirmation,
 }
