Prefer a near upstream among equals

Cause: choosing among equally loaded upstreams ignored the way to them. Ruled out: always preferring near ones; where the near failure domain has less than its part of the upstreams and these queue, it would be overloaded.

--- a/packages/cowslippond-core/src/cowslippond_core/_routing.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_routing.py
@@ -12,6 +12,19 @@
     """Choose the upstream with the fewest calls of this process."""
 
 
+class NearLeastInFlight(NamedTuple):
+    """Choose as :class:`LeastInFlight`; of equals, prefer a near one.
+
+    The near failure domain gets no more than its part of the calls, given
+    that callers are spread evenly over the failure domains: where it has less
+    than its part of the upstreams, some calls go further away.
+
+    ``failure_domain`` is that of this process.
+    """
+
+    failure_domain: str
+
+
 class RandomChoice(NamedTuple):
     """Choose any upstream."""
 
@@ -59,6 +72,27 @@
     )
 
 
+@pick.register
+def _pick_near(
+    policy: NearLeastInFlight,
+    candidates: Sequence[Upstream],
+    rng: random.Random,
+) -> Upstream:
+    home = policy.failure_domain
+    fewest = min(upstream.in_flight for upstream in candidates)
+    equals = [one for one in candidates if one.in_flight == fewest]
+    near = [one for one in equals if one.failure_domain == home]
+    far = [one for one in equals if one.failure_domain != home]
+    if near and (not far or rng.random() < _near_part(candidates, home)):
+        return rng.choice(near)
+    return rng.choice(far)
+
+
+def _near_part(candidates: Sequence[Upstream], home: str) -> float:
+    domains = [upstream.failure_domain for upstream in candidates]
+    return domains.count(home) * len(set(domains)) / len(domains)
+
+
 @pick.register
 def _pick_random(
     policy: RandomChoice, candidates: Sequence[Upstream], rng: random.Random
--- a/packages/cowslippond-core/src/cowslippond_core/_sender.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sender.py
@@ -13,12 +13,10 @@
 from cowslippond_core._quarantine import Quarantine
 from cowslippond_core._reasons import RefusalReason, RetryReason
 from cowslippond_core._refusals import not_run
-from cowslippond_core._routing import LeastInFlight
+from cowslippond_core._routing import NearLeastInFlight
 from cowslippond_core._sending import Sending, SendingContext
 from cowslippond_core._service_state import ServiceState
 
-_SHIPPED_POLICY = LeastInFlight()
-
 
 class Sender:
     """Send calls to upstreams.
@@ -32,7 +30,9 @@
         upstream's own answer says that it is leaving.
     :param count_retry: called once for each repeated send.
     :param quarantine: the requests that are not sent.
-    :param policy: how upstreams are chosen; the default is the shipped one.
+    :param failure_domain: where this process runs.
+    :param policy: how upstreams are chosen, for measurements; ``None`` stands
+        for the shipped policy.
     :param rng: breaks ties; pass a seeded one to repeat a run.
     """
 
@@ -44,12 +44,18 @@
         mark_leaving: Callable[[str, str], None],
         count_retry: Callable[[RetryReason], None],
         quarantine: Quarantine,
-        policy: object = _SHIPPED_POLICY,
+        failure_domain: str = '',
+        policy: object | None = None,
         rng: random.Random | None = None,
     ) -> None:
         hooks = SendingHooks(is_leaving, mark_leaving, count_retry, quarantine)
         self.precedence = Precedence()
-        self.ctx = SendingContext(clock, hooks, policy, rng or random.Random())
+        self.ctx = SendingContext(
+            clock,
+            hooks,
+            policy or NearLeastInFlight(failure_domain),
+            rng or random.Random(),
+        )
 
     async def send(
         self, service: ServiceState, request: CallRequest
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_parts.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_parts.py
@@ -70,6 +70,7 @@
         ),
         count_retry=metrics.retried,
         quarantine=quarantine,
+        failure_domain=settings.failure_domain,
     )
     claims = Claims(table, object_store, clock, settings.vm)
     backlog = ClaimBacklog(claims, clock)
--- /dev/null
+++ b/tests/core/test_ejection.py
@@ -0,0 +1,137 @@
+"""Tests of ejection, the pauses of busy upstreams, and the upstream set."""
+
+import anyio
+import pytest
+from core.scripted_upstream import (
+    DOCUMENT,
+    SHED,
+    ScriptedUpstream,
+    answer_bytes,
+    bench_of,
+    plays,
+    vm_of,
+)
+from cowslippond_core import Clock, RetryReason, Upstream
+from cowslippond_core._connections import Connections
+from cowslippond_core._document import RetryBudget, UpstreamCapacity
+from cowslippond_core._ejection import (
+    MAX_EJECTED_SHARE,
+    is_available,
+    note_failure,
+    note_success,
+)
+from cowslippond_core._load import note_room, note_shed
+
+pytestmark = pytest.mark.anyio
+
+_OK = plays(answer_bytes(b'ok'))
+_FAILS = plays(answer_bytes(b'', b'HTTP/1.1 500 Internal Server Error'))
+_CAPACITY = UpstreamCapacity(2, 250, 8)
+_ROOMY = DOCUMENT._replace(retries=RetryBudget(1))
+
+
+async def _upstreams(count: int) -> list[Upstream]:
+    async with anyio.create_task_group() as tasks:
+        return [
+            Upstream(
+                vm_of(f'127.0.0.1:{port}'),
+                Connections(f'127.0.0.1:{port}', tasks, Clock(), 1),
+                0,
+            )
+            for port in range(1, count + 1)
+        ]
+
+
+class TestEjection:
+    async def test_failures_in_a_row_eject(self) -> None:
+        peers = await _upstreams(5)
+        for _ in range(2):
+            note_failure(peers[0], peers, 0)
+        assert is_available(peers[0], 1)
+        note_failure(peers[0], peers, 0)
+        assert not is_available(peers[0], 1)
+
+    async def test_success_between_failures_keeps_it_in(self) -> None:
+        peers = await _upstreams(5)
+        for _ in range(10):
+            note_failure(peers[0], peers, 0)
+            note_success(peers[0])
+        assert is_available(peers[0], 1)
+
+    async def test_only_a_share_may_be_out(self) -> None:
+        peers = await _upstreams(10)
+        for peer in peers:
+            for _ in range(3):
+                note_failure(peer, peers, 0)
+        out = [peer for peer in peers if not is_available(peer, 1)]
+        assert len(out) == MAX_EJECTED_SHARE * 10
+
+    async def test_return_is_on_probation(self) -> None:
+        peers = await _upstreams(5)
+        for _ in range(3):
+            note_failure(peers[0], peers, 0)
+        back_at = peers[0].health.ejected_until
+        assert is_available(peers[0], back_at)
+        peers[0].in_flight = 1
+        assert not is_available(peers[0], back_at)
+        note_failure(peers[0], peers, back_at)
+        assert peers[0].health.ejected_until > 2 * back_at
+        note_success(peers[0])
+        assert not peers[0].health.is_on_probation
+
+    async def test_upstream_that_fails_fast_attracts_no_work(self) -> None:
+        failing = ScriptedUpstream(_FAILS)
+        rest = [ScriptedUpstream(_OK) for _ in range(3)]
+        async with bench_of(failing, *rest, document=_ROOMY) as bench:
+            answers = [await bench.call() for _ in range(60)]
+        assert set(answers) == {b'ok'}
+        assert len(failing.calls) == 3
+        assert bench.retries.count(RetryReason.UPSTREAM_ERROR) == 3
+
+
+class TestPause:
+    async def test_busy_upstream_is_asked_again_soon(self) -> None:
+        upstream = (await _upstreams(1))[0]
+        for _ in range(5):
+            note_shed(upstream, _CAPACITY, 100)
+        assert upstream.load.full_until == 104
+        note_room(upstream)
+        assert upstream.load.full_until == 0
+
+    async def test_upstream_that_refuses_all_is_asked_rarely(self) -> None:
+        upstream = (await _upstreams(1))[0]
+        for _ in range(40):
+            note_shed(upstream, _CAPACITY, 100)
+        assert upstream.load.full_until == 300
+
+    async def test_refusals_of_all_upstreams_cause_no_storm(self) -> None:
+        upstreams = [ScriptedUpstream(plays(SHED)) for _ in range(3)]
+        async with bench_of(*upstreams) as bench:
+            await bench.call()
+        assert sum(len(upstream.calls) for upstream in upstreams) <= 40
+
+
+class TestUpstreamSet:
+    async def test_new_incarnation_is_a_new_upstream(self) -> None:
+        async with bench_of() as bench:
+            upstreams = bench.service.upstreams
+            vm = vm_of('127.0.0.1:1')
+            upstreams.update([vm])
+            first = upstreams.by_address['127.0.0.1:1']
+            upstreams.update([vm])
+            assert upstreams.by_address['127.0.0.1:1'] is first
+            upstreams.update([vm_of('127.0.0.1:1', incarnation='2')])
+            assert upstreams.by_address['127.0.0.1:1'] is not first
+            assert first.is_removed
+
+    async def test_replaced_document_keeps_calls_in_flight(self) -> None:
+        upstream = ScriptedUpstream(plays(200.0, answer_bytes(b'ok')))
+        async with bench_of(upstream) as bench:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(bench.call)
+                await anyio.sleep(0.05)
+                bench.service.replace_document(DOCUMENT)
+                known = bench.service.upstreams.by_address.values()
+                assert [one.in_flight for one in known] == [1]
+                assert bench.service.limiter.running == 1
+            assert bench.service.limiter.running == 0
