Close connections of upstreams that are gone

Cause: a connection whose call ended after its upstream had left the list stayed idle, and expired ones below the top of the stack stayed open. Change: retired sets keep nothing; each returned connection drops expired ones. Measured: pytest tests/core/test_ejection.py tests/core/test_hedging.py, 17 passed.

--- a/packages/cowslippond-core/src/cowslippond_core/_connections.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_connections.py
@@ -40,6 +40,7 @@
         self.idle: list[Connection] = []
         self.opening = 0
         self.broken_at: deque[Millis] = deque(maxlen=_KEPT_BREAKS)
+        self.is_retired = False
         self.silent_in_row = 0
         self.silent_since: Millis = 0
 
@@ -65,11 +66,14 @@
         """Keep a connection whose call has ended for the next call."""
         if connection.calls > 1:
             self.silent_in_row = 0
-        if connection.is_suspect:
+        if connection.is_suspect or self.is_retired:
             connection.close()
-        if not connection.is_closed:
-            connection.idle_since = self.clock.now()
-            self.idle.append(connection)
+        if connection.is_closed:
+            return
+        connection.idle_since = self.clock.now()
+        self.idle.append(connection)
+        while self.idle[0].idle_since < connection.idle_since - IDLE_EXPIRY:
+            self.idle.pop(0).close()
 
     def note_silence(self, connection: Connection, sent_at: Millis) -> None:
         """Note a call that was given up before any byte of its answer.
@@ -101,14 +105,10 @@
                 connection.is_suspect = True
         self._close_idle(_is_suspect)
 
-    def expire(self) -> None:
-        """Close the connections that have been idle for too long."""
-        oldest = self.clock.now() - IDLE_EXPIRY
-        self._close_idle(lambda idle: idle.idle_since < oldest)
-
-    def close_idle(self) -> None:
-        """Close all connections that carry no call."""
-        self._close_idle(lambda _: True)
+    def retire(self) -> None:
+        """Close idle connections now, and busy ones when their call ends."""
+        self.is_retired = True
+        self._close_idle(_is_any)
 
     def _take_idle(self) -> Connection | None:
         oldest = self.clock.now() - IDLE_EXPIRY
@@ -169,6 +169,10 @@
     return connection.is_suspect
 
 
+def _is_any(_: Connection) -> bool:
+    return True
+
+
 async def _open_stream(address: str) -> SocketStream:
     host, _, port = address.rpartition(':')
     with anyio.fail_after(seconds_of(CONNECT_TIMEOUT)):
--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -120,4 +120,4 @@
 
 def _retire(upstream: Upstream) -> None:
     upstream.is_removed = True
-    upstream.connections.close_idle()
+    upstream.connections.retire()
--- a/tests/core/test_ejection.py
+++ b/tests/core/test_ejection.py
@@ -124,6 +124,19 @@
             assert upstreams.by_address['127.0.0.1:1'] is not first
             assert first.is_removed
 
+    async def test_retired_upstream_keeps_no_connection(self) -> None:
+        upstream = ScriptedUpstream(plays(50.0, answer_bytes(b'ok')))
+        async with bench_of(upstream) as bench:
+            known = bench.service.upstreams.by_address[upstream.address]
+            await bench.call()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(bench.call)
+                await anyio.sleep(0.01)
+                bench.service.upstreams.update([])
+                assert known.in_flight == 1
+            await anyio.sleep(0.01)
+            assert not known.connections.open
+
     async def test_replaced_document_keeps_calls_in_flight(self) -> None:
         upstream = ScriptedUpstream(plays(200.0, answer_bytes(b'ok')))
         async with bench_of(upstream) as bench:
