Retry calls whose connection went silent on a new one to the same upstream

Cause: with one upstream, a lookup on a silent connection was given up after 209 ms, because the upstream counted as tried; concurrent ones ran to their deadline when the retry budget was empty. Change: a silent connection does not rule its upstream out, and calls on several suspect connections end once a newer connection answers; such repeats have a reason of their own and need no budget, since the upstream works. Ruled out: the retry budget as the only cause; the first lookup had budget.

--- a/packages/cowslippond-core/src/cowslippond_core/_connection.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_connection.py
@@ -105,17 +105,29 @@
         """Tell whether nothing waits to be read."""
         return not self.poll.poll(0)
 
-    def close(self) -> None:
-        """Close the connection at once."""
+    def close(self, fault: ExchangeFault = ExchangeFault.CLOSED) -> None:
+        """Close the connection at once.
+
+        :param fault: what a call under way is told.
+        """
         self.is_closed_here = True
-        self._finish()
+        self._finish(fault)
         self.scope.cancel()
 
-    def _finish(self) -> None:
+    def is_silent_since(self, moment: Millis) -> bool:
+        """Tell whether a call waits on a used connection for its first byte.
+
+        :param moment: nothing has come since then, in milliseconds.
+        """
+        if self.exchange is None or self.calls < 2:
+            return False
+        return self.received_at < moment
+
+    def _finish(self, fault: ExchangeFault = ExchangeFault.CLOSED) -> None:
         self.is_closed = True
         self.pump_scope.cancel()
         if self.exchange is not None:
-            self.exchange.lose(ExchangeFault.CLOSED)
+            self.exchange.lose(fault)
 
     async def _read(self) -> None:
         while not self.is_closed:
--- a/packages/cowslippond-core/src/cowslippond_core/_connections.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_connections.py
@@ -9,6 +9,7 @@
 
 from cowslippond_core._clock import Clock, Millis, seconds_of
 from cowslippond_core._connection import Connection
+from cowslippond_core._exchange import ExchangeFault
 
 _SILENT_CALLS = 3
 _KEPT_BREAKS = 2
@@ -66,6 +67,7 @@
         """Keep a connection whose call has ended for the next call."""
         if connection.calls > 1:
             self.silent_in_row = 0
+        self._end_silent_calls(connection.opened_at)
         if connection.is_suspect or self.is_retired:
             connection.close()
         if connection.is_closed:
@@ -105,6 +107,24 @@
                 connection.is_suspect = True
         self._close_idle(_is_suspect)
 
+    def _end_silent_calls(self, moment: Millis) -> None:
+        """End the calls on suspect connections, since a newer one answered.
+
+        One silent call may only be slow; several, while a connection opened
+        after them works, show that the older connections are lost.
+
+        :param moment: when the newer connection was opened, in milliseconds.
+        """
+        silent = [
+            connection
+            for connection in self.open
+            if connection.is_suspect and connection.is_silent_since(moment)
+        ]
+        if len(silent) < _SILENT_CALLS:
+            return
+        for connection in silent:
+            connection.close(ExchangeFault.SILENT)
+
     def retire(self) -> None:
         """Close idle connections now, and busy ones when their call ends."""
         self.is_retired = True
--- a/packages/cowslippond-core/src/cowslippond_core/_exchange.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_exchange.py
@@ -24,6 +24,7 @@
 
     CLOSED = 'closed'
     FRAMING = 'framing'
+    SILENT = 'silent'
     TIMEOUT = 'timeout'
 
 
--- a/packages/cowslippond-core/src/cowslippond_core/_observations.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_observations.py
@@ -70,6 +70,8 @@
     service: ServiceState, hooks: SendingHooks, attempt: Attempt, lost: Lost
 ) -> None:
     now = attempt.clock.now()
+    if lost.fault is ExchangeFault.SILENT:
+        return
     if lost.fault is ExchangeFault.TIMEOUT:
         waited = now - attempt.sent_at
         service.latency.note(waited)
--- a/packages/cowslippond-core/src/cowslippond_core/_reasons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reasons.py
@@ -31,5 +31,6 @@
     SHED = 'shed'
     DRAINING = 'draining'
     ANSWER_LOST = 'answer_lost'
+    SILENT_CONNECTION = 'silent_connection'
     UPSTREAM_ERROR = 'upstream_error'
     HEDGE = 'hedge'
--- a/packages/cowslippond-core/src/cowslippond_core/_retries.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_retries.py
@@ -11,6 +11,7 @@
 )
 from cowslippond_core._budgets import ShareBudget, is_first_attempt
 from cowslippond_core._clock import Millis
+from cowslippond_core._exchange import ExchangeFault
 from cowslippond_core._messages import CallRequest
 from cowslippond_core._reasons import RetryReason
 
@@ -55,7 +56,12 @@
     if isinstance(result, Answered):
         if result.answer.status not in _RETRIED_STATUSES:
             return None
-    if not is_repeatable(request) or not budget.can_spend():
+    if not is_repeatable(request):
+        return None
+    if isinstance(result, Lost) and result.fault is ExchangeFault.SILENT:
+        # The upstream works; the budget is for upstreams that may not.
+        return RetryReason.SILENT_CONNECTION
+    if not budget.can_spend():
         return None
     budget.spend()
     if isinstance(result, Lost):
--- a/packages/cowslippond-core/src/cowslippond_core/_sending.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -38,6 +38,7 @@
 MAX_SENDS = 40
 
 _SILENCE_FACTOR = 4
+_SILENT_FAULTS = (ExchangeFault.SILENT, ExchangeFault.TIMEOUT)
 _HEDGE_FACTOR = 1.5
 _LEAST_SILENCE: Millis = 200
 _LONGEST_TURN_WAIT: Millis = 250
@@ -68,6 +69,7 @@
         self.service = service
         self.request = request
         self.tried: set[str] = set()
+        self.silent: set[str] = set()
         self.sends = 0
         self.number = request.attempt
         self.is_repeatable = is_repeatable(request)
@@ -117,6 +119,10 @@
             found = self._find()
             if found.free:
                 return self._pick(found.free)
+            if self.silent:
+                self.tried -= self.silent
+                self.silent.clear()
+                continue
             if found.open_at is None or found.open_at >= self.request.deadline:
                 return None
             self.service.limiter.note_full()
@@ -183,6 +189,9 @@
             await watch_crash(self.ctx.hooks.quarantine, upstream, result)
             self.number += 1
             self.is_fresh = True
+            if attempt.is_reused and result.fault in _SILENT_FAULTS:
+                # The connection may be at fault, and not the upstream.
+                self.silent.add(upstream.address)
         is_shed = isinstance(result, NotRun) and (
             result.reason is NotRunReason.SHED
         )
