Let one call at a time ask a full upstream again

Cause: all calls that waited in a daemon woke at the end of the same pause and were sent to the same upstream, each on a connection of its own; connecting took over 250 ms and ejected upstreams. Ruled out: too few connections; the limit was not reached. Change: choosing an upstream that last said 'no free slot' starts its pause anew.

--- a/packages/cowslippond-core/src/cowslippond_core/_load.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_load.py
@@ -18,19 +18,26 @@
 ) -> None:
     """Prefer other upstreams for a while after an answer of 'no free slot'.
 
-    The pause is the mean time until a busy upstream frees a slot. It grows
-    only after many such answers in a row, so that a busy upstream is asked
-    again soon and one that refuses everything is asked rarely.
+    :param capacity: of the upstreams of the service.
+    :param now: on the clock, in milliseconds.
+    """
+    upstream.load.sheds_in_row += 1
+    _pause(upstream, capacity, now)
+
+
+def note_chosen(
+    upstream: Upstream, capacity: UpstreamCapacity, now: Millis
+) -> None:
+    """Let one call at a time find out whether a full upstream is free again.
+
+    Without this all calls that wait for a slot would be sent to the upstream
+    whose pause ends first.
 
     :param capacity: of the upstreams of the service.
     :param now: on the clock, in milliseconds.
     """
-    load = upstream.load
-    load.sheds_in_row += 1
-    doublings = max(load.sheds_in_row - _ORDINARY_SHEDS, 0)
-    pause = capacity.mean_service_ms / capacity.slots
-    pause *= 2 ** min(doublings, _MOST_DOUBLINGS)
-    load.full_until = now + min(pause, _LONGEST_PAUSE)
+    if upstream.load.sheds_in_row > 0:
+        _pause(upstream, capacity, now)
 
 
 def note_room(upstream: Upstream) -> None:
@@ -57,3 +64,16 @@
         except ValueError:
             return
         upstream.load.reported_at = now
+
+
+def _pause(upstream: Upstream, capacity: UpstreamCapacity, now: Millis) -> None:
+    """Leave an upstream alone for the mean time until a slot is free.
+
+    The pause grows only after many refusals in a row, so that a busy upstream
+    is asked again soon and one that refuses everything is asked rarely.
+    """
+    load = upstream.load
+    doublings = max(load.sheds_in_row - _ORDINARY_SHEDS, 0)
+    pause = capacity.mean_service_ms / capacity.slots
+    pause *= 2 ** min(doublings, _MOST_DOUBLINGS)
+    load.full_until = now + min(pause, _LONGEST_PAUSE)
--- a/packages/cowslippond-core/src/cowslippond_core/_sending.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -19,6 +19,7 @@
 from cowslippond_core._crash_watch import watch_crash
 from cowslippond_core._exchange import ExchangeFault
 from cowslippond_core._hooks import SendingHooks
+from cowslippond_core._load import note_chosen
 from cowslippond_core._messages import (
     CallRefusal,
     CallRequest,
@@ -133,6 +134,7 @@
     def _pick(self, free: list[Upstream]) -> Upstream:
         chosen = pick(self.ctx.policy, free, self.ctx.rng)
         chosen.chosen_at = self.clock.now()
+        note_chosen(chosen, self.service.document.upstreams, chosen.chosen_at)
         after_send(self.ctx.policy, free, self.ctx.rng)
         return chosen
 
