--- a/packages/cowslippond-core/src/cowslippond_core/_sending.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -38,9 +38,6 @@
 #: for want of a free slot included.
 MAX_SENDS = 40
 
-# After this many sends a call waits before each further one.
-_EAGER_SENDS = 8
-_WAIT_SHARE = 1
 _SILENCE_FACTOR = 4
 _HEDGE_FACTOR = 1.5
 _LEAST_SILENCE: Millis = 200
@@ -117,10 +114,6 @@
             self.ctx.hooks.count_retry(retry)
 
     async def _choose(self) -> Upstream | None:
-        if self.sends >= _EAGER_SENDS:
-            capacity = self.service.document.upstreams
-            span = capacity.mean_service_ms / capacity.slots
-            await self.clock.sleep(span * _WAIT_SHARE)
         while True:
             found = self._find()
             if found.free:
