Bench a batch service beside lookups, and bound the baseline's probes

Cause: probes had no time limit, so the probing baseline was dead after the scenario whose upstreams never answer. Two faults of the sending are seen: it gives up after six sheds, and a silent upstream goes on getting calls.

--- a/packages/cowslippond-standins/src/cowslippond_standins/bench/_blocks.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_blocks.py
@@ -3,11 +3,11 @@
 from collections import Counter
 from typing import NamedTuple
 
+import anyio
 from cowslippond_core import Clock, Millis
 
-from cowslippond_standins.bench import _usage
+from cowslippond_standins.bench import _policies, _usage
 from cowslippond_standins.bench._fleet import Fleet
-from cowslippond_standins.bench._policies import Contender
 from cowslippond_standins.bench._rows import Row
 from cowslippond_standins.bench._scenarios import Scenario
 from cowslippond_standins.load import _outcomes
@@ -20,6 +20,7 @@
 )
 
 _PATIENCE: Millis = 6000
+_BATCH_PATIENCE: Millis = 12_000
 _WARM_UP: Millis = 500
 _SETTLE: Millis = 300
 _MILLIS_PER_SECOND = 1000
@@ -30,7 +31,7 @@
     """What one block is made of; ``duration`` is in milliseconds."""
 
     scenario: Scenario
-    contender: Contender
+    contender: _policies.Contender
     seed: int
     duration: Millis
 
@@ -46,7 +47,11 @@
     await fleet.clear_ledgers()
     retries_before = await _retries(fleet)
     used_before = [_usage.processor_time(pid) for pid in fleet.daemon_ids()]
-    report = await _send(fleet, block, phases)
+    batch = Report()
+    async with anyio.create_task_group() as group:
+        if block.scenario.batch_load:
+            group.start_soon(_send_batch, fleet, block, batch)
+        report = await _send(fleet, block, phases)
     used = [_usage.processor_time(pid) for pid in fleet.daemon_ids()]
     await clock.sleep(_SETTLE)
     work = _usage.work_of(await fleet.ledgers())
@@ -57,6 +62,7 @@
         report,
         work,
         cpu=spent / len(used) / block.duration,
+        batch=batch,
         retries=await _retries(fleet) - retries_before,
     )
 
@@ -71,6 +77,18 @@
     return await generator.run(calls)
 
 
+async def _send_batch(fleet: Fleet, block: Block, report: Report) -> None:
+    mix = Mix(
+        f'{_policies.BATCH}.example', '/', mean_work_ms=fleet.plan.mean_ms()
+    )
+    rate = block.scenario.batch_load * fleet.plan.batch_capacity()
+    calls = plan_calls([Phase(block.duration, rate)], [mix], block.seed)
+    targets = [daemon.caller_address for daemon in fleet.deployment.daemons]
+    generator = LoadGenerator(targets, block.seed, _BATCH_PATIENCE)
+    generator.report = report
+    await generator.run(calls)
+
+
 async def _retries(fleet: Fleet) -> Counter[str]:
     total: Counter[str] = Counter()
     for daemon in fleet.deployment.daemons:
@@ -88,6 +106,7 @@
     work: _usage.Work,
     *,
     cpu: float,
+    batch: Report,
     retries: Counter[str],
 ) -> Row:
     spans = [
@@ -108,10 +127,12 @@
         p90=latency['p90'],
         p99=latency['p99'],
         p999=latency['p99.9'],
+        p99_answered=percentiles_of(report.latency())['p99'],
         outcomes=dict(report.outcomes),
         reasons=dict(report.reasons),
         retries=dict(retries),
         goodput=_goodput(block, report),
+        batch_answered=batch.outcomes[_outcomes.ANSWERED] / seconds,
         probes_per_call=work.probes / max(len(spans), 1),
         measuring_share=probe_rate / fleet.plan.capacity(),
         wasted_share=work.wasted_share(),
--- a/packages/cowslippond-standins/src/cowslippond_standins/bench/_fleet.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_fleet.py
@@ -11,12 +11,13 @@
 from cowslippond_standins.bench._scenarios import Scenario
 from cowslippond_standins.bench.daemon import POLICY_FILE_VARIABLE
 from cowslippond_standins.harness._deployment import Deployment
-from cowslippond_standins.harness._handles import UpstreamPlan
+from cowslippond_standins.harness._handles import UpstreamHandle, UpstreamPlan
 
 _MEAN_MS: Millis = 8
 _DOMAINS = ('a', 'b', 'c')
 _MILLIS_PER_SECOND = 1000
 _SEEN_BY_DAEMONS = 3
+_BATCH_QUEUE = 8
 
 
 class FleetPlan(NamedTuple):
@@ -34,6 +35,10 @@
         """Return the mean service time of a call, in milliseconds."""
         return _MEAN_MS * self.stretch
 
+    def batch_capacity(self) -> float:
+        """Return the calls a second of the batch service's upstreams."""
+        return self.capacity() * len(_DOMAINS) / self.upstreams
+
     def capacity(self) -> float:
         """Return the calls a second of all upstreams at full speed."""
         return self.upstreams * self.slots / self.mean_ms() * _MILLIS_PER_SECOND
@@ -45,12 +50,15 @@
     def __init__(self, deployment: Deployment, plan: FleetPlan) -> None:
         self.deployment = deployment
         self.plan = plan
+        self.measured: list[UpstreamHandle] = []
         self.policy_path = deployment.folder / 'policy'
 
     async def start(self) -> None:
         """Start everything and wait until all daemons serve."""
         self.switch('least')
         await self._add_upstreams()
+        self.measured = list(self.deployment.upstreams)
+        await self._add_batch_upstreams()
         for text in _policies.documents(self.plan.mean_ms()):
             await self.deployment.accept(text)
         async with anyio.create_task_group() as group:
@@ -69,7 +77,7 @@
 
     async def bring_about(self, scenario: Scenario) -> None:
         """Set the behaviour of the upstreams."""
-        for index, upstream in enumerate(self.deployment.upstreams):
+        for index, upstream in enumerate(self.measured):
             behaviour = dict(scenario.everywhere)
             if self._is_special(scenario, index):
                 behaviour.update(scenario.special)
@@ -78,14 +86,12 @@
 
     async def clear_ledgers(self) -> None:
         """Begin a new block in every ledger."""
-        for upstream in self.deployment.upstreams:
+        for upstream in self.measured:
             await upstream.clear()
 
     async def ledgers(self) -> list[Mapping[str, Any]]:
         """Return the ledgers of all upstreams."""
-        return [
-            await upstream.ledger() for upstream in self.deployment.upstreams
-        ]
+        return [await upstream.ledger() for upstream in self.measured]
 
     def daemon_ids(self) -> list[int]:
         """Return the process ids of the daemons."""
@@ -116,6 +122,12 @@
                 )
                 await self.deployment.list_upstream(again)
 
+    async def _add_batch_upstreams(self) -> None:
+        plan = UpstreamPlan(
+            _policies.BATCH, self.plan.mean_ms(), self.plan.slots
+        )
+        await self.deployment.add_upstreams(plan, _DOMAINS, queue=_BATCH_QUEUE)
+
     async def _add_daemon(self, domain: str) -> None:
         await self.deployment.add_daemon(
             domain,
--- a/packages/cowslippond-standins/src/cowslippond_standins/bench/_policies.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_policies.py
@@ -25,6 +25,7 @@
 _COPYING = 'bench-copying'
 
 SHIPPED = 'shipped'
+BATCH = 'bench-batch'
 CONTENDERS = (
     Contender('random', 'random', _PLAIN),
     Contender('round-robin', 'round-robin', _PLAIN),
@@ -36,6 +37,7 @@
 _HEDGE_SHARES = ((_PLAIN, 0), (_COPYING, 0.1))
 _HEDGE_DELAY_MEANS = 2.5
 _DEADLINE_MS = 5000
+_BATCH_DEADLINE_MS = 10_000
 
 
 def documents(mean_ms: float) -> list[str]:
@@ -56,9 +58,22 @@
             'hedging': hedging,
         }
         texts.append(orjson.dumps(document).decode())
+    texts.append(_batch_document(mean_ms))
     return texts
 
 
+def _batch_document(mean_ms: float) -> str:
+    document = {
+        'service': BATCH,
+        'match': [{'host': f'{BATCH}.example'}],
+        'upstreams': {'slots': 2, 'mean_service_ms': mean_ms},
+        'deadline': {'default_ms': _BATCH_DEADLINE_MS},
+        'hedging': {'share_of_calls': 0},
+        'priority': 'batch',
+    }
+    return orjson.dumps(document).decode()
+
+
 def services() -> list[str]:
     """Return the names of the services."""
     return [service for service, _ in _HEDGE_SHARES]
--- a/packages/cowslippond-standins/src/cowslippond_standins/bench/_probing.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_probing.py
@@ -25,6 +25,9 @@
 _HOT_QUANTILE = 0.84
 _RECENT = 64
 _PATH = '/load'
+_WAITS = ('connect', 'read', 'write', 'pool')
+_PATIENCE = 1
+_MAX_CONNECTIONS = 32
 _FAILED = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -53,7 +56,9 @@
         self.recent: collections.deque[int] = collections.deque(maxlen=_RECENT)
         self.owed: float = 0
         self.tasks: set[asyncio.Task[None]] = set()
-        self.http = httpcore.AsyncConnectionPool()
+        self.http = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS
+        )
 
     def choose(
         self, candidates: Sequence[Upstream], rng: random.Random
@@ -88,7 +93,11 @@
 
     async def _probe(self, address: str) -> None:
         try:
-            answer = await self.http.request('GET', f'http://{address}{_PATH}')
+            answer = await self.http.request(
+                'GET',
+                f'http://{address}{_PATH}',
+                extensions={'timeout': dict.fromkeys(_WAITS, _PATIENCE)},
+            )
         except _FAILED:
             return
         told = orjson.loads(answer.content)
--- a/packages/cowslippond-standins/src/cowslippond_standins/bench/_rows.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_rows.py
@@ -18,8 +18,9 @@
     """One block: a scenario, a policy and a seed.
 
     Latencies are in milliseconds and count calls that were not answered as
-    late as the longest wait. ``goodput`` gives the share of calls answered in
-    each step of the load. ``daemon_cpu`` is the share of a core that a daemon
+    late as the longest wait; ``p99_answered`` leaves them out. ``goodput`` gives the share of calls answered in
+    each step of the load, ``batch_answered`` the answered calls a second of
+    the batch service beside it. ``daemon_cpu`` is the share of a core that a daemon
     used, ``daemon_megabytes`` its memory.
     """
 
@@ -32,10 +33,12 @@
     p90: float
     p99: float
     p999: float
+    p99_answered: float
     outcomes: dict[str, int]
     reasons: dict[str, int]
     retries: dict[str, int]
     goodput: list[float]
+    batch_answered: float
     probes_per_call: float
     measuring_share: float
     wasted_share: float
@@ -101,6 +104,7 @@
         'p90',
         'p99',
         'p99.9',
+        'p99 of answered',
         'answered',
         'retries/call',
         'wasted',
@@ -121,6 +125,7 @@
         [row.p90 for row in same],
         [row.p99 for row in same],
         [row.p999 for row in same],
+        [row.p99_answered for row in same],
     ]
     shares = [
         [row.outcomes.get('answered', 0) / row.calls for row in same],
--- a/packages/cowslippond-standins/src/cowslippond_standins/bench/_scenarios.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_scenarios.py
@@ -28,6 +28,7 @@
     ``load`` is a share of the capacity at full speed. ``everywhere`` is the
     behaviour of all upstreams; ``special`` that of the first ones, as many as
     ``special_count``, or of the first failure domain if that is zero.
+    ``batch_load`` is the load of a batch service with upstreams of its own.
     ``queue`` is the number of calls that wait at an upstream before it sheds.
     """
 
@@ -38,6 +39,7 @@
     special_count: int = 1
     queue: int = 0
     steps: tuple[float, ...] = (1,)
+    batch_load: float = 0
 
     def phases(self, duration: float, capacity: float) -> list[Phase]:
         """Return the rates of a block.
@@ -64,7 +66,8 @@
     Scenario('shifts-85', _HIGH, _SHIFTING),
     Scenario('shifts-70-queueing', _MIDDLE, _SHIFTING, queue=_QUEUE),
     Scenario('straggler-70', _MIDDLE, _SHIFTING, _STRAGGLER),
+    Scenario('beside-batch-70', _MIDDLE, _SHIFTING, batch_load=_OVERLOAD),
+    Scenario('step-60-130-60', _STEP, _SHIFTING, steps=_STEPS),
     Scenario('black-hole-70', _MIDDLE, _SHIFTING, _BLACK_HOLE),
     Scenario('domain-gone-50', _LOW, _SHIFTING, _GONE, special_count=0),
-    Scenario('step-60-130-60', _STEP, _SHIFTING, steps=_STEPS),
 )
--- a/tests/standins/test_demo.py
+++ b/tests/standins/test_demo.py
@@ -42,4 +42,5 @@
             assert demo.popen.wait(20) != 0
         finally:
             demo.kill()
-        assert not [one for one in started if is_running(one)]
+        remaining = [one for one in started if is_running(one)]
+        assert not remaining
