--- a/packages/cowslippond-standins/src/cowslippond_standins/bench/__main__.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/__main__.py
@@ -13,7 +13,7 @@
 from cowslippond_standins.bench import _plots
 from cowslippond_standins.bench._blocks import Block, measure
 from cowslippond_standins.bench._fleet import Fleet, FleetPlan
-from cowslippond_standins.bench._policies import CONTENDERS
+from cowslippond_standins.bench._policies import CONTENDERS, Contender
 from cowslippond_standins.bench._rows import (
     Row,
     make_table,
@@ -32,15 +32,17 @@
 
 
 def plan_blocks(
-    scenarios: Sequence[Scenario], seeds: int, seconds: float
+    scenarios: Sequence[Scenario],
+    contenders: Sequence[Contender],
+    seeds: int,
+    seconds: float,
 ) -> list[Block]:
     """Return all blocks; the policies take turns at going first."""
     blocks = []
     for seed in range(1, seeds + 1):
         for index, scenario in enumerate(scenarios):
-            first = (seed + index) % len(CONTENDERS)
-            in_turn = CONTENDERS[first:] + CONTENDERS[:first]
-            for contender in in_turn:
+            first = (seed + index) % len(contenders)
+            for contender in (*contenders[first:], *contenders[:first]):
                 duration = seconds * _MILLIS_PER_SECOND
                 blocks.append(Block(scenario, contender, seed, duration))
     return blocks
@@ -82,6 +84,7 @@
     seeds: int = _DEFAULT_SEEDS,
     seconds: float = _DEFAULT_SECONDS,
     scenarios: list[str] | None = None,
+    policies: list[str] | None = None,
     upstreams: int = 7,
     daemons: int = 6,
     stretch: float = 3,
@@ -92,6 +95,7 @@
     :param seeds: how many seeds each scenario and policy is run with.
     :param seconds: length of a block.
     :param scenarios: names of the scenarios; all of them by default.
+    :param policies: names of the policies; all of them by default.
     :param upstreams: number of upstreams, each with 2 slots.
     :param daemons: number of daemons.
     :param stretch: factor on all times of the upstreams; above 1, calls are
@@ -105,7 +109,12 @@
         if not scenarios or scenario.name in scenarios
     ]
     plan = FleetPlan(upstreams, 2, daemons, stretch)
-    blocks = plan_blocks(chosen, seeds, seconds)
+    contenders = [
+        contender
+        for contender in CONTENDERS
+        if not policies or contender.name in policies
+    ]
+    blocks = plan_blocks(chosen, contenders, seeds, seconds)
     rows = anyio.run(
         _measure_all, plan, blocks, backend_options={'use_uvloop': True}
     )
