--- a/packages/cowslippond-standins/src/cowslippond_standins/harness/_http.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/harness/_http.py
@@ -32,12 +32,13 @@
 
 async def get_json(url: str) -> Any:
     """Return the JSON that a URL serves."""
-    return await _request('GET', url, b'')
+    return orjson.loads(await _request('GET', url, b''))
 
 
 async def post_json(url: str, plain: object) -> Any:
     """Send JSON to a URL and return the JSON of its answer."""
-    return await _request('POST', url, orjson.dumps(plain))
+    answer = await _request('POST', url, orjson.dumps(plain))
+    return orjson.loads(answer)
 
 
 async def is_ok(url: str) -> bool:
@@ -49,7 +50,7 @@
     return True
 
 
-async def _request(method: str, url: str, payload: bytes) -> Any:
+async def _request(method: str, url: str, payload: bytes) -> bytes:
     try:
         with anyio.fail_after(seconds_of(_TIMEOUT)):
             async with httpcore.AsyncConnectionPool() as pool:
@@ -58,4 +59,4 @@
         raise ControlError(url, repr(failed)) from failed
     if answer.status != _HTTP_OK:
         raise ControlError(url, f'{answer.status} {answer.content!r}')
-    return orjson.loads(answer.content or b'null')
+    return answer.content
--- /dev/null
+++ b/tests/standins/test_balancer.py
@@ -0,0 +1,86 @@
+"""The balancer stand-in: health checks, lag, round robin."""
+
+import anyio
+import httpcore
+import pytest
+from cowslippond_standins._address import Address
+from cowslippond_standins.harness._deployment import Deployment
+from cowslippond_standins.harness._handles import UpstreamHandle, UpstreamPlan
+from cowslippond_standins.harness._ports import free_ports
+
+pytestmark = pytest.mark.anyio
+
+# Upstreams stand behind the balancer here: they answer any path, and fail
+# their health check while they drain.
+LAG_MS = 300
+
+
+@pytest.fixture
+async def backends(deployment: Deployment) -> list[UpstreamHandle]:
+    plan = UpstreamPlan('s', slots=64)
+    return await deployment.add_upstreams(plan, ['d', 'd'])
+
+
+@pytest.fixture
+async def balancer(
+    deployment: Deployment, backends: list[UpstreamHandle]
+) -> Address:
+    port = free_ports(1)
+    named = [f'{backend.address}/{backend.address}' for backend in backends]
+    child = deployment.processes.start(
+        'balancer',
+        'cowslippond_standins.balancer',
+        *named,
+        f'--port={port}',
+        f'--lag-ms={LAG_MS}',
+        '--interval-ms=50',
+    )
+    await deployment.processes.wait_ready(
+        child, f'http://127.0.0.1:{port}/ledger'
+    )
+    return Address('127.0.0.1', port)
+
+
+async def call(address: Address, order: str) -> int:
+    """Call once on a new connection."""
+    async with httpcore.AsyncConnectionPool() as pool:
+        answer = await pool.request(
+            'GET',
+            f'http://{address}/x?work=1',
+            headers={'idempotency-key': order},
+        )
+        return answer.status
+
+
+async def order_counts(backends: list[UpstreamHandle]) -> list[int]:
+    counts = []
+    for backend in backends:
+        runs = (await backend.ledger())['runs']
+        counts.append(len([run for run in runs if run['order_key']]))
+    return counts
+
+
+class TestBalancer:
+    async def test_connections_take_turns(
+        self, balancer: Address, backends: list[UpstreamHandle]
+    ) -> None:
+        for _ in range(6):
+            assert await call(balancer, 'turn') == 200
+        assert await order_counts(backends) == [3, 3]
+
+    async def test_failing_backend_gets_no_connection_after_the_lag(
+        self, balancer: Address, backends: list[UpstreamHandle]
+    ) -> None:
+        await backends[0].change(draining=True)
+        started = anyio.current_time()
+        statuses = {await call(balancer, 'early') for _ in range(2)}
+        if anyio.current_time() - started < LAG_MS / 1000:
+            assert 503 in statuses
+        with anyio.fail_after(10):
+            while {await call(balancer, 'wait') for _ in range(4)} != {200}:
+                await anyio.sleep(0.05)
+        before = await order_counts(backends)
+        for _ in range(4):
+            await call(balancer, 'late')
+        after = await order_counts(backends)
+        assert after == [before[0], before[1] + 4]
