Say what the drain time is and is not

Cause: no daemon reads retirement.drain_ms, and the page promised that one cuts by it. Ruled out: cutting calls at its end; planned maintenance cuts nothing. Change: the field is described as the time until the upstream is stopped; the check that the deadline's ceiling fits into it makes every answer begin by then. Measured: the pages agree with the table of fields.

--- a/packages/cowslippond-core/src/cowslippond_core/_document_fields.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_document_fields.py
@@ -199,7 +199,9 @@
         FieldSpec(
             'drain_ms',
             number(MILLIS_UNIT, 0, _DAY_MS),
-            'How long the running calls of a leaving upstream may still take.',
+            'How long a leaving upstream goes on running before it is stopped. '
+            'Every call on it is answered by then, as the ceiling of the '
+            'deadline must not be above it; daemons cut nothing that runs on.',
             default=_DEFAULT_DRAIN_MS,
         ),
     )
