--- a/packages/cowslippond-core/src/cowslippond_core/_sender.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sender.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 from cowslippond_core._attempt import Attempt
+from cowslippond_core._budgets import is_first_attempt
 from cowslippond_core._clock import Clock
 from cowslippond_core._crash_watch import note_end
 from cowslippond_core._hooks import SendingHooks
@@ -13,12 +14,10 @@
 from cowslippond_core._quarantine import Quarantine
 from cowslippond_core._reasons import RefusalReason, RetryReason
 from cowslippond_core._refusals import not_run
-from cowslippond_core._routing import LeastInFlight
+from cowslippond_core._routing import NearLeastInFlight
 from cowslippond_core._sending import Sending, SendingContext
 from cowslippond_core._service_state import ServiceState
 
-_SHIPPED_POLICY = LeastInFlight()
-
 
 class Sender:
     """Send calls to upstreams.
@@ -32,7 +31,9 @@
         upstream's own answer says that it is leaving.
     :param count_retry: called once for each repeated send.
     :param quarantine: the requests that are not sent.
-    :param policy: how upstreams are chosen; the default is the shipped one.
+    :param failure_domain: where this process runs.
+    :param policy: how upstreams are chosen, for measurements; ``None`` stands
+        for the shipped policy.
     :param rng: breaks ties; pass a seeded one to repeat a run.
     """
 
@@ -44,12 +45,18 @@
         mark_leaving: Callable[[str, str], None],
         count_retry: Callable[[RetryReason], None],
         quarantine: Quarantine,
-        policy: object = _SHIPPED_POLICY,
+        failure_domain: str = '',
+        policy: object | None = None,
         rng: random.Random | None = None,
     ) -> None:
         hooks = SendingHooks(is_leaving, mark_leaving, count_retry, quarantine)
         self.precedence = Precedence()
-        self.ctx = SendingContext(clock, hooks, policy, rng or random.Random())
+        self.ctx = SendingContext(
+            clock,
+            hooks,
+            policy or NearLeastInFlight(failure_domain),
+            rng or random.Random(),
+        )
 
     async def send(
         self, service: ServiceState, request: CallRequest
@@ -66,8 +73,9 @@
         refusal = await self._admit(service, request)
         if refusal is not None:
             return not_run(refusal, self.ctx.rng)
-        service.retry_budget.note_send()
-        service.hedge_budget.note_send()
+        if is_first_attempt(request.attempt):
+            service.retry_budget.note_send()
+            service.hedge_budget.note_send()
         started_at = clock.now()
         try:
             result = await Sending(self.ctx, service, request).run()
--- a/packages/cowslippond-core/src/cowslippond_core/_sending.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -29,14 +29,16 @@
 from cowslippond_core._reasons import RefusalReason, RetryReason
 from cowslippond_core._refusals import not_run, refusal_of
 from cowslippond_core._retries import is_repeatable, retry_reason
-from cowslippond_core._routing import pick
+from cowslippond_core._routing import after_send, pick
 from cowslippond_core._service_state import ServiceState
 from cowslippond_core._upstreams import Upstream
 
-#: The most sends of one call by one process.
-MAX_SENDS = 6
+#: The most sends of one call by one process, those that an upstream refused
+#: for want of a free slot included.
+MAX_SENDS = 40
 
 _SILENCE_FACTOR = 4
+_HEDGE_FACTOR = 1.5
 _LEAST_SILENCE: Millis = 200
 _LONGEST_TURN_WAIT: Millis = 250
 
@@ -131,6 +133,7 @@
     def _pick(self, free: list[Upstream]) -> Upstream:
         chosen = pick(self.ctx.policy, free, self.ctx.rng)
         chosen.chosen_at = self.clock.now()
+        after_send(self.ctx.policy, free, self.ctx.rng)
         return chosen
 
     def _make_copy(self) -> Attempt | None:
@@ -203,7 +206,8 @@
 
     def _hedge_time(self) -> Millis:
         hedging = self.service.document.hedging
-        delay = max(hedging.delay_ms, self.service.latency.p95)
+        late = self.service.latency.p95 * _HEDGE_FACTOR
+        delay = max(hedging.delay_ms, late)
         return min(self.clock.now() + delay, self.request.deadline)
 
     def _may_hedge_now(self) -> bool:
