Print documents as they are, and refuse control characters

Cause: the console expanded tabs, names between colons and markup, so a shown document could differ from the accepted one; a comment could carry escape sequences to another team's terminal. Ruled out: escaping at print time, which would change the text. Change: text goes out unchanged; documents and authors hold no control characters; table cells are plain text.

--- a/packages/cowslippond-core/src/cowslippond_core/_jsonc.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_jsonc.py
@@ -10,7 +10,11 @@
 from types import MappingProxyType
 from typing import Any
 
-from cowslippond_core._jsonc_comments import MAX_TEXT_CHARS, blank_comments
+from cowslippond_core._jsonc_comments import (
+    CONTROL,
+    MAX_TEXT_CHARS,
+    blank_comments,
+)
 from cowslippond_core._jsonc_tree import (
     MAX_DEPTH,
     MAX_NUMBER_CHARS,
@@ -28,7 +32,7 @@
 
     :returns: ``None`` if the text is not valid.
     """
-    if len(text) > MAX_TEXT_CHARS:
+    if len(text) > MAX_TEXT_CHARS or CONTROL.search(text):
         return None
     blanked = blank_comments(text)
     if blanked is None:
--- a/packages/cowslippond-core/src/cowslippond_core/_jsonc_comments.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_jsonc_comments.py
@@ -5,6 +5,9 @@
 # Characters of the longest text that is read.
 MAX_TEXT_CHARS = 65_536
 
+# Control characters, which could steer the terminal of a reader.
+CONTROL = re.compile(r'[\x00-\x08\x0b\x0c\x0e-\x1f\x7f-\x9f]')
+
 LEXEME = re.compile(
     r"""
     (?P<string>"(?:[^"\\\n]|\\[^\n])*+"?)
--- a/packages/cowslippond-core/src/cowslippond_core/_jsonc_placed.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_jsonc_placed.py
@@ -18,6 +18,7 @@
 
 from cowslippond_core._findings import Finding, Place
 from cowslippond_core._jsonc_comments import (
+    CONTROL,
     LEXEME,
     MAX_TEXT_CHARS,
     blank_comments,
@@ -81,7 +82,7 @@
     if len(text) > MAX_TEXT_CHARS:
         message = f'longer than {MAX_TEXT_CHARS} characters'
         return JsonText(None, (Finding(Place(file, 1, 1, ''), message),))
-    fault = _unclosed_lexeme(text, file)
+    fault = _control_character(text, file) or _unclosed_lexeme(text, file)
     if fault is not None:
         return JsonText(None, (fault,))
     blanked = blank_comments(text) or ''
@@ -109,6 +110,14 @@
     return Finding(place_at(text, index, file), message)
 
 
+def _control_character(text: str, file: str) -> Finding | None:
+    found = CONTROL.search(text)
+    if found is None:
+        return None
+    message = f'control character {found.group()!r}'
+    return _finding_at(text, found.start(), file, message)
+
+
 def _unclosed_lexeme(text: str, file: str) -> Finding | None:
     for lexeme in LEXEME.finditer(text):
         if not is_unclosed(lexeme):
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_history.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_history.py
@@ -82,11 +82,7 @@
 
 def _text_outcome(accepted: AcceptedDocument) -> Outcome:
     record = {**record_of(accepted), 'text': accepted.text}
-    heading = (
-        f'// {accepted.service} version {accepted.version}, accepted '
-        f'{show_time(accepted.accepted_at)} from {accepted.author}'
-    )
-    return Outcome(ExitCode.DONE, record, [heading, accepted.text])
+    return Outcome(ExitCode.DONE, record, [accepted.text.removesuffix('\n')])
 
 
 def _cells_of(accepted: AcceptedDocument) -> tuple[str, ...]:
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_outcome.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_outcome.py
@@ -87,7 +87,11 @@
         return
     console = _console_for(outcome.code)
     for view in outcome.views:
-        console.print(view, markup=False, highlight=False, soft_wrap=True)
+        if isinstance(view, str):
+            # Text goes out as it is; a console would expand tabs and more.
+            console.file.write(f'{view}\n')
+            continue
+        console.print(view, soft_wrap=True)
 
 
 def _console_for(code: ExitCode) -> Console:
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_program.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_program.py
@@ -32,6 +32,7 @@
 )
 _MILLIS_PER_SECOND = 1000
 _DEFAULT_HISTORY = 20
+_MAX_AUTHOR_CHARS = 128
 
 
 def main() -> None:
@@ -86,7 +87,12 @@
         message = '--expected-version takes exactly one file'
         outcome = fail(ExitCode.FAULTY, 'command_line', message)
         return _finish(outcome, is_json=json)
-    run = partial(_apply, files, author or getpass.getuser(), expected_version)
+    named = author or getpass.getuser()
+    if not named.isprintable() or len(named) > _MAX_AUTHOR_CHARS:
+        message = f'--author takes at most {_MAX_AUTHOR_CHARS} characters'
+        outcome = fail(ExitCode.FAULTY, 'command_line', message)
+        return _finish(outcome, is_json=json)
+    run = partial(_apply, files, named, expected_version)
     return _run(run, platform, is_json=json)
 
 
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_views.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_views.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Sequence
 
 from rich.table import Table as Grid
+from rich.text import Text
 
 
 def grid(columns: Sequence[str], rows: Iterable[Sequence[str]]) -> Grid:
@@ -15,5 +16,6 @@
     for heading in columns:
         view.add_column(heading, overflow='fold')
     for row in rows:
-        view.add_row(*row)
+        # Cells are shown as they are, without the markup of the library.
+        view.add_row(*(Text(cell) for cell in row))
     return view
--- a/tests/core/test_jsonc.py
+++ b/tests/core/test_jsonc.py
@@ -117,6 +117,7 @@
             ('{"a": "b\n"}', 1, 7, 'not closed'),
             ('{ /* a\n', 1, 3, 'not closed'),
             (r'["\q"]', 1, 2, 'not a JSON string'),
+            ('{} // \x1b[2J', 1, 7, 'control character'),
             ('[$%]', 1, 3, 'unexpected character'),
             ('[' * (MAX_DEPTH + 1), 1, 1, 'nested deeper'),
             (' ' * (MAX_TEXT_CHARS + 1), 1, 1, 'longer than'),
--- a/tests/ctl/test_apply.py
+++ b/tests/ctl/test_apply.py
@@ -14,7 +14,7 @@
     show_newest,
     show_version,
 )
-from cowslippond_ctl._outcome import Outcome
+from cowslippond_ctl._outcome import Outcome, print_outcome
 from fakes import FakeTable
 
 pytestmark = pytest.mark.anyio
@@ -129,6 +129,19 @@
 
 
 class TestShow:
+    async def test_document_is_printed_as_its_author_wrote_it(
+        self, tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        """A console expanded tabs and names between colons."""
+        path = tmp_path / 'stock.jsonc'
+        text = STOCK.read_text().replace('  ', '\t')
+        path.write_text(f'// :smile: [bold]\n{text}')
+        table = FakeTable()
+        await apply(table, path)
+        shown = await show_newest(table, 'shop-stock')
+        print_outcome(shown, is_json=False)
+        assert capsys.readouterr().out == f'// :smile: [bold]\n{text}'
+
     async def test_versions_are_listed_shown_and_compared(
         self, changed_stock: pathlib.Path
     ) -> None:
--- a/tests/ctl/test_program.py
+++ b/tests/ctl/test_program.py
@@ -121,3 +121,9 @@
         )
         assert code == 2
         assert 'exactly one file' in output
+
+    @pytest.mark.parametrize('author', ['\x1b[2J', 'a' * 129])
+    async def test_author_is_readable_text(self, author: str) -> None:
+        code, output, _ = await run('apply', STOCK, '--author', author)
+        assert code == 2
+        assert '--author' in output
