--- a/packages/cowslippond-core/src/cowslippond_core/_observations.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_observations.py
@@ -9,6 +9,7 @@
     NotRunReason,
 )
 from cowslippond_core._clock import Millis
+from cowslippond_core._crash_watch import note_end
 from cowslippond_core._ejection import note_failure, note_success
 from cowslippond_core._exchange import ExchangeFault
 from cowslippond_core._hooks import SendingHooks
@@ -16,8 +17,6 @@
 from cowslippond_core._service_state import ServiceState
 
 _FIRST_ERROR_STATUS = 500
-_LOSS_WEIGHT = 2
-_ERROR_WEIGHT = 1
 _TIMEOUT_FACTOR = 4
 
 
@@ -58,7 +57,7 @@
     note_report(upstream, answered.answer.headers, now)
     if is_error(answered):
         peers = service.upstreams.by_address.values()
-        note_failure(upstream, peers, now, _ERROR_WEIGHT)
+        note_failure(upstream, peers, now)
         return
     latency = now - attempt.sent_at
     service.latency.note(latency)
@@ -77,10 +76,9 @@
         if waited < service.latency.p95 * _TIMEOUT_FACTOR:
             return
     else:
-        fingerprint = attempt.request.fingerprint
-        hooks.on_break(attempt.upstream, fingerprint, now)
+        note_end(hooks.quarantine, attempt)
     peers = service.upstreams.by_address.values()
-    note_failure(attempt.upstream, peers, now, _LOSS_WEIGHT)
+    note_failure(attempt.upstream, peers, now)
 
 
 def _note_not_run(
@@ -89,12 +87,14 @@
     attempt: Attempt,
     refused: NotRun,
 ) -> None:
+    if refused.reason is NotRunReason.DEADLINE:
+        return
     upstream = attempt.upstream
     now = attempt.clock.now()
     if refused.reason is NotRunReason.CONNECT_FAILED:
         peers = service.upstreams.by_address.values()
-        note_failure(upstream, peers, now, _LOSS_WEIGHT)
+        note_failure(upstream, peers, now)
         return
-    note_shed(upstream, now)
+    note_shed(upstream, service.document.upstreams, now)
     if refused.reason is NotRunReason.DRAINING:
         hooks.mark_leaving(upstream.address, 'answer')
--- a/packages/cowslippond-core/src/cowslippond_core/_sender.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sender.py
@@ -2,19 +2,21 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 
-from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._attempt import Attempt
+from cowslippond_core._budgets import is_first_attempt
+from cowslippond_core._clock import Clock
+from cowslippond_core._crash_watch import note_end
 from cowslippond_core._hooks import SendingHooks
 from cowslippond_core._messages import CallAnswer, CallRefusal, CallRequest
 from cowslippond_core._precedence import Precedence
+from cowslippond_core._quarantine import Quarantine
 from cowslippond_core._reasons import RefusalReason, RetryReason
 from cowslippond_core._refusals import not_run
-from cowslippond_core._routing import LeastInFlight
+from cowslippond_core._routing import NearLeastInFlight
 from cowslippond_core._sending import Sending, SendingContext
 from cowslippond_core._service_state import ServiceState
-from cowslippond_core._upstreams import Upstream
-
-_SHIPPED_POLICY = LeastInFlight()
 
 
 class Sender:
@@ -28,9 +30,10 @@
     :param mark_leaving: called with the address and the reason when an
         upstream's own answer says that it is leaving.
     :param count_retry: called once for each repeated send.
-    :param on_break: called with the upstream, the call's fingerprint and the
-        time when a connection breaks before the answer.
-    :param policy: how upstreams are chosen; the default is the shipped one.
+    :param quarantine: the requests that are not sent.
+    :param failure_domain: where this process runs.
+    :param policy: how upstreams are chosen, for measurements; ``None`` stands
+        for the shipped policy.
     :param rng: breaks ties; pass a seeded one to repeat a run.
     """
 
@@ -41,13 +44,19 @@
         is_leaving: Callable[[str], bool],
         mark_leaving: Callable[[str, str], None],
         count_retry: Callable[[RetryReason], None],
-        on_break: Callable[[Upstream, str, Millis], None],
-        policy: object = _SHIPPED_POLICY,
+        quarantine: Quarantine,
+        failure_domain: str = '',
+        policy: object | None = None,
         rng: random.Random | None = None,
     ) -> None:
-        hooks = SendingHooks(is_leaving, mark_leaving, count_retry, on_break)
+        hooks = SendingHooks(is_leaving, mark_leaving, count_retry, quarantine)
         self.precedence = Precedence()
-        self.ctx = SendingContext(clock, hooks, policy, rng or random.Random())
+        self.ctx = SendingContext(
+            clock,
+            hooks,
+            policy or NearLeastInFlight(failure_domain),
+            rng or random.Random(),
+        )
 
     async def send(
         self, service: ServiceState, request: CallRequest
@@ -64,8 +73,9 @@
         refusal = await self._admit(service, request)
         if refusal is not None:
             return not_run(refusal, self.ctx.rng)
-        service.retry_budget.note_send()
-        service.hedge_budget.note_send()
+        if is_first_attempt(request.attempt):
+            service.retry_budget.note_send()
+            service.hedge_budget.note_send()
         started_at = clock.now()
         try:
             result = await Sending(self.ctx, service, request).run()
@@ -76,9 +86,15 @@
             service.limiter.release()
             return result
         service.limiter.note_answer(clock.now() - started_at)
-        result.attempt.when_ended(service.limiter.release)
+        result.attempt.when_ended(
+            partial(self._note_end, service, result.attempt)
+        )
         return result.answer
 
+    def _note_end(self, service: ServiceState, attempt: Attempt) -> None:
+        service.limiter.release()
+        note_end(self.ctx.hooks.quarantine, attempt)
+
     async def _admit(
         self, service: ServiceState, request: CallRequest
     ) -> RefusalReason | None:
--- a/packages/cowslippond-core/src/cowslippond_core/_spread.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_spread.py
@@ -19,8 +19,9 @@
 from cowslippond_core._peers import Peers
 from cowslippond_core._poller import Poller
 from cowslippond_core._quarantine import Quarantine
-from cowslippond_core._quarantine_gossip import QuarantineGossip
+from cowslippond_core._quarantine_gossip import share_quarantine
 from cowslippond_core._table import Table
+from cowslippond_core._urgent_news import UrgentNews
 from cowslippond_core._vm_list import Vm
 from cowslippond_core._vm_list_poller import VmListPoller
 
@@ -119,7 +120,6 @@
             table, catalogue, self.membership, clock, draw, metrics
         )
         self.vm_list = VmListPoller(settings.vm_list_url, clock, draw, metrics)
-        self.sharers: list[QuarantineGossip] = []
         self._connect_parts()
 
     def gossip_table(self, name: str) -> GossipTable:
@@ -131,10 +131,15 @@
         return self.tables[name]
 
     def share_quarantine(self, quarantine: Quarantine) -> None:
-        """Pass the suspects of a quarantine on; call it before running."""
-        self.sharers.append(
-            QuarantineGossip(quarantine, self.tables['quarantine'])
-        )
+        """Pass on what a quarantine finds out, as soon as it does."""
+        share_quarantine(quarantine, self.tables['quarantine'])
+        quarantine.push_news = UrgentNews(
+            'quarantine',
+            self.gossip,
+            self.membership,
+            self.clock,
+            self.metrics,
+        ).push
 
     def vms(self) -> tuple[Vm, ...]:
         """Return the newest list of VMs that could be read."""
@@ -189,8 +194,6 @@
             tasks.start_soon(self.poller.run)
             if self.settings.vm_list_url:
                 tasks.start_soon(self.vm_list.run)
-            for sharer in self.sharers:
-                tasks.start_soon(sharer.run, self.clock)
             tasks.start_soon(self._beat)
             tasks.start_soon(self._report)
             task_status.started(self.gossip.address)
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_check.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_check.py
@@ -8,35 +8,37 @@
     ServiceDocument,
     format_finding,
     read_document,
+    read_text_file,
 )
 from expression import Error, Result
 
 from cowslippond_ctl._exit_codes import ExitCode
 from cowslippond_ctl._outcome import Outcome, Record
-from cowslippond_ctl._platform import read_file
 
 
 def check_files(paths: Sequence[pathlib.Path]) -> Outcome:
     """Check documents, and report the findings of all files together."""
     findings: list[Finding] = []
     services: list[str] = []
+    lines: list[str] = []
     for path in paths:
         read = read_document_file(path)
         if read.is_error():
             findings.extend(read.error)
             continue
         services.append(read.ok.service)
+        lines.append(f'{path}: ok')
     if findings:
         return findings_outcome(findings)
     record = {'findings': [], 'services': services}
-    return Outcome(ExitCode.DONE, record, [f'{len(services)} documents, ok'])
+    return Outcome(ExitCode.DONE, record, lines)
 
 
 def read_document_file(
     path: pathlib.Path,
 ) -> Result[ServiceDocument, tuple[Finding, ...]]:
     """Return the document in a file, or all findings about it."""
-    read = read_file(path)
+    read = read_text_file(path)
     if read.is_error():
         return Error((read.error,))
     return read_document(read.ok, str(path))
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_daemons.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_daemons.py
@@ -6,8 +6,13 @@
 import anyio
 import httpcore
 import orjson
-from cowslippond_core import Millis, seconds_of
-from cowslippond_core._vm_list import ENTRY_SERVICE, Vm, VmState
+from cowslippond_core import (
+    ENTRY_SERVICE,
+    Millis,
+    Vm,
+    VmState,
+    seconds_of,
+)
 from expression import Error, Ok, Result
 
 _OK_STATUS = 200
@@ -64,7 +69,10 @@
     :param timeout: the longest wait for one answer, in milliseconds.
     """
     views: dict[int, DaemonView] = {}
-    async with httpcore.AsyncConnectionPool(retries=0) as pool:
+    # A silent daemon holds its connection, so each one has its own.
+    async with httpcore.AsyncConnectionPool(
+        max_connections=len(vms) or 1
+    ) as pool:
         async with anyio.create_task_group() as tasks:
             for index, vm in enumerate(vms):
                 tasks.start_soon(_ask_into, views, index, pool, vm, timeout)
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_program.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_program.py
@@ -15,6 +15,7 @@
 from cowslippond_ctl._check import check_files, findings_outcome
 from cowslippond_ctl._diff import diff_file, diff_versions
 from cowslippond_ctl._exit_codes import ExitCode
+from cowslippond_ctl._fields import FieldSubject, show_fields
 from cowslippond_ctl._history import (
     list_services,
     show_history,
@@ -25,21 +26,28 @@
 from cowslippond_ctl._platform import PlatformLink, read_platform
 from cowslippond_ctl._status import StatusReader
 
+_INTERRUPTED = (
+    'interrupted; a change that was being applied may have been accepted, '
+    'see "cowslippondctl history SERVICE"\n'
+)
 _MILLIS_PER_SECOND = 1000
 _DEFAULT_HISTORY = 20
 
 
 def main() -> None:
     """Run the ``cowslippondctl`` command."""
-    sys.exit(
-        defopt.run(
-            [check, apply, show, history, status, diff],
+    try:
+        code = defopt.run(
+            [check, apply, show, history, status, diff, fields],
             argparse_kwargs={
                 'prog': 'cowslippondctl',
                 'description': 'Change and watch services.',
             },
         )
-    )
+    except KeyboardInterrupt:
+        sys.stderr.write(_INTERRUPTED)
+        code = ExitCode.INTERRUPTED
+    sys.exit(int(code))
 
 
 def check(*files: pathlib.Path, json: bool = False) -> int:
@@ -171,6 +179,22 @@
     return _run(partial(_diff, target, first, second), platform, is_json=json)
 
 
+def fields(
+    subject: FieldSubject = 'document',
+    *,
+    markdown: bool = False,
+    json: bool = False,
+) -> int:
+    """Show every field with its form, default and meaning.
+
+    :param subject: the kind of file.
+    :param markdown: print the table as it stands in the documentation.
+    :param json: print one JSON object.
+    """
+    outcome = show_fields(subject, is_markdown=markdown)
+    return _finish(outcome, is_json=json)
+
+
 async def _apply(
     files: tuple[pathlib.Path, ...],
     author: str,
@@ -229,7 +253,7 @@
     link: PlatformLink,
 ) -> Outcome:
     table = DynamoTable(link.table_url, link.table_name, link.timeout_ms)
-    async with contextlib.aclosing(table.pool):
+    async with contextlib.aclosing(table.client):
         return await command(table, link)
 
 
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_status.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_status.py
@@ -3,15 +3,21 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from cowslippond_core import Clock, Millis, Table, read_documents
-from cowslippond_core._vm_list import Vm, fetch_vms
+from cowslippond_core import (
+    Clock,
+    Millis,
+    Table,
+    Vm,
+    fetch_vms,
+    read_documents,
+)
 from expression import Error, Ok, Result
 from rich.console import RenderableType
 
 from cowslippond_ctl._daemons import DaemonView, ask_daemons, entry_vms
 from cowslippond_ctl._exit_codes import ExitCode
-from cowslippond_ctl._in_force import Coverage, Deployment, compare
-from cowslippond_ctl._outcome import Outcome, Record, fail
+from cowslippond_ctl._in_force import Coverage, Deployment, Lag, compare
+from cowslippond_ctl._outcome import Outcome, Record, describe_error, fail
 from cowslippond_ctl._times import show_age
 from cowslippond_ctl._views import grid
 
@@ -64,7 +70,9 @@
         documents = await read_documents(self.table)
         daemons = await ask_daemons(vms.ok, self.timeout)
         if documents.is_error():
-            return Ok(Survey(compare((), daemons), documents.error.detail))
+            return Ok(
+                Survey(compare((), daemons), describe_error(documents.error))
+            )
         return Ok(Survey(compare(documents.ok, daemons), ''))
 
     async def _fetch_vms(self) -> Result[Sequence[Vm], str]:
@@ -132,7 +140,7 @@
     )
     daemons = grid(
         ('vm', 'failure domain', 'state', 'ready', 'revision', 'lags'),
-        (_daemon_cells(deployment, each) for each in deployment.daemons),
+        (_daemon_cells(deployment, each, wall) for each in deployment.daemons),
     )
     views: list[RenderableType] = [services, '', daemons, '']
     if survey.table_fault:
@@ -147,6 +155,8 @@
 def _verdict_on(deployment: Deployment) -> str:
     if not deployment.daemons:
         return "no daemon is in the platform's list of VMs"
+    if not deployment.newest:
+        return 'no document was accepted yet'
     if deployment.is_in_force():
         return 'the versions above are in force everywhere'
     return 'not in force everywhere'
@@ -154,8 +164,8 @@
 
 def _service_cells(coverage: Coverage, wall: int) -> tuple[str, ...]:
     age = 'not known'
-    if coverage.accepted_at is not None:
-        age = f'{show_age(wall - coverage.accepted_at)} ago'
+    if coverage.accepted_at_ms is not None:
+        age = f'{show_age(wall - coverage.accepted_at_ms)} ago'
     total = coverage.in_force_count + len(coverage.lagging)
     return (
         coverage.service,
@@ -166,12 +176,21 @@
     )
 
 
-def _daemon_cells(deployment: Deployment, daemon: DaemonView) -> list[str]:
+def _lag_text(lag: Lag, accepted_at: int | None, wall: int) -> str:
+    text = f'{lag.service} has {lag.in_force}, newest {lag.newest}'
+    if accepted_at is None:
+        return text
+    return f'{text} for {show_age(wall - accepted_at)}'
+
+
+def _daemon_cells(
+    deployment: Deployment, daemon: DaemonView, wall: int
+) -> list[str]:
     status = daemon.status
     if status is None:
         return [daemon.vm, daemon.failure_domain, daemon.fault, '-', '-', '-']
     lags = ', '.join(
-        f'{lag.service} has {lag.in_force}, newest {lag.newest}'
+        _lag_text(lag, deployment.accepted_at.get(lag.service), wall)
         for lag in deployment.lags_of(daemon)
     )
     return [
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
@@ -1,6 +1,7 @@
 """Decides on a call: which service it is for, and how it may run."""
 
 import logging
+from functools import partial
 
 from cowslippond_core import (
     CallAnswer,
@@ -64,9 +65,6 @@
         if in_force is None:
             return _refuse(RefusalReason.NO_SERVICE)
         request = self._make_request(call, in_force)
-        suspect = self.parts.quarantine.check(request.fingerprint)
-        if suspect is not None:
-            return suspect
         return await self._run(call, in_force, request)
 
     async def _run(
@@ -79,7 +77,7 @@
         return await self.parts.claims.run(
             request,
             identity,
-            lambda: self.parts.sender.send(state, request),
+            partial(self.parts.sender.send, state),
         )
 
     def _make_request(
--- a/tests/core/test_catalogue_writer.py
+++ b/tests/core/test_catalogue_writer.py
@@ -11,7 +11,7 @@
     read_documents,
     read_head,
 )
-from cowslippond_core._catalogue_layout import CHANGES
+from cowslippond_core._catalogue_layout import CHANGES, document_key
 from expression import Result
 from fakes import FakeClock, FakeTable, LateTable
 
@@ -132,6 +132,17 @@
         assert refused.overlaps
         assert (await read_head(table)).ok == 1
 
+    async def test_document_of_a_newer_release_stops_the_check(self) -> None:
+        table = FakeTable()
+        await accept(table, 'stock')
+        key = document_key('stock')
+        newer = {**table.rows[key], 'text': '{"a_field_of_tomorrow": 1}'}
+        table.rows[key] = newer
+        refused = (await accept(table, 'catalogue')).error
+        assert refused.fault is ApplyFault.UNREADABLE
+        assert refused.newest.service == 'stock'
+        assert (await accept(table, 'stock')).is_ok()
+
     async def test_nested_match_is_accepted(self) -> None:
         table = FakeTable()
         assert (await accept(table, text=document('a', '/'))).is_ok()
@@ -164,6 +175,14 @@
         assert accepted.ok.version == 1
         assert change_rows(table) == [('stock', 1)]
 
+    async def test_answer_lost_on_the_last_try_is_settled_too(self) -> None:
+        table = FakeTable()
+        table.lost_requests = 9
+        table.lost_answers = 1
+        accepted = await accept(table)
+        assert table.write_count == 10
+        assert accepted.ok.version == 1
+
     async def test_outcome_that_stays_open_is_reported_as_unknown(self) -> None:
         table = FakeTable()
         table.lost_requests = 1000
