--- a/packages/cowslippond-core/src/cowslippond_core/_conversation.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_conversation.py
@@ -34,6 +34,8 @@
     WireError,
 )
 
+_MAX_PORT = 65_535
+
 
 class Conversation:
     """A connection to a peer whose bytes are counted.
@@ -72,3 +74,14 @@
         self.budget.spend(size)
         self.metrics.count(Metric.GOSSIP_BYTES_RECEIVED, size)
         return decode_message(checked)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and port of a peer address.
+
+    :raises WireError: if it is none; it may come from a peer or a list.
+    """
+    host, _, port = address.rpartition(':')
+    if port.isdecimal() and int(port) <= _MAX_PORT:
+        return host, int(port)
+    raise WireError(f'not an address: {address!r}')
--- a/packages/cowslippond-core/src/cowslippond_core/_peers.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_peers.py
@@ -12,6 +12,7 @@
     ANSWER_TIMEOUT,
     BROKEN_CONVERSATION,
     Conversation,
+    split_address,
 )
 from cowslippond_core._gossip import Gossip
 from cowslippond_core._membership import Membership
@@ -47,8 +48,6 @@
 _IDLE_WAIT: Millis = 200
 _RETRY_WAIT: Millis = 500
 
-_MAX_PORT = 65_535
-
 # A wait is drawn from this part of it up to half of it more.
 _LEAST_JITTER = 0.75
 
@@ -130,7 +129,7 @@
         return True
 
     async def _talk_in_rounds(self, address: str) -> None:
-        host, port = _split_address(address)
+        host, port = split_address(address)
         ends_at = self.clock.now() + self._conversation_time()
         with anyio.fail_after(seconds_of(CONNECT_TIMEOUT)):
             stream = await anyio.connect_tcp(host, port)
@@ -216,10 +215,3 @@
             yield
         finally:
             self.busy.discard(address)
-
-
-def _split_address(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(':')
-    if port.isdecimal() and int(port) <= _MAX_PORT:
-        return host, int(port)
-    raise WireError(f'not an address: {address!r}')
--- a/packages/cowslippond-core/src/cowslippond_core/_urgent_news.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_urgent_news.py
@@ -5,7 +5,11 @@
 import anyio
 
 from cowslippond_core._clock import Clock, Millis, seconds_of
-from cowslippond_core._conversation import BROKEN_CONVERSATION, Conversation
+from cowslippond_core._conversation import (
+    BROKEN_CONVERSATION,
+    Conversation,
+    split_address,
+)
 from cowslippond_core._gossip import Gossip
 from cowslippond_core._membership import Membership
 from cowslippond_core._metrics import Metrics
@@ -74,15 +78,18 @@
         return True
 
     async def _tell(self, address: str, told: TableRows) -> None:
-        host, _, port = address.rpartition(':')
-        message = self.gossip.compose(0, 0, 0)._replace(tables=(told,))
         try:
-            async with await anyio.connect_tcp(host, int(port)) as stream:
-                talk = Conversation(stream, self.gossip.budget, self.metrics)
-                await talk.send(message)
-                await talk.receive()
+            await self._deliver(address, told)
         except BROKEN_CONVERSATION as broken:
             _logger.debug(
                 'peer did not take the news',
                 extra={'peer': address, 'why': repr(broken)},
             )
+
+    async def _deliver(self, address: str, told: TableRows) -> None:
+        host, port = split_address(address)
+        message = self.gossip.compose(0, 0)._replace(tables=(told,))
+        async with await anyio.connect_tcp(host, port) as stream:
+            talk = Conversation(stream, self.gossip.budget, self.metrics)
+            await talk.send(message)
+            await talk.receive()
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -4,7 +4,6 @@
 
 from cowslippond_core import Daemon, GossipTable, Vm, VmState
 from cowslippond_core._membership import Membership
-
 from fakes import FakeClock
 
 OWN = Daemon('10.0.0.1:1', 'own', 'north', '', is_leaving=False)
