--- a/tests/core/test_spread.py
+++ b/tests/core/test_spread.py
@@ -13,6 +13,7 @@
     Quarantine,
     Spread,
 )
+from cowslippond_core._urgent_news import UrgentNews
 from fakes import FakeTable
 from spread_fakes import accept, accepted_as, make_spread
 
@@ -209,6 +210,32 @@
             tasks.cancel_scope.cancel()
 
 
+class TestUrgentNews:
+    async def test_it_reaches_a_daemon_without_a_conversation(self):
+        teller, hearer = make_spread(FakeTable()), make_spread(FakeTable())
+        news = UrgentNews(
+            'quarantine',
+            teller.gossip,
+            teller.membership,
+            teller.clock,
+            teller.metrics,
+        )
+        teller.tables['quarantine'].put('f', 'text', 60_000)
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(SocketAttribute.local_port)
+        teller.membership.seeds = (f'127.0.0.1:{port}', 'no address', 'a:b')
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, hearer.server.serve)
+            with anyio.fail_after(PATIENCE_S):
+                while hearer.tables['quarantine'].text_of('f') is None:
+                    news.next_at = 0
+                    await news.push()
+            tasks.cancel_scope.cancel()
+
+        assert hearer.tables['quarantine'].text_of('f') == 'text'
+        assert not hearer.metrics.totals['gossip.exchanges']
+
+
 class TestPeers:
     async def test_a_silent_peer_is_given_up(self):
         async with anyio.create_task_group() as tasks:
