Push crashes in the form that peers now read

Ruled out: the quarantine's own rules. Change: the push composes its message in the new form and has a test.

--- a/packages/cowslippond-core/src/cowslippond_core/_urgent_news.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_urgent_news.py
@@ -75,7 +75,7 @@
 
     async def _tell(self, address: str, told: TableRows) -> None:
         host, _, port = address.rpartition(':')
-        message = self.gossip.compose(0, 0, 0)._replace(tables=(told,))
+        message = self.gossip.compose(0, 0)._replace(tables=(told,))
         try:
             async with await anyio.connect_tcp(host, int(port)) as stream:
                 talk = Conversation(stream, self.gossip.budget, self.metrics)
--- a/tests/integration/shop.py
+++ b/tests/integration/shop.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 import anyio
+from cowslippond_standins._address import Address
 from cowslippond_standins.harness._deployment import Deployment
 from cowslippond_standins.harness._handles import (
     DaemonHandle,
@@ -92,6 +93,11 @@
         """Send an order whose caller waits for a second."""
         self.replies.append(await place(daemon, key, deadline=1000))
 
+    async def look_up_often(self, address: Address, times: int) -> None:
+        """Send lookups, one after another."""
+        for _ in range(times):
+            self.replies.append(await call(address, path='/prints'))
+
     async def runs_of(self, key: str) -> int:
         """Return how often an order was run, by the upstreams' ledgers."""
         runs = await self.deployment.runs()
