Prove orders under two faults at once

Cause: each fault had its proof alone. Change: the answer of a claim lost and its claimant killed; all upstreams shed and the answers of claim and release lost.

--- a/tests/integration/test_orders.py
+++ b/tests/integration/test_orders.py
@@ -199,6 +199,37 @@
         assert await shop.runs_of('cut') == 1
 
 
+class TestTwoFaults:
+    async def test_claim_answer_lost_and_claimant_killed(
+        self, shop: Shop
+    ) -> None:
+        await shop.set_faults(drop_answers=1)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                shop.place_and_keep, shop.daemons[0], 'both', _LONG_WORK
+            )
+            await shop.wait_run('both')
+            shop.daemons[0].child.kill()
+        assert await shop.count('answers_dropped') == 1
+        repeat = await place(shop.daemons[1], 'both', work=_LONG_WORK)
+        assert told(repeat) == ('unknown', 'key_in_progress')
+        assert await shop.runs_of('both') == 1
+
+    async def test_all_upstreams_shed_and_answers_of_the_table_are_lost(
+        self, shop: Shop
+    ) -> None:
+        await shop.change_upstreams(draining=True)
+        await shop.set_faults(drop_answers=2)
+        refused = await place(shop.daemons[0], 'shed', deadline=1000)
+        assert refused.outcome == 'not-run'
+        await shop.wait_settled(shop.daemons[0])
+        assert await shop.count('answers_dropped') == 2
+        assert (await shop.upstream_counters())['draining'] > 0
+        again = await place(shop.daemons[1], 'shed', deadline=1000)
+        assert again.outcome == 'not-run'
+        assert await shop.runs_of('shed') == 0
+
+
 class TestCaller:
     async def test_that_leaves_finds_its_answer_later(self, shop: Shop) -> None:
         with anyio.move_on_after(0.3) as patience:
