Refuse at once when every upstream keeps refusing, and don't starve slots

Change: a call gives up if the first pause ends later than six mean waits; its reason is 'upstreams_full'; the bound falls once in four calls' time, not below twice the daemon's part of the slots; the pause grows after 24 refusals.

--- a/packages/cowslippond-core/src/cowslippond_core/_limits.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_limits.py
@@ -11,6 +11,7 @@
 _DECREASE = 0.8
 _INCREASE = 0.5
 _DECREASE_EVERY: Millis = 50
+_DECREASE_ROUNDS = 4
 _HOLD_WEIGHT = 0.1
 
 
@@ -21,6 +22,8 @@
     have no free slot, and grows with good answers while it is used up, as in
     TCP's congestion avoidance.
 
+    ``floor`` is the least that the bound falls to.
+
     :param policy: the bounds that the service's document sets.
     :param clock: tells how long a call may still wait.
     """
@@ -29,6 +32,7 @@
         self.policy = policy
         self.clock = clock
         self.limit = float(policy.concurrency)
+        self.floor: float = 1
         self.share: float = 1
         self.running = 0
         self.hold: Millis = 0
@@ -70,11 +74,12 @@
     def note_full(self) -> None:
         """Lower the bound, because no upstream has a free slot."""
         now = self.clock.now()
-        if now - self.decreased_at < _DECREASE_EVERY:
+        pause = max(self.hold * _DECREASE_ROUNDS, _DECREASE_EVERY)
+        if now - self.decreased_at < pause:
             return
         self.decreased_at = now
         used = min(self.limit, self.running)
-        self.limit = max(used * _DECREASE, 1)
+        self.limit = max(used * _DECREASE, self.floor)
 
     def note_answer(self, hold: Millis) -> None:
         """Raise the bound, if it is used up.
--- a/packages/cowslippond-core/src/cowslippond_core/_load.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_load.py
@@ -3,12 +3,13 @@
 from cowslippond_core._clock import Millis
 from cowslippond_core._document import UpstreamCapacity
 from cowslippond_core._headers import LOAD_REPORT
-from cowslippond_core._messages import HeaderList
+from cowslippond_core._messages import CallRequest, HeaderList
 from cowslippond_core._upstreams import Upstream
 
-_ORDINARY_SHEDS = 12
+_ORDINARY_SHEDS = 24
 _LONGEST_PAUSE: Millis = 200
 _MOST_DOUBLINGS = 8
+_MOST_WAITS = 6
 _REPORT = LOAD_REPORT.encode()
 _IN_FLIGHT = b'named_metrics.in_flight'
 
@@ -66,6 +67,26 @@
         upstream.load.reported_at = now
 
 
+def wait_limit(
+    capacity: UpstreamCapacity, request: CallRequest, now: Millis
+) -> Millis:
+    """Return until when a call waits for an upstream with a free slot.
+
+    If the first one is longer away, every upstream has refused many calls in
+    a row, and the call is given up at once.
+
+    :param capacity: of the upstreams of the service.
+    :param request: the call, which waits no longer than its deadline.
+    :param now: on the clock, in milliseconds.
+    """
+    longest = now + _MOST_WAITS * _mean_wait(capacity)
+    return min(longest, request.deadline)
+
+
+def _mean_wait(capacity: UpstreamCapacity) -> Millis:
+    return capacity.mean_service_ms / capacity.slots
+
+
 def _pause(upstream: Upstream, capacity: UpstreamCapacity, now: Millis) -> None:
     """Leave an upstream alone for the mean time until a slot is free.
 
@@ -74,6 +95,5 @@
     """
     load = upstream.load
     doublings = max(load.sheds_in_row - _ORDINARY_SHEDS, 0)
-    pause = capacity.mean_service_ms / capacity.slots
-    pause *= 2 ** min(doublings, _MOST_DOUBLINGS)
+    pause = _mean_wait(capacity) * 2 ** min(doublings, _MOST_DOUBLINGS)
     load.full_until = now + min(pause, _LONGEST_PAUSE)
--- a/packages/cowslippond-core/src/cowslippond_core/_sending.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -19,7 +19,7 @@
 from cowslippond_core._crash_watch import watch_crash
 from cowslippond_core._exchange import ExchangeFault
 from cowslippond_core._hooks import SendingHooks
-from cowslippond_core._load import note_chosen
+from cowslippond_core._load import note_chosen, wait_limit
 from cowslippond_core._messages import (
     CallRefusal,
     CallRequest,
@@ -36,7 +36,7 @@
 
 #: The most sends of one call by one process, those that an upstream refused
 #: for want of a free slot included.
-MAX_SENDS = 40
+MAX_SENDS = 120
 
 _SILENCE_FACTOR = 4
 _HEDGE_FACTOR = 1.5
@@ -73,6 +73,7 @@
         self.number = request.attempt
         self.is_repeatable = is_repeatable(request)
         self.is_fresh = not request.is_idempotent
+        self.none_left = RefusalReason.NO_UPSTREAM
         self.best: AttemptResult | None = None
         self.refusal: CallRefusal | None = None
 
@@ -90,7 +91,7 @@
                 return self.refusal._replace(outcome=Outcome.UNKNOWN)
             return self.refusal
         if self.best is None:
-            return not_run(RefusalReason.NO_UPSTREAM, self.ctx.rng)
+            return not_run(self.none_left, self.ctx.rng)
         return refusal_of(self.best, self.ctx.rng)
 
     async def _send_until_settled(self) -> None:
@@ -115,13 +116,19 @@
 
     async def _choose(self) -> Upstream | None:
         while True:
+            now = self.clock.now()
             found = self._find()
             if found.free:
                 return self._pick(found.free)
-            if found.open_at is None or found.open_at >= self.request.deadline:
+            if found.open_at is None:
+                return None
+            if found.open_at >= wait_limit(
+                self.service.document.upstreams, self.request, now
+            ):
+                self.none_left = RefusalReason.UPSTREAMS_FULL
                 return None
             self.service.limiter.note_full()
-            await self.clock.sleep(found.open_at - self.clock.now())
+            await self.clock.sleep(found.open_at - now)
 
     def _find(self) -> Candidates:
         return find_candidates(
--- a/packages/cowslippond-core/src/cowslippond_core/_service_state.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_service_state.py
@@ -13,6 +13,7 @@
 from cowslippond_core._vm_list import Vm
 
 _FLOOR = 3
+_FLOOR_PARTS = 2
 
 
 class ServiceState:
@@ -52,12 +53,21 @@
         self.retry_budget.settings = _settings_of(retries)
         self.hedge_budget.settings = _settings_of(hedges)
         self.limiter.replace_policy(document.limits)
+        self._set_floor()
         self.upstreams.limit_connections(self._connection_limit())
 
     def update_upstreams(self, vms: Iterable[Vm]) -> None:
         """Take over the VM list; entries of other services are left out."""
         service = self.document.service
         self.upstreams.update(vm for vm in vms if vm.service == service)
+        self._set_floor()
+
+    def _set_floor(self) -> None:
+        """Let the bound on running calls fall to twice this daemon's part."""
+        slots = len(self.upstreams.by_address) * self.document.upstreams.slots
+        part = _FLOOR_PARTS * slots / self.daemons
+        most = self.document.limits.concurrency
+        self.limiter.floor = min(max(part, 1), most)
 
     def _connection_limit(self) -> int:
         return max(self.document.upstreams.max_connections // self.daemons, 1)
