Keep a whole session of orders as a golden file

Change: an order, its repeat, refusals by the upstream and for want of the table, and a change of the document, with times, ids and addresses normalised.

--- /dev/null
+++ b/tests/integration/test_golden_session.py
@@ -0,0 +1,99 @@
+"""A whole session, kept as a golden file with times and ids normalised."""
+
+import re
+
+import orjson
+import pytest
+from cowslippond_standins.harness._deployment import Deployment
+from cowslippond_standins.harness._handles import DaemonHandle
+from integration.client import Reply
+from integration.shop import DOCUMENT, Shop, open_shop, place
+from syrupy.assertion import SnapshotAssertion
+
+pytestmark = pytest.mark.anyio
+
+_NORMALISED = (
+    (re.compile(r'\d{4}-\d\d-\d\d[T ]\d\d:\d\d:\d\d(\.\d+)?(Z|\+00:00)?'), 'T'),
+    (re.compile(r'127\.0\.0\.1:\d+'), 'ADDRESS'),
+    (re.compile(r'entry-\d+'), 'ENTRY'),
+    (re.compile(r'/\S+/(?=[\w.-]+\.jsonc?)'), ''),
+    (re.compile(r'document-[0-9a-f]+'), 'document-ID'),
+    (re.compile(r'\b[0-9a-f]{32}\b'), 'ID'),
+)
+_KEPT_HEADERS = ('x-outcome', 'x-reason')
+_KEPT_FIELDS = ('service', 'reason', 'outcome')
+
+
+def normalise(text: str) -> str:
+    """Replace what differs from one session to the next."""
+    for pattern, replacement in _NORMALISED:
+        text = pattern.sub(replacement, text)
+    return '\n'.join(line.rstrip() for line in text.splitlines())
+
+
+def shown(reply: Reply) -> str:
+    """Return an answer as the golden file keeps it."""
+    named = {name: reply.headers.get(name) for name in _KEPT_HEADERS}
+    held = ' '.join(f'{name}={text}' for name, text in named.items() if text)
+    body = reply.body.decode().strip()
+    return f'{reply.status} {held} {body}'
+
+
+def refusals_in_log(daemon: DaemonHandle) -> list[str]:
+    """Return the refused calls that a daemon logged."""
+    found = []
+    for line in daemon.child.log().splitlines():
+        entry = orjson.loads(line)
+        if entry['message'] == 'call refused':
+            kept = {name: entry[name] for name in _KEPT_FIELDS}
+            found.append(f'log: call refused {kept}')
+    return found
+
+
+class Session:
+    """The lines of a session, in the order of what was done."""
+
+    def __init__(self, shop: Shop) -> None:
+        self.shop = shop
+        self.lines: list[str] = []
+
+    def note(self, what: str, told: str) -> None:
+        """Keep what was done and what was told."""
+        self.lines.append(f'$ {what}\n{normalise(told)}')
+
+    async def operate(self, *arguments: str) -> None:
+        """Use the operator tool."""
+        code, printed = await self.shop.deployment.operate(*arguments)
+        names = ' '.join(part.rsplit('/', 1)[-1] for part in arguments)
+        self.note(f'cowslippondctl {names}', printed)
+        self.lines.append(f'exit code {code}')
+
+    async def place(self, key: str, **options: int) -> None:
+        """Place an order through the first daemon."""
+        reply = await place(self.shop.daemons[0], key, **options)
+        self.note(f'order {key}', shown(reply))
+
+
+async def test_session(
+    deployment: Deployment, snapshot: SnapshotAssertion
+) -> None:
+    shop = await open_shop(deployment, daemons=1, upstreams=1)
+    session = Session(shop)
+    newer = deployment.folder / 'newer.jsonc'
+    newer.write_text(DOCUMENT.replace('3000', '2500'))
+
+    await session.operate('diff', str(newer))
+    await session.place('first')
+    await shop.wait_settled(shop.daemons[0])
+    await session.place('first')
+    await shop.change_upstreams(draining=True)
+    await session.place('refused by the upstream', deadline=500)
+    await shop.set_faults(outage='error')
+    await session.place('refused without the table')
+    await session.operate('apply', str(newer))
+    await shop.clear_faults()
+    await session.operate('apply', str(newer), '--expected-version', '7')
+    await session.operate('apply', str(newer))
+    session.lines.extend(refusals_in_log(shop.daemons[0]))
+
+    assert '\n\n'.join(session.lines) == snapshot
