Refuse a stop that is too short for kept-alive connections

Cause: with retire.limit_ms below the balancer's lag, the keep-alive time and its margin together, the daemon ends while callers may still use idle connections, so a call sent then is cut. Ruled out: lengthening the stop in the daemon; the limit is the operator's. Change: the sum is a finding; the margin is stated once. The test that only asked for a limit above the lag is replaced by a stricter one.

--- a/packages/cowslippond-core/src/cowslippond_core/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.py
@@ -102,6 +102,9 @@
 from cowslippond_core._settings import RetireSettings as RetireSettings
 from cowslippond_core._settings import Settings as Settings
 from cowslippond_core._settings import read_settings as read_settings
+from cowslippond_core._settings_fields import (
+    KEEP_ALIVE_MARGIN_MS as KEEP_ALIVE_MARGIN_MS,
+)
 from cowslippond_core._settings_fields import PLATFORM_SPEC as PLATFORM_SPEC
 from cowslippond_core._settings_fields import SETTINGS_SPEC as SETTINGS_SPEC
 from cowslippond_core._settings_fields import report_nothing as report_nothing
--- a/packages/cowslippond-core/src/cowslippond_core/_settings_fields.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_settings_fields.py
@@ -24,6 +24,8 @@
 _DEFAULT_LAG_MS = 3000
 _DEFAULT_LIMIT_MS = 30_000
 _DEFAULT_KEEP_ALIVE_MS = 5000
+# Idle connections stay open longer than callers are told, in milliseconds.
+KEEP_ALIVE_MARGIN_MS = 2000
 _HOUR_MS = 3_600_000
 _MAX_SEEDS = 64
 
@@ -188,11 +190,27 @@
         address = fields[first]
         if address is not None and address == fields[second]:
             report.add(second, f'is the same address as {first}')
+    _report_short_limit(fields, report)
+
+
+def _report_short_limit(fields: Mapping[str, Any], report: FieldReport) -> None:
+    """Report a stop that would cut connections which callers still use.
+
+    A caller may use an idle connection until its keep-alive time is over,
+    even if the balancer took its time to send it elsewhere.
+    """
     retire = fields['retire'] or {}
     lag = retire.get('lag_ms')
     limit = retire.get('limit_ms')
-    if lag is not None and limit is not None and lag >= limit:
-        message = f'must be above retire.lag_ms ({show(lag)})'
+    keep_alive = fields['keep_alive_ms']
+    if lag is None or limit is None or keep_alive is None:
+        return
+    least = lag + keep_alive + KEEP_ALIVE_MARGIN_MS
+    if limit < least:
+        message = (
+            f'must be at least {show(least)}: retire.lag_ms, keep_alive_ms '
+            f'and {KEEP_ALIVE_MARGIN_MS} ms, or a stop would cut callers'
+        )
         report.add('retire.limit_ms', message)
 
 
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_daemon.py
@@ -6,7 +6,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from cowslippond_core import Clock, Settings
+from cowslippond_core import KEEP_ALIVE_MARGIN_MS, Clock, Settings
 
 from cowslippond_daemon._admin import Admin
 from cowslippond_daemon._calls import CallRouter
@@ -26,7 +26,7 @@
 
 # Idle connections stay open longer than callers are told, so that a call sent
 # at the last moment is still served.
-_KEEP_ALIVE_MARGIN_SECONDS = 2
+_KEEP_ALIVE_MARGIN_SECONDS = KEEP_ALIVE_MARGIN_MS // _MILLIS_PER_SECOND
 
 
 class Daemon:
--- a/tests/core/test_settings.py
+++ b/tests/core/test_settings.py
@@ -50,7 +50,13 @@
                 'platform.table_url',
                 '',
             ),
-            ('"lag_ms": 3000', '"lag_ms": 30000', 'retire.limit_ms', 'above'),
+            ('"lag_ms": 3000', '"lag_ms": 23001', 'retire.limit_ms', '30001'),
+            (
+                '"keep_alive_ms": 5000',
+                '"keep_alive_ms": 25001',
+                'retire.limit_ms',
+                'at least 30001',
+            ),
             ('"lag_ms": 3000', '"lag_s": 3', 'retire.lag_s', '"lag_ms"'),
             ('"10.0.1.2:8082"', '7', 'peers[0]', 'not 7'),
             ('"json"', '"xml"', 'log.format', '"json" or "text"'),
@@ -63,6 +69,12 @@
         assert old in text
         assert words in findings_of(text.replace(old, new, 1))[path]
 
+    def test_stop_just_long_enough_is_valid(self) -> None:
+        text = EXAMPLE.read_text()
+        changed = text.replace('"lag_ms": 3000', '"lag_ms": 23000')
+        assert changed != text
+        assert not findings_of(changed)
+
     def test_ipv6_address_is_written_in_brackets(self) -> None:
         text = EXAMPLE.read_text().replace('10.0.1.1:8080', '[fd00::1]:8080')
         assert not findings_of(text)
