--- a/packages/cowslippond-standins/src/cowslippond_standins/bench/_blocks.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_blocks.py
@@ -44,15 +44,13 @@
     phases = block.scenario.phases(block.duration, fleet.plan.capacity())
     await _send(fleet, block, [Phase(_WARM_UP, phases[0].rate)])
     await clock.sleep(_SETTLE)
-    await fleet.clear_ledgers()
+    await fleet.begin(block.scenario)
     retries_before = await _retries(fleet)
     used_before = [_usage.processor_time(pid) for pid in fleet.daemon_ids()]
     batch = Report()
-    async with anyio.create_task_group() as group:
-        if block.scenario.batch_load:
-            group.start_soon(_send_batch, fleet, block, batch)
-        report = await _send(fleet, block, phases)
+    report = await _send_both(fleet, block, phases, batch)
     used = [_usage.processor_time(pid) for pid in fleet.daemon_ids()]
+    await fleet.deployment.platform.control('clear_faults')
     await clock.sleep(_SETTLE)
     work = _usage.work_of(await fleet.ledgers())
     spent = sum(used) - sum(used_before)
@@ -67,6 +65,15 @@
     )
 
 
+async def _send_both(
+    fleet: Fleet, block: Block, phases: list[Phase], batch: Report
+) -> Report:
+    async with anyio.create_task_group() as group:
+        if block.scenario.batch_load:
+            group.start_soon(_send_batch, fleet, block, batch)
+        return await _send(fleet, block, phases)
+
+
 async def _send(fleet: Fleet, block: Block, phases: list[Phase]) -> Report:
     mix = Mix(
         block.contender.host(), '/items', mean_work_ms=fleet.plan.mean_ms()
--- a/packages/cowslippond-standins/src/cowslippond_standins/bench/_fleet.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_fleet.py
@@ -18,6 +18,7 @@
 _MILLIS_PER_SECOND = 1000
 _SEEN_BY_DAEMONS = 3
 _BATCH_QUEUE = 8
+_STORES = ('table', 'objects')
 
 
 class FleetPlan(NamedTuple):
@@ -84,6 +85,17 @@
             stretched = self._stretch(behaviour)
             await upstream.change(queue=scenario.queue, **stretched)
 
+    async def begin(self, scenario: Scenario) -> None:
+        """Bring about what a scenario begins with, and clear the ledgers."""
+        if scenario.restarts:
+            for upstream in self.measured:
+                await upstream.restart()
+        for part in _STORES:
+            await self.deployment.platform.control(
+                'set_faults', part=part, outage=scenario.store_outage
+            )
+        await self.clear_ledgers()
+
     async def clear_ledgers(self) -> None:
         """Begin a new block in every ledger."""
         for upstream in self.measured:
--- a/packages/cowslippond-standins/src/cowslippond_standins/bench/_scenarios.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_scenarios.py
@@ -7,9 +7,16 @@
 from cowslippond_standins.load._plan import Phase
 
 _NOISE: Mapping[str, Any] = MappingProxyType(
-    {'noise_gap_ms': 600, 'noise_span_ms': 60, 'noise_slowdown': 6}
+    {
+        'noise_gap_ms': 600,
+        'noise_span_ms': 60,
+        'noise_slowdown': 6,
+        'cold_ms': 0,
+    }
+)
+_NO_NOISE: Mapping[str, Any] = MappingProxyType(
+    {'noise_gap_ms': 0, 'cold_ms': 0}
 )
-_NO_NOISE: Mapping[str, Any] = MappingProxyType({'noise_gap_ms': 0})
 _STRAGGLER: Mapping[str, Any] = MappingProxyType({'slowdown': 6})
 _BLACK_HOLE: Mapping[str, Any] = MappingProxyType({'fail_fast': 'bare'})
 _GONE: Mapping[str, Any] = MappingProxyType({'hang': True})
@@ -17,6 +24,7 @@
     {'slowdown': 1, 'fail_fast': 'off', 'hang': False}
 )
 _CALM: Mapping[str, Any] = MappingProxyType({**_NO_NOISE, **_HEALTHY})
+_COLD: Mapping[str, Any] = MappingProxyType({**_CALM, 'cold_ms': 700})
 _SHIFTING: Mapping[str, Any] = MappingProxyType({**_NOISE, **_HEALTHY})
 
 _QUEUE = 64
@@ -29,6 +37,8 @@
     behaviour of all upstreams; ``special`` that of the first ones, as many as
     ``special_count``, or of the first failure domain if that is zero.
     ``batch_load`` is the load of a batch service with upstreams of its own.
+    ``restarts`` begins the block with a cold start of all upstreams, and
+    ``store_outage`` says how the platform's table and objects fail in it.
     ``queue`` is the number of calls that wait at an upstream before it sheds.
     """
 
@@ -40,6 +50,8 @@
     queue: int = 0
     steps: tuple[float, ...] = (1,)
     batch_load: float = 0
+    restarts: bool = False
+    store_outage: str = 'none'
 
     def phases(self, duration: float, capacity: float) -> list[Phase]:
         """Return the rates of a block.
@@ -68,6 +80,8 @@
     Scenario('straggler-70', _MIDDLE, _SHIFTING, _STRAGGLER),
     Scenario('beside-batch-70', _MIDDLE, _SHIFTING, batch_load=_OVERLOAD),
     Scenario('step-60-130-60', _STEP, _SHIFTING, steps=_STEPS),
+    Scenario('cold-50', _LOW, _COLD, restarts=True),
+    Scenario('store-outage-70', _MIDDLE, _SHIFTING, store_outage='hang'),
     Scenario('black-hole-70', _MIDDLE, _SHIFTING, _BLACK_HOLE),
     Scenario('domain-gone-50', _LOW, _SHIFTING, _GONE, special_count=0),
 )
--- a/packages/cowslippond-standins/src/cowslippond_standins/harness/_handles.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/harness/_handles.py
@@ -47,6 +47,10 @@
         """Return the ledger of an upstream that runs."""
         return await _http.get_json(f'{self.control_url}/ledger')
 
+    async def restart(self) -> None:
+        """Abort every connection and begin a cold start."""
+        await _http.post_json(f'{self.control_url}/restart', {})
+
     async def clear(self) -> None:
         """Forget the runs and probes so far."""
         await _http.post_json(f'{self.control_url}/clear', {})
--- a/packages/cowslippond-standins/src/cowslippond_standins/upstream/_app.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/_app.py
@@ -81,6 +81,11 @@
         elif outcome != RunOutcome.CANCELLED:
             await _asgi.send_answer(send, self._expired(run))
 
+    def restart(self) -> None:
+        """Abort every connection and begin a cold start."""
+        self.cut_all()
+        self.speed.restart(self.clock.now())
+
     def _refusal(self, path: str) -> _asgi.Answer | None:
         if path == _PROBE_PATH:
             self.ledger.probe()
@@ -235,8 +240,7 @@
         print('crash', run['request_id'], file=sys.stderr, flush=True)
         if self.behaviour.faults.crash_mode == CrashMode.EXIT:
             os._exit(_CRASH_STATUS)
-        self.cut_all()
-        self.speed.restart(self.clock.now())
+        self.restart()
 
 
 def _failure(mode: FailFast) -> _asgi.Answer:
--- a/packages/cowslippond-standins/src/cowslippond_standins/upstream/_control.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/_control.py
@@ -13,7 +13,8 @@
 
     ``GET /ledger`` returns the runs, ``GET /ledger?orders=1`` those of orders
     only; ``POST /control`` sets what its JSON object names; ``POST /cut``
-    aborts every connection; ``POST /clear`` forgets the ledger. A number before the path chooses the upstream, as
+    aborts every connection; ``POST /clear`` forgets the ledger;
+    ``POST /restart`` aborts every connection and begins a cold start. A number before the path chooses the upstream, as
     in ``/3/ledger``; without it the first one is meant.
     """
 
@@ -39,6 +40,9 @@
         if action == 'cut':
             app.cut_all()
             return _asgi.json_answer({})
+        if action == 'restart':
+            app.restart()
+            return _asgi.json_answer({})
         if action == 'clear':
             app.ledger.clear()
             return _asgi.json_answer({})
