--- a/packages/cowslippond-standins/src/cowslippond_standins/bench/_blocks.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_blocks.py
@@ -50,9 +50,8 @@
     batch = Report()
     report = await _send_both(fleet, block, phases, batch)
     used = [_usage.processor_time(pid) for pid in fleet.daemon_ids()]
-    await fleet.deployment.platform.control('clear_faults')
     await clock.sleep(_SETTLE)
-    work = _usage.work_of(await fleet.ledgers())
+    work = _usage.work_of(await fleet.end())
     spent = sum(used) - sum(used_before)
     return _row(
         fleet,
@@ -71,7 +70,8 @@
     async with anyio.create_task_group() as group:
         if block.scenario.batch_load:
             group.start_soon(_send_batch, fleet, block, batch)
-        return await _send(fleet, block, phases)
+        report = await _send(fleet, block, phases)
+    return report
 
 
 async def _send(fleet: Fleet, block: Block, phases: list[Phase]) -> Report:
--- a/packages/cowslippond-standins/src/cowslippond_standins/bench/_fleet.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_fleet.py
@@ -101,8 +101,9 @@
         for upstream in self.measured:
             await upstream.clear()
 
-    async def ledgers(self) -> list[Mapping[str, Any]]:
-        """Return the ledgers of all upstreams."""
+    async def end(self) -> list[Mapping[str, Any]]:
+        """End the platform's faults, and return the ledgers."""
+        await self.deployment.platform.control('clear_faults')
         return [await upstream.ledger() for upstream in self.measured]
 
     def daemon_ids(self) -> list[int]:
