--- a/tests/integration/seams/sitecustomize.py
+++ b/tests/integration/seams/sitecustomize.py
@@ -113,7 +113,7 @@
 
 
 def _give_up_lost_claims() -> None:
-    from cowslippond_core import _claim_outcomes, _claims
+    from cowslippond_core import _claims
 
     claim_row = _claims.Claims.claim
 
@@ -128,7 +128,6 @@
         return await claim_row(claims, claim)
 
     _claims.Claims.claim = claim
-    assert _claim_outcomes
 
 
 def _run_without_table() -> None:
@@ -161,10 +160,10 @@
 
     send_claimed = _claim_flow.ClaimFlow._send
 
-    async def send_and_release(flow: Any, claim: Any, send: Any) -> Any:
-        end = await send_claimed(flow, claim, send)
+    async def send_and_release(flow: Any, run: Any, send: Any) -> Any:
+        end = await send_claimed(flow, run, send)
         if isinstance(end, _messages.CallRefusal):
-            flow.backlog.add(_claim_backlog.ReleaseClaim(claim))
+            flow.backlog.add(_claim_backlog.ReleaseClaim(run.claim))
         return end
 
     _claim_flow.ClaimFlow._send = send_and_release
