--- a/tests/integration/seams/sitecustomize.py
+++ b/tests/integration/seams/sitecustomize.py
@@ -155,6 +155,22 @@
     _claims.Claims.fence = keep
 
 
+def _record_nothing() -> None:
+    from cowslippond_core import _claims
+    from expression import Ok
+
+    async def forget(claims: Any, claim: Any, answer: Any) -> Any:
+        return Ok(None)
+
+    _claims.Claims.record = forget
+
+
+def _distrust_promises() -> None:
+    from cowslippond_core import _attempt
+
+    _attempt._not_run_promise = lambda *_: None
+
+
 def _release_unknown_outcomes() -> None:
     from cowslippond_core import _claim_backlog, _claim_flow, _messages
 
@@ -211,6 +227,8 @@
         'claim_outage': _run_without_table,
         'release': _keep_claims,
         'unknown_outcomes': _release_unknown_outcomes,
+        'record': _record_nothing,
+        'promises': _distrust_promises,
         'shield': _cancel_claimed_calls,
         'late_send': _send_late,
         'idempotence': _repeat_orders,
