--- a/packages/cowslippond-core/src/cowslippond_core/_sending.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -19,6 +19,7 @@
 from cowslippond_core._crash_watch import watch_crash
 from cowslippond_core._exchange import ExchangeFault
 from cowslippond_core._hooks import SendingHooks
+from cowslippond_core._load import note_chosen, wait_limit
 from cowslippond_core._messages import (
     CallRefusal,
     CallRequest,
@@ -35,9 +36,10 @@
 
 #: The most sends of one call by one process, those that an upstream refused
 #: for want of a free slot included.
-MAX_SENDS = 40
+MAX_SENDS = 120
 
 _SILENCE_FACTOR = 4
+_SILENT_FAULTS = (ExchangeFault.SILENT, ExchangeFault.TIMEOUT)
 _HEDGE_FACTOR = 1.5
 _LEAST_SILENCE: Millis = 200
 _LONGEST_TURN_WAIT: Millis = 250
@@ -68,10 +70,12 @@
         self.service = service
         self.request = request
         self.tried: set[str] = set()
+        self.silent: set[str] = set()
         self.sends = 0
         self.number = request.attempt
         self.is_repeatable = is_repeatable(request)
         self.is_fresh = not request.is_idempotent
+        self.none_left = RefusalReason.NO_UPSTREAM
         self.best: AttemptResult | None = None
         self.refusal: CallRefusal | None = None
 
@@ -89,7 +93,7 @@
                 return self.refusal._replace(outcome=Outcome.UNKNOWN)
             return self.refusal
         if self.best is None:
-            return not_run(RefusalReason.NO_UPSTREAM, self.ctx.rng)
+            return not_run(self.none_left, self.ctx.rng)
         return refusal_of(self.best, self.ctx.rng)
 
     async def _send_until_settled(self) -> None:
@@ -114,13 +118,23 @@
 
     async def _choose(self) -> Upstream | None:
         while True:
+            now = self.clock.now()
             found = self._find()
             if found.free:
                 return self._pick(found.free)
-            if found.open_at is None or found.open_at >= self.request.deadline:
+            if self.silent:
+                self.tried -= self.silent
+                self.silent.clear()
+                continue
+            if found.open_at is None:
+                return None
+            if found.open_at >= wait_limit(
+                self.service.document.upstreams, self.request, now
+            ):
+                self.none_left = RefusalReason.UPSTREAMS_FULL
                 return None
             self.service.limiter.note_full()
-            await self.clock.sleep(found.open_at - self.clock.now())
+            await self.clock.sleep(found.open_at - now)
 
     def _find(self) -> Candidates:
         return find_candidates(
@@ -133,6 +147,7 @@
     def _pick(self, free: list[Upstream]) -> Upstream:
         chosen = pick(self.ctx.policy, free, self.ctx.rng)
         chosen.chosen_at = self.clock.now()
+        note_chosen(chosen, self.service.document.upstreams, chosen.chosen_at)
         after_send(self.ctx.policy, free, self.ctx.rng)
         return chosen
 
@@ -187,6 +202,9 @@
             await watch_crash(self.ctx.hooks.quarantine, upstream, result)
             self.number += 1
             self.is_fresh = True
+            if attempt.is_reused and result.fault in _SILENT_FAULTS:
+                # The connection may be at fault, and not the upstream.
+                self.silent.add(upstream.address)
         is_shed = isinstance(result, NotRun) and (
             result.reason is NotRunReason.SHED
         )
@@ -235,9 +253,13 @@
         if result is not None or until >= self.request.deadline:
             return result
         attempt.upstream.connections.suspect_silent(attempt.sent_at)
-        if self.service.retry_budget.can_spend():
-            return None
-        return await self._wait(attempt, self.request.deadline)
+        if not self.service.retry_budget.can_spend():
+            return await self._wait(attempt, self.request.deadline)
+        self.service.retry_budget.spend()
+        attempt.end()
+        late = Lost(ExchangeFault.TIMEOUT)
+        note_result(self.service, self.ctx.hooks, attempt, late)
+        return Lost(ExchangeFault.SILENT)
 
     def _trusted_until(self, attempt: Attempt) -> Millis:
         if not attempt.is_reused or not self.is_repeatable:
