--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
@@ -65,6 +65,8 @@
         if in_force is None:
             return _refuse(RefusalReason.NO_SERVICE)
         request = self._make_request(call, in_force)
+        if request.deadline <= self.parts.clock.now():
+            return _refuse(RefusalReason.DEADLINE)
         return await self._run(call, in_force, request)
 
     async def _run(
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
@@ -170,7 +170,9 @@
             {
                 'type': 'http.response.start',
                 'status': reply.status,
-                'headers': self._response_headers(call, reply.headers),
+                'headers': self._response_headers(
+                    call, _mark_failure(reply.status, reply.headers)
+                ),
             }
         )
         async for chunk in reply.chunks:
