--- a/packages/cowslippond-standins/src/cowslippond_standins/bench/_fleet.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_fleet.py
@@ -1,6 +1,5 @@
 """The deployment that the bench measures."""
 
-import pathlib
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
@@ -147,9 +146,3 @@
             environment={POLICY_FILE_VARIABLE: str(self.policy_path)},
             module='cowslippond_standins.bench.daemon',
         )
-
-
-def make_folder(path: pathlib.Path) -> pathlib.Path:
-    """Return a folder for logs, made if it is absent."""
-    path.mkdir(parents=True, exist_ok=True)
-    return path
--- a/packages/cowslippond-standins/src/cowslippond_standins/demo.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/demo.py
@@ -17,7 +17,6 @@
 from cowslippond_standins.harness._deployment import Deployment
 from cowslippond_standins.harness._handles import (
     DaemonHandle,
-    UpstreamHandle,
     UpstreamPlan,
 )
 from cowslippond_standins.load import _outcomes
@@ -134,21 +133,15 @@
     return set(_SERVICES) <= set(status['versions'])
 
 
-async def drain(deployment: Deployment) -> UpstreamHandle:
-    """Drain one upstream under load, as the platform would."""
-    clock = Clock()
-    await clock.sleep(_DRAIN_AT)
-    leaving = deployment.upstreams[0]
-    await leaving.change(draining=True)
-    await deployment.platform.set_state(leaving.vm, 'leaving')
-    print(f'draining {leaving.vm}')
-    return leaving
-
-
 async def maintain(deployment: Deployment, exit_codes: list[int]) -> None:
     """Drain one upstream and retire one daemon under load."""
-    await drain(deployment)
-    await Clock().sleep(_RETIRE_AT - _DRAIN_AT)
+    clock = Clock()
+    await clock.sleep(_DRAIN_AT)
+    draining = deployment.upstreams[0]
+    print(f'draining {draining.vm}')
+    await draining.change(draining=True)
+    await deployment.platform.set_state(draining.vm, 'leaving')
+    await clock.sleep(_RETIRE_AT - _DRAIN_AT)
     retiring = deployment.daemons[0]
     print(f'retiring {retiring.vm}')
     exit_codes.append(await deployment.retire(retiring, _RETIRE_LIMIT))
--- a/packages/cowslippond-standins/src/cowslippond_standins/platform/_faults.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/platform/_faults.py
@@ -68,7 +68,7 @@
         """Tell whether the answer of a write that took effect is dropped."""
         if self.drop_answers == 0:
             return False
-        if self.drop_answers > 0:
+        if self.drop_answers != ALL_ANSWERS:
             self.drop_answers -= 1
         self.counters['answers_dropped'] += 1
         return True
