--- a/packages/cowslippond-core/src/cowslippond_core/_sending.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -19,7 +19,7 @@
 from cowslippond_core._crash_watch import watch_crash
 from cowslippond_core._exchange import ExchangeFault
 from cowslippond_core._hooks import SendingHooks
-from cowslippond_core._load import note_chosen
+from cowslippond_core._load import note_chosen, wait_limit
 from cowslippond_core._messages import (
     CallRefusal,
     CallRequest,
@@ -36,7 +36,7 @@
 
 #: The most sends of one call by one process, those that an upstream refused
 #: for want of a free slot included.
-MAX_SENDS = 40
+MAX_SENDS = 120
 
 _SILENCE_FACTOR = 4
 _SILENT_FAULTS = (ExchangeFault.SILENT, ExchangeFault.TIMEOUT)
@@ -75,6 +75,7 @@
         self.number = request.attempt
         self.is_repeatable = is_repeatable(request)
         self.is_fresh = not request.is_idempotent
+        self.none_left = RefusalReason.NO_UPSTREAM
         self.best: AttemptResult | None = None
         self.refusal: CallRefusal | None = None
 
@@ -92,7 +93,7 @@
                 return self.refusal._replace(outcome=Outcome.UNKNOWN)
             return self.refusal
         if self.best is None:
-            return not_run(RefusalReason.NO_UPSTREAM, self.ctx.rng)
+            return not_run(self.none_left, self.ctx.rng)
         return refusal_of(self.best, self.ctx.rng)
 
     async def _send_until_settled(self) -> None:
@@ -117,6 +118,7 @@
 
     async def _choose(self) -> Upstream | None:
         while True:
+            now = self.clock.now()
             found = self._find()
             if found.free:
                 return self._pick(found.free)
@@ -124,10 +126,15 @@
                 self.tried -= self.silent
                 self.silent.clear()
                 continue
-            if found.open_at is None or found.open_at >= self.request.deadline:
+            if found.open_at is None:
+                return None
+            if found.open_at >= wait_limit(
+                self.service.document.upstreams, self.request, now
+            ):
+                self.none_left = RefusalReason.UPSTREAMS_FULL
                 return None
             self.service.limiter.note_full()
-            await self.clock.sleep(found.open_at - self.clock.now())
+            await self.clock.sleep(found.open_at - now)
 
     def _find(self) -> Candidates:
         return find_candidates(
@@ -176,7 +183,11 @@
         with ExitStack() as held:
             held.callback(turn.release)
             refusal = quarantine.check(fingerprint)
-            return refusal or await self._send_to(upstream)
+            if refusal is not None:
+                return refusal
+            if quarantine.is_suspect(fingerprint):
+                return await self._send_to(upstream)
+        return await self._send_to(upstream)
 
     async def _send_to(self, upstream: Upstream) -> AttemptResult:
         attempt = self._attempt(upstream, self.number, is_fresh=self.is_fresh)
@@ -242,9 +253,13 @@
         if result is not None or until >= self.request.deadline:
             return result
         attempt.upstream.connections.suspect_silent(attempt.sent_at)
-        if self.service.retry_budget.can_spend():
-            return None
-        return await self._wait(attempt, self.request.deadline)
+        if not self.service.retry_budget.can_spend():
+            return await self._wait(attempt, self.request.deadline)
+        self.service.retry_budget.spend()
+        attempt.end()
+        late = Lost(ExchangeFault.TIMEOUT)
+        note_result(self.service, self.ctx.hooks, attempt, late)
+        return Lost(ExchangeFault.SILENT)
 
     def _trusted_until(self, attempt: Attempt) -> Millis:
         if not attempt.is_reused or not self.is_repeatable:
