Keep the log of crashes apart from the suspects

Cause: the quarantine had grown to hold two lists with rules of their own, and an import by another name hid that it took too many from one module; a full set of suspects was searched whole at each further mark. Change: CrashLog; the suspect marked longest ago goes first, by order.

--- a/packages/cowslippond-core/src/cowslippond_core/_quarantine.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_quarantine.py
@@ -5,7 +5,6 @@
 is refused for a time, by every daemon that hears of it.
 """
 
-from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 from weakref import WeakValueDictionary
@@ -13,32 +12,27 @@
 import anyio
 
 from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._crash_log import CrashLog
 from cowslippond_core._messages import CallRefusal, Outcome
 from cowslippond_core._reasons import RefusalReason
 from cowslippond_core._suspects import (
-    PROOF,
     CrashMark,
     NewsKind,
     Suspect,
     SuspectNews,
     add_mark,
     clear_marks,
-    evidence,
-    is_same_crash,
-    last_change,
+    is_proved,
+    remove_mark,
 )
-from cowslippond_core._suspects import remove_mark as without_mark
 
 # From this many crashes on, a call is refused whatever else crashes.
 _CERTAIN_CRASHES = 6
-_EXPLAINED_SHARE = 0.5
-_CRASH_MARGIN_MS = 500
 _CRASH_WINDOW_MS = 100
 _FIRST_TERM_MS = 60_000
 _FIRST_TERM_CRASHES = 2
 _LONGEST_TERM_MS = 600_000
 _MAX_SUSPECTS = 512
-_MAX_CRASHES = 64
 _MAX_TOLD = 16
 
 
@@ -63,7 +57,7 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.suspects: dict[str, Suspect] = {}
-        self.crashes: deque[CrashMark] = deque(maxlen=_MAX_CRASHES)
+        self.crashes = CrashLog()
         self.breakages: dict[str, _Breakage] = {}
         self.turns: WeakValueDictionary[str, anyio.Lock] = WeakValueDictionary()
         self.listeners: list[Callable[[SuspectNews], None]] = []
@@ -75,7 +69,7 @@
         To be asked before every send, repeated sends included.
         """
         suspect = self.suspects.get(fingerprint)
-        if suspect is None or evidence(suspect) < PROOF:
+        if suspect is None or not is_proved(suspect):
             return None
         wait = self._term_end(suspect) - self.clock.wall()
         if wait <= 0:
@@ -139,7 +133,7 @@
         suspect = self.suspects[fingerprint]
         answered_at = self.clock.wall()
         self.suspects[fingerprint] = clear_marks(suspect, answered_at)
-        if evidence(suspect) >= PROOF:
+        if is_proved(suspect):
             mark = CrashMark(upstream, answered_at)
             self._tell(NewsKind.CLEARED, fingerprint, mark)
 
@@ -156,18 +150,17 @@
                 self.suspects[news.fingerprint] = cleared
 
     def _add_mark(self, fingerprint: str, mark: CrashMark) -> None:
-        if not any(is_same_crash(mark, known) for known in self.crashes):
-            self.crashes.append(mark)
-        known = self.suspects.get(fingerprint, Suspect(fingerprint))
+        self.crashes.add(mark)
+        known = self.suspects.pop(fingerprint, Suspect(fingerprint))
+        # The suspect that was marked last stands last.
         self.suspects[fingerprint] = add_mark(known, mark)
         if len(self.suspects) > _MAX_SUSPECTS:
-            oldest = min(self.suspects.values(), key=last_change)
-            self.suspects.pop(oldest.fingerprint)
+            self.suspects.pop(next(iter(self.suspects)))
 
     def _remove_mark(self, fingerprint: str, mark: CrashMark) -> None:
         suspect = self.suspects.get(fingerprint)
         if suspect is not None:
-            self.suspects[fingerprint] = without_mark(suspect, mark)
+            self.suspects[fingerprint] = remove_mark(suspect, mark)
 
     def _doubt_crash(self, upstream: str, connected_at: Millis) -> None:
         breakage = self.breakages.get(upstream)
@@ -179,33 +172,20 @@
         if connected_at >= breakage.noted_at or breakage.mark.is_certain:
             return
         self.breakages.pop(upstream)
-        self._forget_crash(breakage.mark)
+        self.crashes.remove(breakage.mark)
         for fingerprint in breakage.fingerprints:
             self._remove_mark(fingerprint, breakage.mark)
             self._tell(NewsKind.RETRACTED, fingerprint, breakage.mark)
 
-    def _forget_crash(self, mark: CrashMark) -> None:
-        kept = [one for one in self.crashes if not is_same_crash(one, mark)]
-        self.crashes = deque(kept, maxlen=_MAX_CRASHES)
-
     def _term_end(self, suspect: Suspect) -> int:
         """Return the end of the quarantine since the epoch, 0 if none."""
         count = len(suspect.marks)
-        if count < _CERTAIN_CRASHES and not self._is_explanation(suspect):
+        is_certain = count >= _CERTAIN_CRASHES
+        if not is_certain and not self.crashes.is_explained_by(suspect):
             return 0
         term = _FIRST_TERM_MS << max(count - _FIRST_TERM_CRASHES, 0)
         return suspect.marks[-1].at + min(term, _LONGEST_TERM_MS)
 
-    def _is_explanation(self, suspect: Suspect) -> bool:
-        """Tell whether a suspect was there in most crashes of its time.
-
-        Upstreams that fail together for another reason share no call.
-        """
-        start = suspect.marks[0].at - _CRASH_MARGIN_MS
-        end = suspect.marks[-1].at + _CRASH_MARGIN_MS
-        around = sum(start <= crash.at <= end for crash in self.crashes)
-        return len(suspect.marks) > around * _EXPLAINED_SHARE
-
     def _tell(self, kind: NewsKind, fingerprint: str, mark: CrashMark) -> None:
         for listener in self.listeners:
             listener(SuspectNews(kind, fingerprint, mark))
--- a/packages/cowslippond-core/src/cowslippond_core/_suspects.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_suspects.py
@@ -11,9 +11,7 @@
 _MAX_MARKS = 8
 _CERTAIN_WEIGHT = 3
 _DOUBTFUL_WEIGHT = 2
-
-#: The evidence that ends in quarantine: two certain crashes, or three breaks.
-PROOF = 6
+_PROOF = 6
 
 #: How long a crash counts, in milliseconds.
 MARK_LIFE: Millis = 1_200_000
@@ -106,17 +104,13 @@
     return Suspect(suspect.fingerprint, cleared_at, tuple(kept))
 
 
-def evidence(suspect: Suspect) -> int:
-    """Return how much speaks against a suspect; see :data:`PROOF`."""
-    return sum(
+def is_proved(suspect: Suspect) -> bool:
+    """Tell whether two certain crashes or three breaks speak against it."""
+    weight = sum(
         _CERTAIN_WEIGHT if mark.is_certain else _DOUBTFUL_WEIGHT
         for mark in suspect.marks
     )
-
-
-def last_change(suspect: Suspect) -> int:
-    """Return when a suspect was last marked or cleared."""
-    return max(suspect.cleared_at, *(mark.at for mark in suspect.marks), 0)
+    return weight >= _PROOF
 
 
 def _mark_time(mark: CrashMark) -> int:
