Tell a busy upstream from one that refuses everything by time

Cause: at 85 % and above, 24 refusals in a row are ordinary for one daemon; the doubled pauses kept it from the slots, which the others took. Change: the pause stays the mean wait until an upstream has refused for twelve times the mean time to a slot for this daemon; then it is long.

--- a/packages/cowslippond-core/src/cowslippond_core/_load.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_load.py
@@ -1,49 +1,72 @@
 """What upstreams say about their load: 'no free slot', and late reports."""
 
+from typing import NamedTuple
+
 from cowslippond_core._clock import Millis
 from cowslippond_core._document import UpstreamCapacity
 from cowslippond_core._headers import LOAD_REPORT
-from cowslippond_core._messages import CallRequest, HeaderList
+from cowslippond_core._messages import HeaderList
 from cowslippond_core._upstreams import Upstream
 
-_ORDINARY_SHEDS = 24
-_LONGEST_PAUSE: Millis = 200
-_MOST_DOUBLINGS = 8
+_ORDINARY_TURNS = 12
+_LONG_PAUSE: Millis = 200
+_LONG_PAUSE_WAITS = 50
 _MOST_WAITS = 6
 _REPORT = LOAD_REPORT.encode()
 _IN_FLIGHT = b'named_metrics.in_flight'
 
 
-def note_shed(
-    upstream: Upstream, capacity: UpstreamCapacity, now: Millis
-) -> None:
-    """Prefer other upstreams for a while after an answer of 'no free slot'.
+class SlotPace(NamedTuple):
+    """How fast slots become free.
+
+    ``wait`` is the mean time until a busy upstream frees a slot, ``turn`` the
+    mean time until it frees one that falls to this process, both in
+    milliseconds.
+    """
+
+    wait: Millis
+    turn: Millis
+
+
+def slot_pace(capacity: UpstreamCapacity, daemons: int) -> SlotPace:
+    """Return how fast slots become free.
 
     :param capacity: of the upstreams of the service.
+    :param daemons: how many daemons share them.
+    """
+    wait = capacity.mean_service_ms / capacity.slots
+    return SlotPace(wait, wait * daemons)
+
+
+def note_shed(upstream: Upstream, pace: SlotPace, now: Millis) -> None:
+    """Prefer other upstreams for a while after an answer of 'no free slot'.
+
+    :param pace: how fast slots become free.
     :param now: on the clock, in milliseconds.
     """
-    upstream.load.sheds_in_row += 1
-    _pause(upstream, capacity, now)
+    load = upstream.load
+    if not load.is_full:
+        load.is_full = True
+        load.full_since = now
+    _pause(upstream, pace, now)
 
 
-def note_chosen(
-    upstream: Upstream, capacity: UpstreamCapacity, now: Millis
-) -> None:
+def note_chosen(upstream: Upstream, pace: SlotPace, now: Millis) -> None:
     """Let one call at a time find out whether a full upstream is free again.
 
     Without this all calls that wait for a slot would be sent to the upstream
     whose pause ends first.
 
-    :param capacity: of the upstreams of the service.
+    :param pace: how fast slots become free.
     :param now: on the clock, in milliseconds.
     """
-    if upstream.load.sheds_in_row > 0:
-        _pause(upstream, capacity, now)
+    if upstream.load.is_full:
+        _pause(upstream, pace, now)
 
 
 def note_room(upstream: Upstream) -> None:
     """End the pause after an answer, which freed a slot."""
-    upstream.load.sheds_in_row = 0
+    upstream.load.is_full = False
     upstream.load.full_until = 0
 
 
@@ -67,33 +90,27 @@
         upstream.load.reported_at = now
 
 
-def wait_limit(
-    capacity: UpstreamCapacity, request: CallRequest, now: Millis
-) -> Millis:
+def wait_limit(pace: SlotPace, deadline: Millis, now: Millis) -> Millis:
     """Return until when a call waits for an upstream with a free slot.
 
-    If the first one is longer away, every upstream has refused many calls in
-    a row, and the call is given up at once.
+    If the first pause ends later, every upstream refuses everything, and the
+    call is given up at once.
 
-    :param capacity: of the upstreams of the service.
-    :param request: the call, which waits no longer than its deadline.
+    :param pace: how fast slots become free.
+    :param deadline: of the call, on the clock, in milliseconds.
     :param now: on the clock, in milliseconds.
     """
-    longest = now + _MOST_WAITS * _mean_wait(capacity)
-    return min(longest, request.deadline)
-
-
-def _mean_wait(capacity: UpstreamCapacity) -> Millis:
-    return capacity.mean_service_ms / capacity.slots
+    return min(now + _MOST_WAITS * pace.wait, deadline)
 
 
-def _pause(upstream: Upstream, capacity: UpstreamCapacity, now: Millis) -> None:
+def _pause(upstream: Upstream, pace: SlotPace, now: Millis) -> None:
     """Leave an upstream alone for the mean time until a slot is free.
 
-    The pause grows only after many refusals in a row, so that a busy upstream
-    is asked again soon and one that refuses everything is asked rarely.
+    A busy upstream is asked again that soon. One that has refused for so long
+    that it can't be for want of a slot is asked rarely.
     """
     load = upstream.load
-    doublings = max(load.sheds_in_row - _ORDINARY_SHEDS, 0)
-    pause = _mean_wait(capacity) * 2 ** min(doublings, _MOST_DOUBLINGS)
-    load.full_until = now + min(pause, _LONGEST_PAUSE)
+    pause = pace.wait
+    if now - load.full_since > _ORDINARY_TURNS * pace.turn:
+        pause = max(_LONG_PAUSE, _LONG_PAUSE_WAITS * pace.wait)
+    load.full_until = now + pause
--- a/packages/cowslippond-core/src/cowslippond_core/_observations.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_observations.py
@@ -95,6 +95,6 @@
         peers = service.upstreams.by_address.values()
         note_failure(upstream, peers, now)
         return
-    note_shed(upstream, service.document.upstreams, now)
+    note_shed(upstream, service.slot_pace(), now)
     if refused.reason is NotRunReason.DRAINING:
         hooks.mark_leaving(upstream.address, 'answer')
--- a/packages/cowslippond-core/src/cowslippond_core/_sending.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -123,7 +123,7 @@
             if found.open_at is None:
                 return None
             if found.open_at >= wait_limit(
-                self.service.document.upstreams, self.request, now
+                self.service.slot_pace(), self.request.deadline, now
             ):
                 self.none_left = RefusalReason.UPSTREAMS_FULL
                 return None
@@ -141,7 +141,7 @@
     def _pick(self, free: list[Upstream]) -> Upstream:
         chosen = pick(self.ctx.policy, free, self.ctx.rng)
         chosen.chosen_at = self.clock.now()
-        note_chosen(chosen, self.service.document.upstreams, chosen.chosen_at)
+        note_chosen(chosen, self.service.slot_pace(), chosen.chosen_at)
         after_send(self.ctx.policy, free, self.ctx.rng)
         return chosen
 
--- a/packages/cowslippond-core/src/cowslippond_core/_service_state.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_service_state.py
@@ -9,6 +9,7 @@
 from cowslippond_core._document import ServiceDocument
 from cowslippond_core._latency import LatencyWindow
 from cowslippond_core._limits import Limiter
+from cowslippond_core._load import SlotPace, slot_pace
 from cowslippond_core._upstreams import UpstreamSet
 from cowslippond_core._vm_list import Vm
 
@@ -56,6 +57,10 @@
         self._set_floor()
         self.upstreams.limit_connections(self._connection_limit())
 
+    def slot_pace(self) -> SlotPace:
+        """Return how fast the upstreams' slots become free."""
+        return slot_pace(self.document.upstreams, self.daemons)
+
     def update_upstreams(self, vms: Iterable[Vm]) -> None:
         """Take over the VM list; entries of other services are left out."""
         service = self.document.service
--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -24,11 +24,13 @@
 class Load:
     """What an upstream says about its load.
 
-    ``reported_in_flight`` is its own, late count of its running calls.
+    ``full_since`` is when it began to refuse calls for want of a free slot;
+    until ``full_until`` it is left alone. ``reported_in_flight`` is its own, late count of its running calls.
     """
 
     def __init__(self) -> None:
-        self.sheds_in_row = 0
+        self.is_full = False
+        self.full_since: Millis = 0
         self.full_until: Millis = 0
         self.reported_in_flight: float = 0
         self.reported_at: Millis = 0
--- a/tests/core/test_ejection.py
+++ b/tests/core/test_ejection.py
@@ -13,20 +13,20 @@
 )
 from cowslippond_core import Clock, RefusalReason, RetryReason, Upstream
 from cowslippond_core._connections import Connections
-from cowslippond_core._document import RetryBudget, UpstreamCapacity
+from cowslippond_core._document import RetryBudget
 from cowslippond_core._ejection import (
     MAX_EJECTED_SHARE,
     is_available,
     note_failure,
     note_success,
 )
-from cowslippond_core._load import note_room, note_shed
+from cowslippond_core._load import SlotPace, note_chosen, note_room, note_shed
 
 pytestmark = pytest.mark.anyio
 
 _OK = plays(answer_bytes(b'ok'))
 _FAILS = plays(answer_bytes(b'', b'HTTP/1.1 500 Internal Server Error'))
-_CAPACITY = UpstreamCapacity(2, 250, 8)
+_PACE = SlotPace(wait=4, turn=72)
 _ROOMY = DOCUMENT._replace(retries=RetryBudget(1))
 
 
@@ -92,17 +92,26 @@
 class TestPause:
     async def test_busy_upstream_is_asked_again_soon(self) -> None:
         upstream = (await _upstreams(1))[0]
-        for _ in range(5):
-            note_shed(upstream, _CAPACITY, 100)
-        assert upstream.load.full_until == 104
+        for now in range(100, 140):
+            note_shed(upstream, _PACE, now)
+        assert upstream.load.full_until == 139 + _PACE.wait
         note_room(upstream)
         assert upstream.load.full_until == 0
 
     async def test_upstream_that_refuses_all_is_asked_rarely(self) -> None:
         upstream = (await _upstreams(1))[0]
-        for _ in range(80):
-            note_shed(upstream, _CAPACITY, 100)
-        assert upstream.load.full_until == 300
+        note_shed(upstream, _PACE, 0)
+        later = 13 * _PACE.turn
+        note_shed(upstream, _PACE, later)
+        assert upstream.load.full_until == later + 200
+
+    async def test_only_one_call_asks_a_full_upstream(self) -> None:
+        upstream = (await _upstreams(1))[0]
+        note_chosen(upstream, _PACE, 100)
+        assert upstream.load.full_until == 0
+        note_shed(upstream, _PACE, 100)
+        note_chosen(upstream, _PACE, 104)
+        assert upstream.load.full_until == 108
 
     async def test_refusals_of_all_upstreams_cause_no_storm(self) -> None:
         upstreams = [ScriptedUpstream(plays(SHED)) for _ in range(3)]
@@ -113,7 +122,7 @@
         assert {answer.reason for answer in (first, *later)} == {
             RefusalReason.UPSTREAMS_FULL
         }
-        assert sends <= 3 * 28
+        assert sends <= 3 * 14
         total = sum(len(upstream.calls) for upstream in upstreams)
         assert total - sends <= 100
 
