--- a/packages/cowslippond-core/src/cowslippond_core/_conversation.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_conversation.py
@@ -5,6 +5,7 @@
 from anyio.streams.buffered import BufferedByteReceiveStream
 
 from cowslippond_core._byte_budget import ByteBudget
+from cowslippond_core._clock import Millis
 from cowslippond_core._metrics import Metric, Metrics
 from cowslippond_core._peer_messages import (
     Message,
@@ -17,10 +18,14 @@
     encode_message,
 )
 
+#: The longest wait for an answer, in milliseconds.
+ANSWER_TIMEOUT: Millis = 2000
+
 #: How a conversation ends when the other daemon or the way to it fails.
 BROKEN_CONVERSATION = (
     OSError,
     TimeoutError,
+    UnicodeError,
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
     anyio.EndOfStream,
@@ -29,6 +34,8 @@
     WireError,
 )
 
+_MAX_PORT = 65_535
+
 
 class Conversation:
     """A connection to a peer whose bytes are counted.
@@ -67,3 +74,14 @@
         self.budget.spend(size)
         self.metrics.count(Metric.GOSSIP_BYTES_RECEIVED, size)
         return decode_message(checked)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and port of a peer address.
+
+    :raises WireError: if it is none; it may come from a peer or a list.
+    """
+    host, _, port = address.rpartition(':')
+    if port.isdecimal() and int(port) <= _MAX_PORT:
+        return host, int(port)
+    raise WireError(f'not an address: {address!r}')
--- a/packages/cowslippond-core/src/cowslippond_core/_membership.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_membership.py
@@ -11,11 +11,11 @@
 from cowslippond_core._vm_list import ENTRY_SERVICE, Vm, VmState
 
 #: The least time between two heartbeats of a daemon, in milliseconds.
-HEARTBEAT_INTERVAL: Millis = 5000
+HEARTBEAT_INTERVAL: Millis = 10_000
 
 #: How much the interval grows with each known daemon, in milliseconds, so
-#: that the heartbeats of a fleet stay at ten a second.
-HEARTBEAT_PER_DAEMON: Millis = 100
+#: that the heartbeats of a fleet stay at four a second.
+HEARTBEAT_PER_DAEMON: Millis = 250
 
 _MISSED_HEARTBEATS = 6
 _MAX_DAEMONS = 2048
@@ -95,7 +95,8 @@
             for vm in vms
             if vm.service == ENTRY_SERVICE
         }
-        for address in tuple(self.met):
+        # A list without any daemon, not even this one, is no evidence.
+        for address in tuple(self.met if self.listed else ()):
             if address in self.listed or self._has_heartbeat(address):
                 continue
             self.met.pop(address)
--- a/packages/cowslippond-core/src/cowslippond_core/_sending.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -39,6 +39,7 @@
 MAX_SENDS = 120
 
 _SILENCE_FACTOR = 4
+_SILENT_FAULTS = (ExchangeFault.SILENT, ExchangeFault.TIMEOUT)
 _HEDGE_FACTOR = 1.5
 _LEAST_SILENCE: Millis = 200
 _LONGEST_TURN_WAIT: Millis = 250
@@ -69,6 +70,7 @@
         self.service = service
         self.request = request
         self.tried: set[str] = set()
+        self.silent: set[str] = set()
         self.sends = 0
         self.number = request.attempt
         self.is_repeatable = is_repeatable(request)
@@ -120,6 +122,10 @@
             found = self._find()
             if found.free:
                 return self._pick(found.free)
+            if self.silent:
+                self.tried -= self.silent
+                self.silent.clear()
+                continue
             if found.open_at is None:
                 return None
             if found.open_at >= wait_limit(
@@ -177,7 +183,11 @@
         with ExitStack() as held:
             held.callback(turn.release)
             refusal = quarantine.check(fingerprint)
-            return refusal or await self._send_to(upstream)
+            if refusal is not None:
+                return refusal
+            if quarantine.is_suspect(fingerprint):
+                return await self._send_to(upstream)
+        return await self._send_to(upstream)
 
     async def _send_to(self, upstream: Upstream) -> AttemptResult:
         attempt = self._attempt(upstream, self.number, is_fresh=self.is_fresh)
@@ -192,6 +202,9 @@
             await watch_crash(self.ctx.hooks.quarantine, upstream, result)
             self.number += 1
             self.is_fresh = True
+            if attempt.is_reused and result.fault in _SILENT_FAULTS:
+                # The connection may be at fault, and not the upstream.
+                self.silent.add(upstream.address)
         is_shed = isinstance(result, NotRun) and (
             result.reason is NotRunReason.SHED
         )
@@ -240,9 +253,13 @@
         if result is not None or until >= self.request.deadline:
             return result
         attempt.upstream.connections.suspect_silent(attempt.sent_at)
-        if self.service.retry_budget.can_spend():
-            return None
-        return await self._wait(attempt, self.request.deadline)
+        if not self.service.retry_budget.can_spend():
+            return await self._wait(attempt, self.request.deadline)
+        self.service.retry_budget.spend()
+        attempt.end()
+        late = Lost(ExchangeFault.TIMEOUT)
+        note_result(self.service, self.ctx.hooks, attempt, late)
+        return Lost(ExchangeFault.SILENT)
 
     def _trusted_until(self, attempt: Attempt) -> Millis:
         if not attempt.is_reused or not self.is_repeatable:
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_check.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_check.py
@@ -8,8 +8,8 @@
     ServiceDocument,
     format_finding,
     read_document,
+    read_text_file,
 )
-from cowslippond_core._text_file import read_text_file
 from expression import Error, Result
 
 from cowslippond_ctl._exit_codes import ExitCode
@@ -20,16 +20,18 @@
     """Check documents, and report the findings of all files together."""
     findings: list[Finding] = []
     services: list[str] = []
+    lines: list[str] = []
     for path in paths:
         read = read_document_file(path)
         if read.is_error():
             findings.extend(read.error)
             continue
         services.append(read.ok.service)
+        lines.append(f'{path}: ok')
     if findings:
         return findings_outcome(findings)
     record = {'findings': [], 'services': services}
-    return Outcome(ExitCode.DONE, record, [f'{len(services)} documents, ok'])
+    return Outcome(ExitCode.DONE, record, lines)
 
 
 def read_document_file(
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_outcome.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_outcome.py
@@ -64,9 +64,15 @@
     return Outcome(code, {'fault': fault, 'message': message}, (message,))
 
 
+def describe_error(error: TableError) -> str:
+    """Return what is known of a failed call to the table, never empty."""
+    return error.detail or f'it answered nothing ({error.fault})'
+
+
 def table_failed(error: TableError) -> Outcome:
     """Return the outcome of a reading that the table did not answer."""
-    message = f'the platform table cannot be read: {error.detail}'
+    detail = describe_error(error)
+    message = f'the platform table cannot be read: {detail}'
     return fail(ExitCode.UNAVAILABLE, 'unavailable', message)
 
 
@@ -81,7 +87,11 @@
         return
     console = _console_for(outcome.code)
     for view in outcome.views:
-        console.print(view, markup=False, highlight=False, soft_wrap=True)
+        if isinstance(view, str):
+            # Text goes out as it is; a console would expand tabs and more.
+            console.file.write(f'{view}\n')
+            continue
+        console.print(view, soft_wrap=True)
 
 
 def _console_for(code: ExitCode) -> Console:
--- a/tests/core/test_spread.py
+++ b/tests/core/test_spread.py
@@ -13,6 +13,7 @@
     Quarantine,
     Spread,
 )
+from cowslippond_core._urgent_news import UrgentNews
 from fakes import FakeTable
 from spread_fakes import accept, accepted_as, make_spread
 
@@ -32,6 +33,16 @@
         return super().now() + self.jump
 
 
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict[str, bool]]:
+    """Use uvloop, as the daemon does.
+
+    The selector loop of Python 3.11 reports an invalid state when a listener
+    is cancelled while a connection arrives.
+    """
+    return 'asyncio', {'use_uvloop': True}
+
+
 async def eventually(check: Callable[[], bool]) -> None:
     with anyio.fail_after(PATIENCE_S):
         while not check():
@@ -199,6 +210,32 @@
             tasks.cancel_scope.cancel()
 
 
+class TestUrgentNews:
+    async def test_it_reaches_a_daemon_without_a_conversation(self):
+        teller, hearer = make_spread(FakeTable()), make_spread(FakeTable())
+        news = UrgentNews(
+            'quarantine',
+            teller.gossip,
+            teller.membership,
+            teller.clock,
+            teller.metrics,
+        )
+        teller.tables['quarantine'].put('f', 'text', 60_000)
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(SocketAttribute.local_port)
+        teller.membership.seeds = (f'127.0.0.1:{port}', 'no address', 'a:b')
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, hearer.server.serve)
+            with anyio.fail_after(PATIENCE_S):
+                while hearer.tables['quarantine'].text_of('f') is None:
+                    news.next_at = 0
+                    await news.push()
+            tasks.cancel_scope.cancel()
+
+        assert hearer.tables['quarantine'].text_of('f') == 'text'
+        assert not hearer.metrics.totals['gossip.exchanges']
+
+
 class TestPeers:
     async def test_a_silent_peer_is_given_up(self):
         async with anyio.create_task_group() as tasks:
@@ -212,6 +249,14 @@
             )
             tasks.cancel_scope.cancel()
 
+    async def test_addresses_that_are_none_do_no_harm(self):
+        seeds = ('', 'x', '127.0.0.1:', '127.0.0.1:99999', 'a..b:1', ':x')
+        spread = make_spread(FakeTable(), seeds=seeds)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(spread.run)
+            await eventually(lambda: len(spread.contact.attempts) == len(seeds))
+            tasks.cancel_scope.cancel()
+
     async def test_a_stranger_on_the_peer_port_does_no_harm(self):
         async with anyio.create_task_group() as tasks:
             fleet = await start_fleet(tasks, FakeTable(), 2)
