Say the status of a failed call to the table

Cause: an error of the table with an empty body gave an empty detail. Change: the detail begins with the status; the operator package re-exports its names in the usual form. Measured: tests/ctl pass.

--- a/packages/cowslippond-core/src/cowslippond_core/_dynamo.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_dynamo.py
@@ -139,7 +139,8 @@
 ) -> Result[dict[str, Any], TableError]:
     if response.status == _OK_STATUS:
         return Ok(orjson.loads(response.content or b'{}'))
-    detail = response.content.decode(errors='replace')
+    text = response.content.decode(errors='replace')
+    detail = f'status {response.status} {text}'.strip()
     if response.status != _CLIENT_ERROR_STATUS:
         return Error(TableError(TableFault.UNKNOWN, detail))
     if any(name in detail for name in _CONFLICTS):
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/__init__.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/__init__.py
@@ -1,6 +1,4 @@
 """The operator tool."""
 
-from cowslippond_ctl import _exit_codes, _program
-
-ExitCode = _exit_codes.ExitCode
-main = _program.main
+from cowslippond_ctl._exit_codes import ExitCode as ExitCode
+from cowslippond_ctl._program import main as main
