--- a/packages/cowslippond-core/src/cowslippond_core/_gossip.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_gossip.py
@@ -95,10 +95,14 @@
     def ask(self, is_new: bool) -> Exchange:
         """Return the message that opens a round with a peer.
 
+        It tells only the revision, since the peer could not tell how old the
+        ages in it are.
+
         :param is_new: whether this daemon still lacks what peers know.
         """
         wanted = MAX_ROWS if is_new else MESSAGE_ROWS
-        return self.compose(MESSAGE_ROWS, wanted)
+        asked = self.compose(MESSAGE_ROWS, wanted)
+        return asked._replace(digest=Digest(asked.digest.revision, None, ()))
 
     def confirmation(self) -> Confirmation:
         """Return the message that ends a round with a peer."""
