Wake every worker that settles claims

Cause: each idle worker waited on an event of its own and the queue knew only the newest, so that one of eight workers wrote all records. Seen by the groups of claim_cost, which stayed at one write, and by the new test (red before). Ruled out: the group's own rule. Change: one event for all workers, replaced when it is set.

--- a/packages/cowslippond-core/src/cowslippond_core/_claim_backlog.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_claim_backlog.py
@@ -112,6 +112,7 @@
         self.held_bytes += size
         self.unsettled += 1
         self.arrived.set()
+        self.arrived = anyio.Event()
 
     def is_idle(self) -> bool:
         """Tell whether every settlement was written or dropped."""
@@ -126,7 +127,6 @@
     async def _work(self) -> None:
         while True:
             if not self.waiting:
-                self.arrived = anyio.Event()
                 await self.arrived.wait()
                 continue
             entry = self.waiting.popleft()
