--- a/packages/cowslippond-standins/src/cowslippond_standins/bench/_fleet.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/bench/_fleet.py
@@ -1,6 +1,5 @@
 """The deployment that the bench measures."""
 
-import pathlib
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
@@ -18,6 +17,7 @@
 _MILLIS_PER_SECOND = 1000
 _SEEN_BY_DAEMONS = 3
 _BATCH_QUEUE = 8
+_STORES = ('table', 'objects')
 
 
 class FleetPlan(NamedTuple):
@@ -84,13 +84,25 @@
             stretched = self._stretch(behaviour)
             await upstream.change(queue=scenario.queue, **stretched)
 
+    async def begin(self, scenario: Scenario) -> None:
+        """Bring about what a scenario begins with, and clear the ledgers."""
+        if scenario.restarts:
+            for upstream in self.measured:
+                await upstream.restart()
+        for part in _STORES:
+            await self.deployment.platform.control(
+                'set_faults', part=part, outage=scenario.store_outage
+            )
+        await self.clear_ledgers()
+
     async def clear_ledgers(self) -> None:
         """Begin a new block in every ledger."""
         for upstream in self.measured:
             await upstream.clear()
 
-    async def ledgers(self) -> list[Mapping[str, Any]]:
-        """Return the ledgers of all upstreams."""
+    async def end(self) -> list[Mapping[str, Any]]:
+        """End the platform's faults, and return the ledgers."""
+        await self.deployment.platform.control('clear_faults')
         return [await upstream.ledger() for upstream in self.measured]
 
     def daemon_ids(self) -> list[int]:
@@ -134,9 +146,3 @@
             environment={POLICY_FILE_VARIABLE: str(self.policy_path)},
             module='cowslippond_standins.bench.daemon',
         )
-
-
-def make_folder(path: pathlib.Path) -> pathlib.Path:
-    """Return a folder for logs, made if it is absent."""
-    path.mkdir(parents=True, exist_ok=True)
-    return path
