--- a/packages/cowslippond-core/src/cowslippond_core/_load.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_load.py
@@ -1,19 +1,15 @@
-"""What upstreams say about their load: 'no free slot', and late reports."""
+"""The pauses of upstreams that said that they had no free slot."""
 
 from typing import NamedTuple
 
 from cowslippond_core._clock import Millis
 from cowslippond_core._document import UpstreamCapacity
-from cowslippond_core._headers import LOAD_REPORT
-from cowslippond_core._messages import HeaderList
 from cowslippond_core._upstreams import Upstream
 
 _ORDINARY_TURNS = 12
 _LONG_PAUSE: Millis = 200
 _LONG_PAUSE_WAITS = 50
 _MOST_WAITS = 6
-_REPORT = LOAD_REPORT.encode()
-_IN_FLIGHT = b'named_metrics.in_flight'
 
 
 class SlotPace(NamedTuple):
@@ -70,26 +66,6 @@
     upstream.load.full_until = 0
 
 
-def note_report(upstream: Upstream, headers: HeaderList, now: Millis) -> None:
-    """Keep the upstream's own count of its running calls, if it sent one."""
-    for name, text in headers:
-        if name == _REPORT:
-            _read_report(upstream, text, now)
-            return
-
-
-def _read_report(upstream: Upstream, text: bytes, now: Millis) -> None:
-    for field in text.removeprefix(b'TEXT').split(b','):
-        name, _, number = field.strip().partition(b'=')
-        if name != _IN_FLIGHT:
-            continue
-        try:
-            upstream.load.reported_in_flight = float(number)
-        except ValueError:
-            return
-        upstream.load.reported_at = now
-
-
 def wait_limit(pace: SlotPace, deadline: Millis, now: Millis) -> Millis:
     """Return until when a call waits for an upstream with a free slot.
 
--- a/packages/cowslippond-core/src/cowslippond_core/_observations.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_observations.py
@@ -13,7 +13,7 @@
 from cowslippond_core._ejection import note_failure, note_success
 from cowslippond_core._exchange import ExchangeFault
 from cowslippond_core._hooks import SendingHooks
-from cowslippond_core._load import note_report, note_room, note_shed
+from cowslippond_core._load import note_room, note_shed
 from cowslippond_core._service_state import ServiceState
 
 _FIRST_ERROR_STATUS = 500
@@ -54,7 +54,6 @@
     service: ServiceState, attempt: Attempt, answered: Answered, now: Millis
 ) -> None:
     upstream = attempt.upstream
-    note_report(upstream, answered.answer.headers, now)
     if is_error(answered):
         peers = service.upstreams.by_address.values()
         note_failure(upstream, peers, now)
--- a/packages/cowslippond-core/src/cowslippond_core/_prequal.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_prequal.py
@@ -13,7 +13,8 @@
 
 from cowslippond_core._clock import Clock, Millis, seconds_of
 from cowslippond_core._exchange import Exchange
-from cowslippond_core._load import note_report
+from cowslippond_core._headers import LOAD_REPORT
+from cowslippond_core._messages import HeaderList
 from cowslippond_core._routing import after_send, pick
 from cowslippond_core._upstreams import Upstream
 
@@ -23,6 +24,8 @@
 _PROBE_TIMEOUT: Millis = 100
 _HOT_QUANTILE = 0.84
 _USES = 3
+_REPORT = LOAD_REPORT.encode()
+_IN_FLIGHT = b'named_metrics.in_flight'
 _PROBE = b'GET /load HTTP/1.1\r\nhost: probe\r\n\r\n'
 
 
@@ -86,11 +89,10 @@
             upstream.connections.give_back(connection)
         if not exchange.is_complete:
             return
-        now = self.clock.now()
-        note_report(upstream, tuple(exchange.headers), now)
-        self._add(
-            ProbeResult(upstream, upstream.load.reported_in_flight, now, _USES)
-        )
+        found = read_in_flight(tuple(exchange.headers))
+        if found is not None:
+            now = self.clock.now()
+            self._add(ProbeResult(upstream, found, now, _USES))
 
     def _add(self, found: ProbeResult) -> None:
         if len(self.pool) >= _POOL_SIZE:
@@ -98,6 +100,19 @@
         self.pool.append(found)
 
 
+def read_in_flight(headers: HeaderList) -> float | None:
+    """Return the number of running calls that an upstream reports.
+
+    :param headers: of its answer, with names in lower case.
+    """
+    report = dict(headers).get(_REPORT, b'').removeprefix(b'TEXT')
+    for field in report.split(b','):
+        name, _, number = field.strip().partition(b'=')
+        if name == _IN_FLIGHT and number.isdigit():
+            return float(number)
+    return None
+
+
 @pick.register
 def _pick_probed(
     policy: ProbePool, candidates: Sequence[Upstream], rng: random.Random
--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -25,15 +25,13 @@
     """What an upstream says about its load.
 
     ``full_since`` is when it began to refuse calls for want of a free slot;
-    until ``full_until`` it is left alone. ``reported_in_flight`` is its own, late count of its running calls.
+    until ``full_until`` it is left alone.
     """
 
     def __init__(self) -> None:
         self.is_full = False
         self.full_since: Millis = 0
         self.full_until: Millis = 0
-        self.reported_in_flight: float = 0
-        self.reported_at: Millis = 0
 
 
 class Upstream:
@@ -43,15 +41,13 @@
 
     :param vm: the entry of the VM list.
     :param connections: the connections to it.
-    :param now: when it was first seen, in milliseconds.
     """
 
-    def __init__(self, vm: Vm, connections: Connections, now: Millis) -> None:
+    def __init__(self, vm: Vm, connections: Connections) -> None:
         self.vm = vm
         self.address = vm.address
         self.failure_domain = vm.failure_domain
         self.connections = connections
-        self.first_seen_at: Millis = now
         self.chosen_at: Millis = 0
         self.in_flight = 0
         self.latency: Millis = 0
@@ -73,7 +69,7 @@
     """The upstreams of one service, kept up with the VM list.
 
     :param tasks: runs the connections' reading tasks.
-    :param clock: tells when an upstream was first seen.
+    :param clock: the clock of the connections.
     :param connection_limit: the most connections to one upstream.
     """
 
@@ -117,7 +113,7 @@
         connections = Connections(
             vm.address, self.tasks, self.clock, self.connection_limit
         )
-        return Upstream(vm, connections, self.clock.now())
+        return Upstream(vm, connections)
 
 
 def _retire(upstream: Upstream) -> None:
--- a/tests/core/test_ejection.py
+++ b/tests/core/test_ejection.py
@@ -36,7 +36,6 @@
             Upstream(
                 vm_of(f'127.0.0.1:{port}'),
                 Connections(f'127.0.0.1:{port}', tasks, Clock(), 1),
-                0,
             )
             for port in range(1, count + 1)
         ]
