Test that a caller who leaves cancels a call and its copy

Cause: cancellation in the middle of a race had no proof. Change: a test that both upstreams see their connections cut.

--- a/tests/core/test_hedging.py
+++ b/tests/core/test_hedging.py
@@ -92,6 +92,17 @@
             assert _in_flight(bench) == 0
             assert bench.service.limiter.running == 0
 
+    async def test_caller_that_leaves_cancels_the_copy_too(self) -> None:
+        upstreams = ScriptedUpstream(_LATE), ScriptedUpstream(_LATE)
+        async with bench_of(*upstreams, document=_HEDGED) as bench:
+            with anyio.move_on_after(0.25):
+                await bench.call()
+            assert [len(upstream.calls) for upstream in upstreams] == [1, 1]
+            assert _in_flight(bench) == 0
+            assert bench.service.limiter.running == 0
+            for upstream in upstreams:
+                await _until_cut(upstream)
+
     async def test_body_that_is_closed_early_frees_the_call(self) -> None:
         head = b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab'
         upstream = ScriptedUpstream(plays(head, 60000.0))
