--- a/tests/integration/seams/sitecustomize.py
+++ b/tests/integration/seams/sitecustomize.py
@@ -113,7 +113,7 @@
 
 
 def _give_up_lost_claims() -> None:
-    from cowslippond_core import _claim_outcomes, _claims
+    from cowslippond_core import _claims
 
     claim_row = _claims.Claims.claim
 
@@ -128,7 +128,6 @@
         return await claim_row(claims, claim)
 
     _claims.Claims.claim = claim
-    assert _claim_outcomes
 
 
 def _run_without_table() -> None:
@@ -156,15 +155,31 @@
     _claims.Claims.fence = keep
 
 
+def _record_nothing() -> None:
+    from cowslippond_core import _claims
+    from expression import Ok
+
+    async def forget(claims: Any, claim: Any, answer: Any) -> Any:
+        return Ok(None)
+
+    _claims.Claims.record = forget
+
+
+def _distrust_promises() -> None:
+    from cowslippond_core import _attempt
+
+    _attempt._not_run_promise = lambda *_: None
+
+
 def _release_unknown_outcomes() -> None:
     from cowslippond_core import _claim_backlog, _claim_flow, _messages
 
     send_claimed = _claim_flow.ClaimFlow._send
 
-    async def send_and_release(flow: Any, claim: Any, send: Any) -> Any:
-        end = await send_claimed(flow, claim, send)
+    async def send_and_release(flow: Any, run: Any, send: Any) -> Any:
+        end = await send_claimed(flow, run, send)
         if isinstance(end, _messages.CallRefusal):
-            flow.backlog.add(_claim_backlog.ReleaseClaim(claim))
+            flow.backlog.add(_claim_backlog.ReleaseClaim(run.claim))
         return end
 
     _claim_flow.ClaimFlow._send = send_and_release
@@ -212,6 +227,8 @@
         'claim_outage': _run_without_table,
         'release': _keep_claims,
         'unknown_outcomes': _release_unknown_outcomes,
+        'record': _record_nothing,
+        'promises': _distrust_promises,
         'shield': _cancel_claimed_calls,
         'late_send': _send_late,
         'idempotence': _repeat_orders,
