--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
@@ -8,7 +8,6 @@
     AsyncIterator,
     Awaitable,
     Callable,
-    Iterator,
     MutableMapping,
 )
 from types import MappingProxyType
