--- a/packages/cowslippond-core/src/cowslippond_core/_reasons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reasons.py
@@ -16,6 +16,7 @@
     UPSTREAMS_FULL = 'upstreams_full'
     CONNECT_FAILED = 'connect_failed'
     ANSWER_LOST = 'answer_lost'
+    NO_CALLER = 'no_caller'
     KEY_REUSED = 'key_reused'
     KEY_IN_PROGRESS = 'key_in_progress'
     CLAIM_UNAVAILABLE = 'claim_unavailable'
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_call_rules.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_call_rules.py
@@ -45,7 +45,8 @@
 ) -> CallIdentity | None:
     """Return the identity under which a call is claimed.
 
-    It is ``None`` for a call without a key: that one gets a single try.
+    It is ``None`` for a call without a key: that one gets a single try. The
+    caller is empty if the call doesn't say who its caller is.
     """
     rule = find_rule(document.never_repeat, call.method, call.path)
     if rule is None:
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
@@ -76,6 +76,8 @@
         identity = identify_call(in_force.document, call)
         if identity is None:
             return await self.parts.sender.send(state, request)
+        if not identity.caller:
+            return _refuse(RefusalReason.NO_CALLER)
         return await self.parts.claims.run(
             request,
             identity,
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
@@ -47,6 +47,7 @@
     {
         RefusalReason.NO_SERVICE: http.HTTPStatus.NOT_FOUND,
         RefusalReason.BAD_REQUEST: http.HTTPStatus.BAD_REQUEST,
+        RefusalReason.NO_CALLER: http.HTTPStatus.BAD_REQUEST,
         RefusalReason.KEY_REUSED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
         RefusalReason.KEY_IN_PROGRESS: http.HTTPStatus.CONFLICT,
     }
--- a/tests/integration/seams/sitecustomize.py
+++ b/tests/integration/seams/sitecustomize.py
@@ -93,7 +93,7 @@
 def _spend_without_budget() -> None:
     from cowslippond_core import _budgets
 
-    _budgets.ShareBudget.take = lambda *_: True
+    _budgets.ShareBudget.can_spend = lambda *_: True
 
 
 def _take_over_lapsed_claims() -> None:
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -25,11 +25,13 @@
     again = [await order(balancer, 'order-1') for _ in range(4)]
     reused = await order(balancer, 'order-1', body=b'two prints')
     unknown = await call(balancer, path='/nowhere')
+    nameless = await order(balancer, 'order-1', headers={'x-caller': ''})
 
     assert first.status == 200
     assert {repeat.body for repeat in again} == {first.body}
     assert (reused.status, reused.outcome) == (422, 'not-run')
     assert (unknown.status, unknown.outcome) == (404, 'not-run')
+    assert (nameless.status, nameless.reason) == (400, 'no_caller')
     orders = [run for run in await deployment.runs() if run['order_key']]
     assert len(orders) == 1
     statuses = [await daemon.status() for daemon in daemons]
