--- a/packages/cowslippond-core/src/cowslippond_core/_attempt.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_attempt.py
@@ -129,7 +129,7 @@
         self.is_ended = False
         self.on_end: Callable[[], None] | None = None
         self.exchange = Exchange(is_head=request.method == _HEAD_METHOD)
-        upstream.begin_call(self.sent_at)
+        upstream.in_flight += 1
 
     async def start(self) -> NotRun | None:
         """Send the call, unless that has been done.
--- a/packages/cowslippond-core/src/cowslippond_core/_candidates.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_candidates.py
@@ -24,17 +24,12 @@
     tried: Container[str],
     is_leaving: Callable[[str], bool],
     now: Millis,
-    longest_silence: Millis,
 ) -> Candidates:
     """Return the upstreams that may get a call.
 
-    One that has not answered for long while calls wait on it is left out
-    unless there is no other.
-
     :param tried: addresses that are left out.
     :param is_leaving: tells which addresses get no new work.
     :param now: on the clock, in milliseconds.
-    :param longest_silence: in milliseconds.
     """
     present = [
         upstream
@@ -46,7 +41,5 @@
     ]
     free = [one for one in present if one.load.full_until <= now]
     if free or not present:
-        quiet_at = now - longest_silence
-        heard = [one for one in free if not one.is_silent_since(quiet_at)]
-        return Candidates(heard or free, None)
+        return Candidates(free, None)
     return Candidates([], min(one.load.full_until for one in present))
--- a/packages/cowslippond-core/src/cowslippond_core/_observations.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_observations.py
@@ -43,7 +43,6 @@
     """
     now = attempt.clock.now()
     if isinstance(result, Answered):
-        attempt.upstream.waiting_since = now
         _note_answer(service, attempt, result, now)
     elif isinstance(result, Lost):
         _note_loss(service, hooks, attempt, result)
@@ -51,19 +50,6 @@
         _note_not_run(service, hooks, attempt, result)
 
 
-def note_given_up(service: ServiceState, attempt: Attempt) -> None:
-    """Take in a send that was cancelled because its copy was answered.
-
-    The time that it took is the least that its answer would have taken; left
-    out, latencies would look better than they are.
-    """
-    now = attempt.clock.now()
-    service.latency.note(now - attempt.sent_at)
-    if attempt.upstream.is_silent_since(now - service.longest_silence()):
-        peers = service.upstreams.by_address.values()
-        note_failure(attempt.upstream, peers, now)
-
-
 def _note_answer(
     service: ServiceState, attempt: Attempt, answered: Answered, now: Millis
 ) -> None:
@@ -110,7 +96,6 @@
         peers = service.upstreams.by_address.values()
         note_failure(upstream, peers, now)
         return
-    upstream.waiting_since = now
     note_shed(upstream, service.slot_pace(), now)
     if refused.reason is NotRunReason.DRAINING:
         hooks.mark_leaving(upstream.address, 'answer')
--- a/packages/cowslippond-core/src/cowslippond_core/_sending.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -25,7 +25,7 @@
     CallRequest,
     Outcome,
 )
-from cowslippond_core._observations import note_given_up, note_result
+from cowslippond_core._observations import note_result
 from cowslippond_core._race import Race
 from cowslippond_core._reasons import RefusalReason, RetryReason
 from cowslippond_core._refusals import not_run, refusal_of
@@ -38,8 +38,10 @@
 #: for want of a free slot included.
 MAX_SENDS = 120
 
+_SILENCE_FACTOR = 4
 _SILENT_FAULTS = (ExchangeFault.SILENT, ExchangeFault.TIMEOUT)
 _HEDGE_FACTOR = 1.5
+_LEAST_SILENCE: Millis = 200
 _LONGEST_TURN_WAIT: Millis = 250
 
 
@@ -140,7 +142,6 @@
             self.tried,
             self.ctx.hooks.is_leaving,
             self.clock.now(),
-            self.service.longest_silence(),
         )
 
     def _pick(self, free: list[Upstream]) -> Upstream:
@@ -263,7 +264,8 @@
     def _trusted_until(self, attempt: Attempt) -> Millis:
         if not attempt.is_reused or not self.is_repeatable:
             return self.request.deadline
-        trusted = attempt.sent_at + self.service.longest_silence()
+        silence = self.service.latency.p99 * _SILENCE_FACTOR
+        trusted = attempt.sent_at + max(silence, _LEAST_SILENCE)
         return min(trusted, self.request.deadline)
 
     async def _hedge(self, first: Attempt) -> AttemptResult | None:
@@ -272,7 +274,10 @@
         winner = await race.run()
         for attempt in race.attempts:
             if not attempt.exchange.is_headed:
-                note_given_up(self.service, attempt)
+                # The time of a cancelled send is the least that it would have
+                # taken; left out, latencies would look better than they are.
+                waited = self.clock.now() - attempt.sent_at
+                self.service.latency.note(waited)
         return winner
 
     async def _wait(
--- a/packages/cowslippond-core/src/cowslippond_core/_service_state.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_service_state.py
@@ -5,7 +5,7 @@
 from anyio.abc import TaskGroup
 
 from cowslippond_core._budgets import BudgetSettings, ShareBudget
-from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._clock import Clock
 from cowslippond_core._document import ServiceDocument
 from cowslippond_core._latency import LatencyWindow
 from cowslippond_core._limits import Limiter
@@ -15,8 +15,6 @@
 
 _FLOOR = 3
 _FLOOR_PARTS = 2
-_SILENCE_FACTOR = 4
-_LEAST_SILENCE: Millis = 200
 
 
 class ServiceState:
@@ -63,10 +61,6 @@
         """Return how fast the upstreams' slots become free."""
         return slot_pace(self.document.upstreams, self.daemons)
 
-    def longest_silence(self) -> Millis:
-        """Return how long an upstream that works takes for an answer."""
-        return max(self.latency.p99 * _SILENCE_FACTOR, _LEAST_SILENCE)
-
     def update_upstreams(self, vms: Iterable[Vm]) -> None:
         """Take over the VM list; entries of other services are left out."""
         service = self.document.service
--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -37,8 +37,7 @@
 class Upstream:
     """One upstream VM and what this daemon has seen of it.
 
-    ``latency`` is a moving average in milliseconds. ``waiting_since`` is when
-    the upstream last answered, or when the first call since was sent.
+    ``latency`` is a moving average in milliseconds.
 
     :param vm: the entry of the VM list.
     :param connections: the connections to it.
@@ -51,26 +50,12 @@
         self.connections = connections
         self.chosen_at: Millis = 0
         self.in_flight = 0
-        self.waiting_since: Millis = 0
         self.latency: Millis = 0
         self.answers = 0
         self.health = Health()
         self.load = Load()
         self.is_removed = False
 
-    def begin_call(self, now: Millis) -> None:
-        """Count a call that is sent now."""
-        if self.in_flight == 0:
-            self.waiting_since = now
-        self.in_flight += 1
-
-    def is_silent_since(self, moment: Millis) -> bool:
-        """Tell whether calls wait and no answer has come since a moment.
-
-        :param moment: on the clock, in milliseconds.
-        """
-        return self.in_flight > 0 and self.waiting_since < moment
-
     def note_latency(self, latency: Millis) -> None:
         """Take the time of a good answer into the moving average."""
         self.answers += 1
