Draw faults from a seed and check every property

Cause: each proof places its faults; none draws them, alone or in pairs. Change: a seeded run of faults under load, and checks of the ledgers. The ledger's file can keep the runs of all calls, and names truncated answers; the load generator tells the address that each call went to.

--- a/packages/cowslippond-standins/src/cowslippond_standins/load/_generator.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/load/_generator.py
@@ -169,6 +169,7 @@
             request_id=answer.headers.get(headers.REQUEST_ID, ''),
             took=self.clock.now() - waiting.intended,
             ended=self.clock.now(),
+            via=str(waiting.address),
         )
         self.report.add(told)
         self.left -= 1
--- a/packages/cowslippond-standins/src/cowslippond_standins/load/_report.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/load/_report.py
@@ -25,7 +25,8 @@
 
     ``outcome`` is ``answered``, the value of ``x-outcome``, ``status_NNN``,
     or what the caller saw of a broken connection. ``took`` is in milliseconds
-    from the intended start, ``ended`` a time on the clock.
+    from the intended start, ``ended`` a time on the clock. ``via`` is the address
+    that the call was sent to.
     """
 
     call: PlannedCall
@@ -34,6 +35,7 @@
     request_id: str
     took: Millis
     ended: Millis
+    via: str = ''
 
 
 def judge(call: PlannedCall, answer: WholeAnswer) -> str:
--- a/packages/cowslippond-standins/src/cowslippond_standins/upstream/_app.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/_app.py
@@ -77,7 +77,7 @@
         run = self._make_run(scope, wanted)
         outcome = await self._run_call(run, wanted, receive)
         if outcome == RunOutcome.COMPLETED:
-            await self._send(wanted, payload, send)
+            await self._send(run, wanted, payload, send)
         elif outcome != RunOutcome.CANCELLED:
             await _asgi.send_answer(send, self._expired(run))
 
@@ -144,7 +144,8 @@
             return got_slot
         self.load.count()
         run['started'] = self.clock.now()
-        self.ledger.start(run)
+        is_kept = bool(run['order_key']) or self.behaviour.keeps_all
+        self.ledger.start(run, is_kept=is_kept)
         with contextlib.ExitStack() as slot:
             slot.callback(self._release)
             if wanted.is_crash:
@@ -211,7 +212,7 @@
         return True
 
     async def _send(
-        self, wanted: Wanted, payload: bytes, send: _asgi.Send
+        self, run: Run, wanted: Wanted, payload: bytes, send: _asgi.Send
     ) -> None:
         body = body_of(wanted.nonce, wanted.size)
         marks = [
@@ -226,6 +227,7 @@
         )
         if self.behaviour.faults.truncate > 0:
             self.behaviour.faults.truncate -= 1
+            run['outcome'] = RunOutcome.TRUNCATED
             self.ledger.counters[RunOutcome.TRUNCATED.value] += 1
             await send(_part(body[: len(body) // 2], more=True))
             return
--- a/packages/cowslippond-standins/src/cowslippond_standins/upstream/_behaviour.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/_behaviour.py
@@ -59,7 +59,8 @@
     neighbour's victim, ``noise_slowdown`` divides it too: this happens every
     ``noise_gap_ms`` on average, for ``noise_span_ms`` on average; a gap of
     zero switches it off. For ``cold_ms`` after a start or a reset the speed is
-    divided by ``cold_slowdown``.
+    divided by ``cold_slowdown``. ``keeps_all`` makes the ledger's file keep the
+    runs of all calls, not only of orders.
     """
 
     def __init__(self, *, slots: int, mean_ms: Millis) -> None:
@@ -72,6 +73,7 @@
         self.noise_slowdown = float(6)
         self.cold_ms = float(0)
         self.cold_slowdown = float(4)
+        self.keeps_all = False
         self.faults = FaultSwitches()
 
     def change(self, command: Mapping[str, Any]) -> None:
--- a/packages/cowslippond-standins/src/cowslippond_standins/upstream/_ledger.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/upstream/_ledger.py
@@ -43,7 +43,7 @@
 class Ledger:
     """The runs and probes of one upstream.
 
-    :param path: file that gets a line for each run of an order, or ``None``.
+    :param path: file that gets a line for each run that is kept, or ``None``.
     """
 
     def __init__(self, clock: Clock, path: pathlib.Path | None) -> None:
@@ -53,11 +53,14 @@
         self.probes: list[Millis] = []
         self.counters: collections.Counter[str] = collections.Counter()
 
-    def start(self, run: Run) -> None:
-        """Record that a run begins."""
+    def start(self, run: Run, *, is_kept: bool) -> None:
+        """Record that a run begins.
+
+        :param is_kept: whether it outlasts a crash.
+        """
         self.runs.append(run)
         self.counters['runs'] += 1
-        if self.path is not None and run['order_key']:
+        if self.path is not None and is_kept:
             self._write_line(run)
 
     def end(self, run: Run, outcome: RunOutcome) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,6 +14,9 @@
 
 def pytest_addoption(parser: pytest.Parser) -> None:
     parser.addoption('--soak', action='store_true', help='run the long soak')
+    parser.addoption(
+        '--soak-seed', type=int, metavar='N', help='run the soak of one seed'
+    )
     parser.addoption(
         '--without',
         default='',
--- /dev/null
+++ b/tests/integration/soak.py
@@ -0,0 +1,503 @@
+"""Draw faults from a seed, and bring them about while callers load a shop."""
+
+import itertools
+import random
+import re
+import signal
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from types import MappingProxyType
+from typing import Any, NamedTuple
+
+import anyio
+from anyio.abc import TaskGroup
+from cowslippond_core import Clock, Millis, seconds_of
+from cowslippond_standins._address import Address
+from cowslippond_standins.harness._deployment import Deployment
+from cowslippond_standins.harness._handles import (
+    DaemonHandle,
+    LinkHandle,
+    UpstreamHandle,
+    UpstreamPlan,
+)
+from cowslippond_standins.harness._http import ControlError
+from cowslippond_standins.load._generator import LoadGenerator
+from cowslippond_standins.load._plan import Mix, Phase, plan_calls
+from cowslippond_standins.load._report import Told
+from integration.client import DOMAINS
+from integration.shop import DOCUMENT, SERVICE
+
+DAEMONS = 3
+UPSTREAMS = 4
+MIX = Mix(
+    'shop.example',
+    '/prints',
+    '/orders',
+    order_share=0.5,
+    repeat_share=0.5,
+    repeat_after_ms=400,
+    sizes=(0, 256, 256, 20_000, 300_000),
+    caller_header='x-caller',
+)
+CALLS_PER_SECOND = 60
+# Calls are planned in blocks that begin one after another, so that the load
+# lasts for as long as the faults do.
+BLOCK_MS: Millis = 2000
+# The longest pause and the longest deadline together.
+PATIENCE_MS: Millis = 18_000
+BALANCER_LAG_MS: Millis = 300
+RETIRE_LIMIT_MS: Millis = 15_000
+POLL_MS: Millis = 200
+SETTLE_LIMIT_SECONDS = 30
+NO_ANSWER_MS: Millis = 100
+
+
+class Fault(NamedTuple):
+    """A fault drawn from a seed.
+
+    ``pick`` chooses its victim, ``delay`` is the time from the beginning of
+    its round, and ``span`` how long it lasts, both in milliseconds.
+    """
+
+    kind: str
+    pick: int
+    delay: Millis
+    span: Millis
+
+    def __str__(self) -> str:
+        """Return it for the log of a run."""
+        return f'{self.kind}({self.pick}) {self.delay:.0f}+{self.span:.0f} ms'
+
+
+class Effect(NamedTuple):
+    """What a fault brought about; ``count`` is zero if nothing."""
+
+    fault: Fault
+    count: int
+    counter: str
+
+
+class Disturbance(NamedTuple):
+    """A span in which calls through a VM may be cut."""
+
+    vm: str
+    start: Millis
+    end: Millis
+
+
+class SoakRun:
+    """A shop under load and under faults.
+
+    ``versions`` holds, for each daemon, the pairs of revision and version
+    that it told one after another; ``targets`` are the addresses that callers
+    know, as a balancer would hand them out.
+    """
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self.deployment = deployment
+        self.platform = deployment.platform
+        self.seed = seed
+        self.clock = Clock()
+        self.domains = itertools.cycle(DOMAINS)
+        self.daemons: list[DaemonHandle] = []
+        self.upstreams: list[UpstreamHandle] = []
+        self.links: dict[str, LinkHandle] = {}
+        self.targets: list[Address] = []
+        self.busy: set[str] = set()
+        self.told: list[Told] = []
+        self.stray_bytes = 0
+        self.disturbed: list[Disturbance] = []
+        self.versions: dict[str, list[tuple[int, int]]] = defaultdict(list)
+        self.accepted: list[int] = []
+        self.effects: list[Effect] = []
+        self.changes = itertools.count(1)
+        self.blocks = itertools.count()
+        self.is_over = False
+
+    async def open(self, group: TaskGroup) -> None:
+        """Start the shop."""
+        for _ in range(UPSTREAMS):
+            await self.add_upstream(next(self.domains))
+        await self.deployment.accept(DOCUMENT)
+        for _ in range(DAEMONS):
+            await self.add_daemon(next(self.domains), group)
+
+    async def add_upstream(self, domain: str) -> None:
+        """Start an upstream that the daemons reach over a link."""
+        plan = UpstreamPlan(SERVICE, seed=len(self.deployment.upstreams))
+        made = await self.deployment.add_upstreams(
+            plan, [domain], queue=8, keeps_all=True
+        )
+        link = await self.deployment.proxy.open(made[0].vm, made[0].address)
+        upstream = made[0]._replace(listed_address=link.address)
+        self.links[upstream.vm] = link
+        await self.deployment.list_upstream(upstream)
+        self.upstreams.append(upstream)
+
+    async def add_daemon(self, domain: str, group: TaskGroup) -> None:
+        """Start a daemon, and hand its address out once it serves."""
+        daemon = await self.deployment.add_daemon(domain)
+        await self.deployment.wait_serving(daemon)
+        link = await self.deployment.proxy.open(
+            daemon.vm, daemon.caller_address
+        )
+        self.links[daemon.vm] = link
+        self.daemons.append(daemon)
+        self.targets.append(link.address)
+        group.start_soon(self.watch, daemon)
+
+    async def watch(self, daemon: DaemonHandle) -> None:
+        """Note the versions that a daemon tells for as long as it runs."""
+        seen = self.versions[daemon.vm]
+        while daemon.child.is_running() and not self.is_over:
+            await self.clock.sleep(POLL_MS)
+            try:
+                status = await daemon.status()
+            except ControlError:
+                continue
+            version = int(status['versions'].get(SERVICE, 0))
+            seen.append((int(status['revision']), version))
+
+    async def load(self, group: TaskGroup) -> None:
+        """Start blocks of calls until the faults are over."""
+        while not self.is_over:
+            group.start_soon(self.run_block, next(self.blocks))
+            await self.clock.sleep(BLOCK_MS)
+
+    async def run_block(self, block: int) -> None:
+        """Send the calls of one block and keep what their callers hear."""
+        seed = self.seed * 1000 + block
+        phase = Phase(BLOCK_MS, CALLS_PER_SECOND)
+        generator = LoadGenerator(self.targets, seed, PATIENCE_MS)
+        report = await generator.run(plan_calls([phase], [MIX], seed))
+        self.told.extend(report.told)
+        self.stray_bytes += report.stray_bytes
+
+    async def ask_again(self) -> list[Told]:
+        """Send every order that wasn't answered once more."""
+        answered = {
+            one.call.key for one in self.told if one.outcome == 'answered'
+        }
+        orders = {one.call.key: one.call for one in self.told if one.call.key}
+        calls = [
+            orders[key]._replace(at=turn * 20, is_repeat=True)
+            for turn, key in enumerate(sorted(orders.keys() - answered))
+        ]
+        generator = LoadGenerator(self.targets, self.seed, PATIENCE_MS)
+        return (await generator.run(calls)).told
+
+    async def bring_about(self, fault: Fault, group: TaskGroup) -> None:
+        """Bring a fault about, undo it, and note its effect."""
+        await self.clock.sleep(fault.delay)
+        act, counter = KINDS[fault.kind]
+        count = await act(self, fault, group)
+        self.effects.append(Effect(fault, count, counter))
+
+    async def settle(self) -> None:
+        """Wait until no daemon owes the table a write."""
+        with anyio.fail_after(SETTLE_LIMIT_SECONDS):
+            for daemon in self.daemons:
+                while (await daemon.status())['unsettled_claims']:
+                    await self.clock.sleep(POLL_MS)
+
+    async def change_document(self) -> tuple[int, str]:
+        """Change the document by the operator tool."""
+        ceiling = 5000 + next(self.changes)
+        text = re.sub(
+            '"ceiling_ms": [0-9]+', f'"ceiling_ms": {ceiling}', DOCUMENT
+        )
+        code, printed = await self.deployment.apply(text)
+        found = re.search(r'version (\d+) accepted', printed)
+        if code == 0 and found:
+            self.accepted.append(int(found.group(1)))
+        return code, printed
+
+    def take_daemon(self, fault: Fault) -> DaemonHandle:
+        """Choose a daemon that no other fault has."""
+        free = [one for one in self.daemons if one.vm not in self.busy]
+        chosen = free[fault.pick % len(free)]
+        self.busy.add(chosen.vm)
+        return chosen
+
+    def take_upstream(self, fault: Fault) -> UpstreamHandle:
+        """Choose an upstream that no other fault has."""
+        free = [one for one in self.upstreams if one.vm not in self.busy]
+        chosen = free[fault.pick % len(free)]
+        self.busy.add(chosen.vm)
+        return chosen
+
+    def disturb(self, vm: str, start: Millis) -> None:
+        """Note that calls through a VM may be cut from a time to now."""
+        self.disturbed.append(Disturbance(vm, start, self.clock.now()))
+
+    def hand_out_no_more(self, daemon: DaemonHandle) -> None:
+        """Take a daemon's address from the callers."""
+        self.targets.remove(self.links[daemon.vm].address)
+        self.daemons.remove(daemon)
+
+    async def runs(self) -> list[tuple[str, Mapping[str, Any]]]:
+        """Return the runs of all upstreams, each with its VM."""
+        found: list[tuple[str, Mapping[str, Any]]] = []
+        for upstream in self.deployment.upstreams:
+            if upstream.child.is_running():
+                runs = (await upstream.ledger())['runs']
+            else:
+                runs = upstream.kept_runs()
+            found.extend((upstream.vm, one) for one in runs)
+        return found
+
+    async def count(self, part: str, counter: str) -> int:
+        """Return a counter of the platform."""
+        found: int = (await self.platform.counters())[part].get(counter, 0)
+        return found
+
+
+Act = Callable[[SoakRun, Fault, TaskGroup], Awaitable[int]]
+
+
+async def kill_daemon(run: SoakRun, fault: Fault, group: TaskGroup) -> int:
+    """End a daemon at once, and start another one."""
+    daemon = run.take_daemon(fault)
+    start = run.clock.now()
+    daemon.child.kill()
+    await run.clock.sleep(BALANCER_LAG_MS)
+    run.hand_out_no_more(daemon)
+    run.disturb(daemon.vm, start)
+    await run.clock.sleep(fault.span)
+    await run.platform.control('remove_vm', vm=daemon.vm)
+    await run.add_daemon(daemon.failure_domain, group)
+    return int(daemon.child.popen.returncode == -signal.SIGKILL)
+
+
+async def freeze_daemon(run: SoakRun, fault: Fault, group: TaskGroup) -> int:
+    """Pause a daemon."""
+    daemon = run.take_daemon(fault)
+    start = run.clock.now()
+    daemon.child.freeze()
+    with anyio.move_on_after(seconds_of(NO_ANSWER_MS)) as silence:
+        await daemon.status()
+    await run.clock.sleep(fault.span - NO_ANSWER_MS)
+    daemon.child.thaw()
+    run.disturb(daemon.vm, start)
+    run.busy.discard(daemon.vm)
+    return int(silence.cancelled_caught)
+
+
+async def retire_daemon(run: SoakRun, fault: Fault, group: TaskGroup) -> int:
+    """Replace a daemon as planned."""
+    daemon = run.take_daemon(fault)
+    await run.add_daemon(daemon.failure_domain, group)
+    run.hand_out_no_more(daemon)
+    code = await run.deployment.retire(daemon, RETIRE_LIMIT_MS)
+    return int(code == 0)
+
+
+async def kill_upstream(run: SoakRun, fault: Fault, group: TaskGroup) -> int:
+    """End an upstream at once, and start another one."""
+    upstream = run.take_upstream(fault)
+    start = run.clock.now()
+    upstream.child.kill()
+    run.disturb(upstream.vm, start)
+    await run.clock.sleep(fault.span)
+    await run.platform.control('remove_vm', vm=upstream.vm)
+    run.upstreams.remove(upstream)
+    await run.add_upstream(upstream.failure_domain)
+    return int(upstream.child.popen.returncode == -signal.SIGKILL)
+
+
+def misbehave(
+    counter: str, begin: Mapping[str, Any], end: Mapping[str, Any]
+) -> Act:
+    """Return a fault that an upstream is told to have."""
+
+    async def act(run: SoakRun, fault: Fault, group: TaskGroup) -> int:
+        upstream = run.take_upstream(fault)
+        before = await count_upstream(upstream, counter)
+        await upstream.change(**begin)
+        await run.clock.sleep(fault.span)
+        await upstream.change(**end)
+        after = await count_upstream(upstream, counter)
+        # One that was draining comes back as a new VM.
+        await run.deployment.list_upstream(upstream)
+        run.busy.discard(upstream.vm)
+        return after - before
+
+    return act
+
+
+async def count_upstream(upstream: UpstreamHandle, counter: str) -> int:
+    """Return a counter of an upstream."""
+    counters = (await upstream.ledger())['counters']
+    return int(counters.get(counter, 0))
+
+
+def fail_link(action: str, counter: str, *, is_of_daemon: bool) -> Act:
+    """Return a fault of the link to a daemon or to an upstream."""
+
+    async def act(run: SoakRun, fault: Fault, group: TaskGroup) -> int:
+        take = run.take_daemon if is_of_daemon else run.take_upstream
+        vm = take(fault).vm
+        start = run.clock.now()
+        link, proxy = run.links[vm], run.deployment.proxy
+        before = (await proxy.counters(link)).get(counter, 0)
+        await proxy.command(action, link)
+        run.disturb(vm, start)
+        await run.clock.sleep(fault.span)
+        run.busy.discard(vm)
+        return (await proxy.counters(link)).get(counter, 0) - before
+
+    return act
+
+
+def fail_platform(
+    part: str, counter: str, begin: Mapping[str, Any], end: Mapping[str, Any]
+) -> Act:
+    """Return a fault of a part of the platform."""
+
+    async def act(run: SoakRun, fault: Fault, group: TaskGroup) -> int:
+        before = await run.count(part, counter)
+        await run.platform.control('set_faults', part=part, **begin)
+        await run.clock.sleep(fault.span)
+        await run.platform.control('set_faults', part=part, **end)
+        return await run.count(part, counter) - before
+
+    return act
+
+
+async def change_document(run: SoakRun, fault: Fault, group: TaskGroup) -> int:
+    """Change the document; the tool tells whether it was accepted."""
+    code, printed = await run.change_document()
+    return int(code == 0 or 'not accepted' in printed)
+
+
+_NO_OUTAGE = MappingProxyType({'outage': 'none'})
+KINDS: Mapping[str, tuple[Act, str]] = MappingProxyType(
+    {
+        'kill_daemon': (kill_daemon, 'killed'),
+        'freeze_daemon': (freeze_daemon, 'silent'),
+        'retire_daemon': (retire_daemon, 'exit code 0'),
+        'cut_daemon': (fail_link('cut', 'cut', is_of_daemon=True), 'cut'),
+        'kill_upstream': (kill_upstream, 'killed'),
+        'cut_upstream': (fail_link('cut', 'cut', is_of_daemon=False), 'cut'),
+        'silence_upstream': (
+            fail_link('silence', 'silenced', is_of_daemon=False),
+            'silenced',
+        ),
+        'drain_upstream': (
+            misbehave('draining', {'draining': True}, {'draining': False}),
+            'draining',
+        ),
+        'truncate': (
+            misbehave('truncated', {'truncate': 5}, {'truncate': 0}),
+            'truncated',
+        ),
+        'hang': (misbehave('hung', {'hang': True}, {'hang': False}), 'hung'),
+        'fail_fast': (
+            misbehave(
+                'failed_fast', {'fail_fast': 'bare'}, {'fail_fast': 'off'}
+            ),
+            'failed_fast',
+        ),
+        'shed': (
+            misbehave(
+                'shed', {'slots': 0, 'queue': 0}, {'slots': 2, 'queue': 8}
+            ),
+            'shed',
+        ),
+        'table_outage': (
+            fail_platform('table', 'outages', {'outage': 'cut'}, _NO_OUTAGE),
+            'outages',
+        ),
+        'table_slow': (
+            fail_platform(
+                'table', 'delayed', {'delay_ms': 300}, {'delay_ms': 0}
+            ),
+            'delayed',
+        ),
+        'table_drops': (
+            fail_platform(
+                'table',
+                'answers_dropped',
+                {'drop_answers': 5},
+                {'drop_answers': 0},
+            ),
+            'answers_dropped',
+        ),
+        'table_stale': (
+            fail_platform(
+                'table', 'stale_reads', {'stale_ms': 3000}, {'stale_ms': 0}
+            ),
+            'stale_reads',
+        ),
+        'list_outage': (
+            fail_platform('list', 'outages', {'outage': 'error'}, _NO_OUTAGE),
+            'outages',
+        ),
+        'change_document': (change_document, 'told'),
+    }
+)
+# A table that is out shows none of its other faults.
+_HIDDEN_BY_OUTAGE = frozenset(
+    ('table_slow', 'table_drops', 'table_stale', 'table_outage')
+)
+_SPANS: Mapping[str, tuple[Millis, Millis]] = MappingProxyType(
+    {
+        'freeze_daemon': (500, 10_000),
+        'kill_daemon': (200, 2000),
+    }
+)
+_USUAL_SPAN: tuple[Millis, Millis] = (1500, 3000)
+_LATEST_BEGIN: Millis = 800
+_PAIR_SHARE = 0.7
+
+
+def draw_faults(seed: int, rounds: int) -> list[list[Fault]]:
+    """Return rounds of one fault, or of two at a time.
+
+    Kinds come in a shuffled order, so that all are drawn before any again.
+
+    :param seed: the same seed gives the same faults.
+    """
+    draw = random.Random(seed)
+    kinds: list[str] = []
+    drawn: list[list[Fault]] = []
+    for _ in range(rounds):
+        if len(kinds) < 2:
+            fresh = [kind for kind in KINDS if kind not in kinds]
+            draw.shuffle(fresh)
+            kinds = fresh + kinds
+        chosen = [kinds.pop()]
+        if draw.random() < _PAIR_SHARE:
+            second = next(
+                kind for kind in reversed(kinds) if fit(chosen[0], kind)
+            )
+            kinds.remove(second)
+            chosen.append(second)
+        drawn.append([draw_fault(kind, draw) for kind in chosen])
+    return drawn
+
+
+def fit(first: str, second: str) -> bool:
+    """Tell whether two faults can both take effect at a time."""
+    pair = {first, second}
+    return 'table_outage' not in pair or not pair <= _HIDDEN_BY_OUTAGE
+
+
+def draw_fault(kind: str, draw: random.Random) -> Fault:
+    """Return a fault of a kind."""
+    span = draw.uniform(*_SPANS.get(kind, _USUAL_SPAN))
+    delay = draw.uniform(0, _LATEST_BEGIN)
+    return Fault(kind, draw.randrange(100), delay, span)
+
+
+async def soak(run: SoakRun, rounds: Sequence[Sequence[Fault]]) -> None:
+    """Load the shop while rounds of faults come and go."""
+    async with anyio.create_task_group() as group:
+        await run.open(group)
+        group.start_soon(run.load, group)
+        await run.clock.sleep(BLOCK_MS / 2)
+        for faults in rounds:
+            async with anyio.create_task_group() as acts:
+                for fault in faults:
+                    acts.start_soon(run.bring_about, fault, group)
+        run.is_over = True
