--- a/tests/integration/soak.py
+++ b/tests/integration/soak.py
@@ -476,11 +476,9 @@
             kinds = fresh + kinds
         chosen = [kinds.pop()]
         if draw.random() < _PAIR_SHARE:
-            second = next(
-                kind for kind in reversed(kinds) if fit(chosen[0], kind)
-            )
-            kinds.remove(second)
-            chosen.append(second)
+            fitting = [kind for kind in kinds if fit(chosen[0], kind)]
+            chosen.extend(fitting[-1:])
+            kinds = [kind for kind in kinds if kind not in chosen]
         drawn.append([draw_fault(kind, draw) for kind in chosen])
     return drawn
 
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -125,6 +125,10 @@
         )
         assert {len(faults) for faults in rounds} == {1, 2}
 
+    def test_every_seed_can_be_drawn(self) -> None:
+        lengths = {len(draw_faults(seed, LONG_ROUNDS)) for seed in range(500)}
+        assert lengths == {LONG_ROUNDS}
+
     def test_same_seed_draws_the_same(self) -> None:
         assert draw_faults(7, LONG_ROUNDS) == draw_faults(7, LONG_ROUNDS)
         assert draw_faults(7, LONG_ROUNDS) != draw_faults(8, LONG_ROUNDS)
@@ -144,11 +148,12 @@
             write(' and '.join(str(fault) for fault in faults))
 
         run = SoakRun(deployment, seed)
-        await soak(run, rounds)
+        try:
+            await soak(run, rounds)
+        finally:
+            for effect in run.effects:
+                write(f'{effect.fault}: {effect.counter} {effect.count}')
         await run.settle()
-
-        for effect in run.effects:
-            write(f'{effect.fault}: {effect.counter} {effect.count}')
         outcomes = Counter(one.outcome for one in run.told)
         runs = await run.runs()
         found = audit(run.told, [one for _, one in runs])
