--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping, Sequence, Set
+from contextlib import ExitStack
 from itertools import chain, pairwise
 from typing import Any
 
@@ -50,6 +51,12 @@
     return write
 
 
+def write_effects(run: SoakRun, write: Callable[[str], None]) -> None:
+    """Write what the faults brought about, also of a run that broke off."""
+    for effect in run.effects:
+        write(f'{effect.fault}: {effect.counter} {effect.count}')
+
+
 def command(seed: int, *, is_long: bool, without: str) -> str:
     """Return the command that repeats a run."""
     parts = ['pytest tests/integration/test_soak.py']
@@ -148,11 +155,9 @@
             write(' and '.join(str(fault) for fault in faults))
 
         run = SoakRun(deployment, seed)
-        try:
+        with ExitStack() as shown:
+            shown.callback(write_effects, run, write)
             await soak(run, rounds)
-        finally:
-            for effect in run.effects:
-                write(f'{effect.fault}: {effect.counter} {effect.count}')
         await run.settle()
         outcomes = Counter(one.outcome for one in run.told)
         runs = await run.runs()
