--- a/tests/integration/soak.py
+++ b/tests/integration/soak.py
@@ -93,7 +93,8 @@
     that it told one after another; ``targets`` are the addresses that callers
     know, as a balancer would hand them out. ``accepted`` holds the versions
     that operators were told, ``unsure`` counts those who were told that they
-    can't know.
+    can't know. ``broken_off`` holds the nonces of the calls whose answers an
+    upstream broke off before it was killed.
     """
 
     def __init__(self, deployment: Deployment, seed: int) -> None:
@@ -109,6 +110,7 @@
         self.busy: set[str] = set()
         self.told: list[Told] = []
         self.stray_bytes = 0
+        self.broken_off: set[str] = set()
         self.disturbed: list[Disturbance] = []
         self.versions: dict[str, list[tuple[int, int]]] = defaultdict(list)
         self.accepted: list[int] = []
@@ -300,6 +302,11 @@
 async def kill_upstream(run: SoakRun, fault: Fault, group: TaskGroup) -> int:
     """End an upstream at once, and start another one."""
     upstream = run.take_upstream(fault)
+    # The ledger's file tells of no outcomes.
+    runs = (await upstream.ledger())['runs']
+    run.broken_off.update(
+        one['nonce'] for one in runs if one['outcome'] == 'truncated'
+    )
     start = run.clock.now()
     upstream.child.kill()
     run.disturb(upstream.vm, start)
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -107,7 +107,9 @@
         if one.outcome not in BROKEN:
             continue
         on_way = {daemons[one.via], *places.get(one.call.nonce, ())}
-        if 'truncated' not in on_way and not is_excused(run, one, on_way):
+        if 'truncated' in on_way or one.call.nonce in run.broken_off:
+            continue
+        if not is_excused(run, one, on_way):
             found.append(one)
     return found
 
