--- /dev/null
+++ b/tests/integration/test_soak.py
@@ -0,0 +1,217 @@
+"""Faults drawn from a seed, and every property checked afterwards."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Mapping, Sequence, Set
+from contextlib import ExitStack
+from itertools import chain, pairwise
+from typing import Any
+
+import pytest
+from cowslippond_standins.harness._deployment import Deployment
+from cowslippond_standins.load._audit import Audit, audit
+from cowslippond_standins.load._report import Told
+from integration.client import wait_until
+from integration.shop import SERVICE
+from integration.soak import KINDS, SoakRun, draw_faults, soak
+
+pytestmark = pytest.mark.anyio
+
+# Together they draw every kind of fault.
+CI_SEEDS = (1123, 1371)
+CI_ROUNDS = 5
+LONG_SEEDS = range(1, 21)
+LONG_ROUNDS = 12
+BROKEN = frozenset(('cut', 'not_connected', 'timed_out'))
+LINE = 400
+HEARD = frozenset(('answered', 'not-run', 'failed', 'unknown'))
+
+
+def pytest_generate_tests(metafunc: pytest.Metafunc) -> None:
+    """Choose the seeds by the options."""
+    if 'seed' not in metafunc.fixturenames:
+        return
+    chosen = metafunc.config.getoption('--soak-seed')
+    is_long = metafunc.config.getoption('--soak')
+    seeds = LONG_SEEDS if is_long else CI_SEEDS
+    metafunc.parametrize('seed', seeds if chosen is None else (chosen,))
+
+
+def writer_of(config: pytest.Config) -> Callable[[str], None]:
+    """Return what writes a line to the terminal, also of a test that passes."""
+    capture = config.pluginmanager.get_plugin('capturemanager')
+    reporter = config.pluginmanager.get_plugin('terminalreporter')
+    assert capture is not None
+    assert reporter is not None
+
+    def write(line: str) -> None:
+        with capture.global_and_fixture_disabled():
+            reporter.ensure_newline()
+            reporter.write_line(f'  {line}')
+
+    return write
+
+
+def write_effects(run: SoakRun, write: Callable[[str], None]) -> None:
+    """Write what the faults brought about, also of a run that broke off."""
+    for effect in run.effects:
+        write(f'{effect.fault}: {effect.counter} {effect.count}')
+
+
+def command(seed: int, *, is_long: bool, without: str) -> str:
+    """Return the command that repeats a run."""
+    parts = ['pytest tests/integration/test_soak.py']
+    if is_long:
+        parts.append('--soak')
+    parts.append(f'--soak-seed {seed}')
+    if without:
+        parts.append(f'--without {without}')
+    return ' '.join(parts)
+
+
+def breaches_of(found: Audit) -> dict[str, list[str] | int]:
+    """Return what an audit found but for broken connections."""
+    return {
+        name: value
+        for name, value in found._asdict().items()
+        if value and name not in {'orders_sent', 'orders_run', 'cut'}
+    }
+
+
+def places_of(
+    runs: Sequence[tuple[str, Mapping[str, Any]]],
+) -> Mapping[str, set[str]]:
+    """Return where a break may come from, by the nonce of a call.
+
+    That is each upstream that ran the call. One that broke its answer off is
+    named by the outcome.
+    """
+    places: dict[str, set[str]] = defaultdict(set)
+    for vm, one in runs:
+        places[one['nonce']] |= {vm, one['outcome']}
+    return places
+
+
+def broken_of(
+    run: SoakRun, runs: Sequence[tuple[str, Mapping[str, Any]]]
+) -> list[Told]:
+    """Return the calls whose connection broke for no drawn fault.
+
+    A break is excused if the call was in flight through a daemon that was
+    killed, paused or cut, or if the upstream that ran it broke its answer off:
+    after its head is passed on, such an answer must not end cleanly.
+    """
+    daemons = {str(link.address): vm for vm, link in run.links.items()}
+    places = places_of(runs)
+    found = []
+    for one in run.told:
+        if one.outcome not in BROKEN:
+            continue
+        on_way = {daemons[one.via], *places.get(one.call.nonce, ())}
+        if 'truncated' in on_way or one.call.nonce in run.broken_off:
+            continue
+        if not is_excused(run, one, on_way):
+            found.append(one)
+    return found
+
+
+def is_excused(run: SoakRun, one: Told, on_way: Set[str]) -> bool:
+    """Tell whether a call was in flight through a VM at its fault."""
+    start = one.ended - one.took
+    return any(
+        disturbance.vm in on_way
+        and start <= disturbance.end
+        and disturbance.start <= one.ended
+        for disturbance in run.disturbed
+    )
+
+
+class TestDraw:
+    def test_seeds_of_ci_draw_every_kind(self) -> None:
+        drawn = [draw_faults(seed, CI_ROUNDS) for seed in CI_SEEDS]
+        rounds = list(chain.from_iterable(drawn))
+        assert {fault.kind for fault in chain.from_iterable(rounds)} == set(
+            KINDS
+        )
+        assert {len(faults) for faults in rounds} == {1, 2}
+
+    def test_every_seed_can_be_drawn(self) -> None:
+        lengths = {len(draw_faults(seed, LONG_ROUNDS)) for seed in range(500)}
+        assert lengths == {LONG_ROUNDS}
+
+    def test_same_seed_draws_the_same(self) -> None:
+        assert draw_faults(7, LONG_ROUNDS) == draw_faults(7, LONG_ROUNDS)
+        assert draw_faults(7, LONG_ROUNDS) != draw_faults(8, LONG_ROUNDS)
+
+
+class TestSoak:
+    async def test_every_property_holds(
+        self, deployment: Deployment, request: pytest.FixtureRequest, seed: int
+    ) -> None:
+        is_long = request.config.getoption('--soak')
+        without = request.config.getoption('--without')
+        rounds = draw_faults(seed, LONG_ROUNDS if is_long else CI_ROUNDS)
+        write = writer_of(request.config)
+        write(f'seed {seed}, again by:')
+        write(command(seed, is_long=is_long, without=without))
+        for faults in rounds:
+            write(' and '.join(str(fault) for fault in faults))
+
+        run = SoakRun(deployment, seed)
+        with ExitStack() as shown:
+            shown.callback(write_effects, run, write)
+            await soak(run, rounds)
+        await run.settle()
+        outcomes = Counter(one.outcome for one in run.told)
+        runs = await run.runs()
+        found = audit(run.told, [one for _, one in runs])
+        write(f'{len(run.told)} calls, {dict(outcomes)}')
+        write(f'{found.orders_run} of {found.orders_sent} orders ran')
+        for name, value in breaches_of(found).items():
+            write(f'{name}: {value}'[:LINE])
+        assert not breaches_of(found)
+        assert outcomes.keys() <= BROKEN | HEARD
+        broken = broken_of(run, runs)
+        for one in broken:
+            places = places_of(runs).get(one.call.nonce)
+            write(f'{one} ran at {places}')
+        assert not broken
+        assert not run.stray_bytes
+        weak = [effect for effect in run.effects if effect.count < 1]
+        assert not weak
+        self.check_versions(run)
+
+        later = await run.ask_again()
+        await run.settle()
+        asked = Counter(one.outcome for one in later)
+        write(f'asked again: {dict(asked)}')
+        assert asked.keys() <= HEARD
+        whole = audit([*run.told, *later], await deployment.runs())
+        assert not breaches_of(whole)
+        await self.check_newest(run)
+
+    def check_versions(self, run: SoakRun) -> None:
+        """Check that no daemon went back to an older version."""
+        for vm, seen in run.versions.items():
+            for earlier, later in pairwise(seen):
+                assert earlier[0] <= later[0], vm
+                assert earlier[1] <= later[1], vm
+
+    async def check_newest(self, run: SoakRun) -> None:
+        """Check that every daemon ends at the newest version."""
+        code, printed = await run.change_document()
+        assert code == 0, printed
+        newest = run.accepted[-1]
+        assert run.accepted == sorted(set(run.accepted))
+        # The first version is the one that the shop was opened with. A change
+        # that was refused is not in force.
+        surely = 1 + len(run.accepted)
+        assert surely <= newest <= surely + run.unsure
+
+        async def is_everywhere() -> bool:
+            versions = [
+                (await daemon.status())['versions'][SERVICE]
+                for daemon in run.daemons
+            ]
+            return set(versions) == {newest}
+
+        await wait_until(is_everywhere)
