--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
@@ -13,6 +13,7 @@
     RefusalReason,
     fingerprint_request,
 )
+from cowslippond_core import _headers as header_names
 
 from cowslippond_daemon._call_rules import (
     attempt_number,
@@ -26,7 +27,9 @@
 _log = logging.getLogger(__name__)
 
 _RETRY_AFTER_MS = 1000
-_REQUEST_ID = b'x-request-id'
+_REQUEST_ID = header_names.REQUEST_ID.encode()
+_DEADLINE = header_names.DEADLINE.encode()
+_ATTEMPT = header_names.ATTEMPT.encode()
 
 
 class CallRouter:
@@ -88,7 +91,7 @@
         self, call: IncomingCall, in_force: InForce
     ) -> CallRequest:
         document = in_force.document
-        timeout = call_timeout(document, call.header(b'x-deadline-ms'))
+        timeout = call_timeout(document, call.header(_DEADLINE))
         identity = identify_call(document, call)
         method = call.method.encode()
         return CallRequest(
@@ -100,7 +103,7 @@
             rest=call.rest,
             is_idempotent=is_idempotent(document, call.method, call.path),
             deadline=self.parts.clock.now() + timeout,
-            attempt=attempt_number(call.header(b'x-attempt')),
+            attempt=attempt_number(call.header(_ATTEMPT)),
             fingerprint=fingerprint_request(
                 method, call.target, identity.key if identity else '', call.body
             ),
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
@@ -22,6 +22,7 @@
     RefusalReason,
     TruncatedAnswerError,
 )
+from cowslippond_core import _headers as header_names
 
 Message: TypeAlias = MutableMapping[str, Any]
 Receive: TypeAlias = Callable[[], Awaitable[Message]]
@@ -29,7 +30,10 @@
 
 _log = logging.getLogger(__name__)
 
-_OUTCOME = b'x-outcome'
+_OUTCOME = header_names.OUTCOME.encode()
+_REASON = header_names.REASON.encode()
+_RETRY_AFTER = header_names.RETRY_AFTER.encode()
+_REQUEST_ID = header_names.REQUEST_ID.encode()
 _KEPT_BODY_BYTES = 65536
 _MILLIS_PER_SECOND = 1000
 _DROPPED_HEADERS = frozenset(
@@ -191,8 +195,8 @@
             (b'content-type', b'text/plain'),
             (b'content-length', b'%d' % len(text)),
             (_OUTCOME, refusal.outcome.encode()),
-            (b'x-reason', refusal.reason.encode()),
-            (b'retry-after', b'%d' % seconds),
+            (_REASON, refusal.reason.encode()),
+            (_RETRY_AFTER, b'%d' % seconds),
         )
         await send(
             {
@@ -211,7 +215,7 @@
             for name, text in headers
             if name.lower() not in _DROPPED_HEADERS
         ]
-        kept.append((b'x-request-id', call.request_id.encode()))
+        kept.append((_REQUEST_ID, call.request_id.encode()))
         if self.is_leaving or call.rest is not None:
             kept.append((b'connection', b'close'))
         else:
@@ -270,7 +274,7 @@
         body=bytes(kept),
         rest=None if reader.is_whole else reader.rest(),
     )
-    given = call.header(b'x-request-id')
+    given = call.header(_REQUEST_ID)
     request_id = given.decode('latin-1') if given else uuid.uuid4().hex
     return call._replace(request_id=request_id)
 
--- a/packages/cowslippond-standins/src/cowslippond_standins/_stream.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/_stream.py
@@ -8,7 +8,6 @@
 
 from cowslippond_standins._address import Address
 
-CHUNK_BYTES = 65_536
 BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 CLOSED = (*BROKEN, RuntimeError)
 _LINGER_OFF = struct.pack('ii', 1, 0)
