Count an upstream that lets its copies win in silence as failing

Cause: with one failure domain silent, calls were lost at their deadline. The copies rescued most, but a send that lost to its copy counted as nothing, so the silent upstreams were never ejected, used up the budget for copies, and calls for which no copy could be paid waited to their deadline. Seen by asking what the lost calls heard (answer_lost after the whole deadline) and by the hung calls of the upstreams (61 of 870). Ruled out: the silence of single upstreams as such; leaving out upstreams that are silent while calls wait did nothing, since the copy ends the wait at once. Change: such a send counts as a failure if the upstream answered no call at all meanwhile; three in a row eject it, as ever. The new test fails without the change.

--- a/packages/cowslippond-core/src/cowslippond_core/_observations.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_observations.py
@@ -43,6 +43,7 @@
     """
     now = attempt.clock.now()
     if isinstance(result, Answered):
+        attempt.upstream.answered_at = now
         _note_answer(service, attempt, result, now)
     elif isinstance(result, Lost):
         _note_loss(service, hooks, attempt, result)
@@ -50,6 +51,20 @@
         _note_not_run(service, hooks, attempt, result)
 
 
+def note_given_up(service: ServiceState, attempt: Attempt) -> None:
+    """Take in a send that was cancelled because its copy was answered.
+
+    The time that it took is the least that its answer would have taken; left
+    out, latencies would look better than they are. An upstream that answered
+    no call at all meanwhile counts as failing.
+    """
+    now = attempt.clock.now()
+    service.latency.note(now - attempt.sent_at)
+    if attempt.upstream.answered_at < attempt.sent_at:
+        peers = service.upstreams.by_address.values()
+        note_failure(attempt.upstream, peers, now)
+
+
 def _note_answer(
     service: ServiceState, attempt: Attempt, answered: Answered, now: Millis
 ) -> None:
@@ -96,6 +111,7 @@
         peers = service.upstreams.by_address.values()
         note_failure(upstream, peers, now)
         return
+    upstream.answered_at = now
     note_shed(upstream, service.slot_pace(), now)
     if refused.reason is NotRunReason.DRAINING:
         hooks.mark_leaving(upstream.address, 'answer')
--- a/packages/cowslippond-core/src/cowslippond_core/_sending.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sending.py
@@ -25,7 +25,7 @@
     CallRequest,
     Outcome,
 )
-from cowslippond_core._observations import note_result
+from cowslippond_core._observations import note_given_up, note_result
 from cowslippond_core._race import Race
 from cowslippond_core._reasons import RefusalReason, RetryReason
 from cowslippond_core._refusals import not_run, refusal_of
@@ -274,10 +274,7 @@
         winner = await race.run()
         for attempt in race.attempts:
             if not attempt.exchange.is_headed:
-                # The time of a cancelled send is the least that it would have
-                # taken; left out, latencies would look better than they are.
-                waited = self.clock.now() - attempt.sent_at
-                self.service.latency.note(waited)
+                note_given_up(self.service, attempt)
         return winner
 
     async def _wait(
--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -37,7 +37,8 @@
 class Upstream:
     """One upstream VM and what this daemon has seen of it.
 
-    ``latency`` is a moving average in milliseconds.
+    ``latency`` is a moving average in milliseconds; ``answered_at`` is when
+    any call was last answered, in milliseconds.
 
     :param vm: the entry of the VM list.
     :param connections: the connections to it.
@@ -52,6 +53,7 @@
         self.in_flight = 0
         self.latency: Millis = 0
         self.answers = 0
+        self.answered_at: Millis = 0
         self.health = Health()
         self.load = Load()
         self.is_removed = False
--- a/tests/core/test_hedging.py
+++ b/tests/core/test_hedging.py
@@ -53,6 +53,19 @@
                 assert await bench.call() == b'ok'
             await _until_cut(slow)
 
+    async def test_silent_upstream_is_ejected_by_its_copies(self) -> None:
+        """Copies hid an upstream that never answered from ejection."""
+        silent = ScriptedUpstream(_SILENT)
+        others = [ScriptedUpstream(_OK) for _ in range(3)]
+        async with bench_of(silent, *others, document=_HEDGED) as bench:
+            known = bench.service.upstreams.by_address[silent.address]
+            for _ in range(200):
+                assert await bench.call() == b'ok'
+                if known.health.ejections:
+                    break
+            assert known.health.ejections
+            assert len(silent.calls) == 3
+
     async def test_non_idempotent_call_is_never_copied(self) -> None:
         upstreams = ScriptedUpstream(_LATE), ScriptedUpstream(_LATE)
         async with bench_of(*upstreams, document=_HEDGED) as bench:
