--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,9 +11,12 @@
 fi
 for package in core daemon; do
     name="cowslippond_$package"
-    rm -rf "$deps/$name"
-    cp -r "packages/cowslippond-$package/src/$name" "$deps/$name"
-    find "$deps/$name" -name __pycache__ -prune -exec rm -rf {} +
+    sources="packages/cowslippond-$package/src/$name"
+    if ! diff -rq -x __pycache__ "$sources" "$deps/$name" >/dev/null 2>&1; then
+        rm -rf "$deps/$name"
+        cp -r "$sources" "$deps/$name"
+        find "$deps/$name" -name __pycache__ -prune -exec rm -rf {} +
+    fi
 done
 python3 -m compileall -q "$deps" || true
 PYTHONPATH="$deps" python3 -c "import cowslippond_daemon.platform.__main__"
--- a/packages/cowslippond-core/src/cowslippond_core/__init__.pyi
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.pyi
@@ -137,6 +137,7 @@
 from ._spread import Spread as Spread
 from ._spread import SpreadSettings as SpreadSettings
 from ._spread import SpreadStatus as SpreadStatus
+from ._store_watch import LOST_TABLE as LOST_TABLE
 from ._store_watch import ReaderDuty as ReaderDuty
 from ._store_watch import StoreWatch as StoreWatch
 from ._suspects import CrashMark as CrashMark
--- a/packages/cowslippond-core/src/cowslippond_core/_attempt.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_attempt.py
@@ -252,6 +252,8 @@
         exchange = self.exchange
         headers = tuple(exchange.headers)
         self.facts = self.dialect.read_answer(exchange.status, headers)
+        if self.facts.expiry is not None:
+            self.upstream.connections.note_expiry(self.facts.expiry)
         if not self._is_own_answer():
             exchange.is_reusable = False
             self.end()
--- a/packages/cowslippond-core/src/cowslippond_core/_connections.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_connections.py
@@ -17,7 +17,12 @@
 #: The longest wait for a new connection, in milliseconds.
 CONNECT_TIMEOUT: Millis = 250
 
-#: How long a connection may stay idle, in milliseconds.
+# The part of the stated time after which a connection counts as expired, since
+# a call must not cross the close.
+_EXPIRY_SHARE = 0.7
+
+#: How long a connection may stay idle unless its other end says so, in
+#: milliseconds.
 IDLE_EXPIRY: Millis = 4000
 
 
@@ -42,6 +47,7 @@
         self.opening = 0
         self.broken_at: deque[Millis] = deque(maxlen=_KEPT_BREAKS)
         self.is_retired = False
+        self.idle_expiry: Millis = IDLE_EXPIRY
         self.silent_in_row = 0
         self.silent_since: Millis = 0
 
@@ -74,7 +80,8 @@
             return
         connection.idle_since = self.clock.now()
         self.idle.append(connection)
-        while self.idle[0].idle_since < connection.idle_since - IDLE_EXPIRY:
+        oldest = connection.idle_since - self.idle_expiry
+        while self.idle[0].idle_since < oldest:
             self.idle.pop(0).close()
 
     def end_call(self, connection: Connection) -> None:
@@ -135,8 +142,15 @@
         self.is_retired = True
         self._close_idle(_is_any)
 
+    def note_expiry(self, expiry: Millis) -> None:
+        """Learn how long the other end keeps idle connections.
+
+        :param expiry: in milliseconds.
+        """
+        self.idle_expiry = expiry * _EXPIRY_SHARE
+
     def _take_idle(self) -> Connection | None:
-        oldest = self.clock.now() - IDLE_EXPIRY
+        oldest = self.clock.now() - self.idle_expiry
         while self.idle:
             connection = self.idle.pop()
             if connection.is_closed:
--- a/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
@@ -5,11 +5,13 @@
 """
 
 import logging
+import math
 import random
 from collections.abc import Callable
 
 from cowslippond_core._clock import Clock, Millis
-from cowslippond_core._membership import Membership
+from cowslippond_core._gossip_table import GossipTable
+from cowslippond_core._membership import Daemon, Membership
 from cowslippond_core._platform_store import (
     RowSource,
     StoreError,
@@ -20,18 +22,23 @@
 
 _logger = logging.getLogger(__name__)
 
-#: Daemons of one failure domain that wait for changes. Two, since one may be
-#: cut off without noticing.
-READERS_PER_DOMAIN = 2
+#: Daemons that wait for changes, divided among the failure domains: one may be
+#: cut off without noticing, and one may be killed meanwhile.
+READERS = 3
 
-#: The age at which a daemon reads for itself, in milliseconds. A change has to
-#: be in force within 2 s of being stored, and a daemon counts as out of contact
-#: for 3 s after a cut.
-STALE_AGE: Millis = 5000
+#: The age at which a daemon reads for itself, in milliseconds: longer than one
+#: wait for changes that brings nothing, with the time to notice a dead store.
+STALE_AGE: Millis = 7500
+
+#: The table in which daemons say that the store does not answer them.
+LOST_TABLE = 'store_lost'
+
+# How long that is believed unless it is said again, in milliseconds.
+_LOST_LIFE: Millis = 5000
 
 # Waits in milliseconds: of one call for changes, before the next try after an
 # error, and between two looks at whose turn it is.
-_CHANGE_WAIT: Millis = 2500
+_CHANGE_WAIT: Millis = 5000
 _FIRST_RETRY: Millis = 150
 _LONGEST_RETRY: Millis = 1000
 _TURN_CHECK: Millis = 250
@@ -41,18 +48,24 @@
 
 
 class ReaderDuty:
-    """Tells whether this daemon reads the store, and whether it answers.
+    """Tells whether this daemon reads the store.
 
     :param membership: the other daemons.
     :param versions: whose confirmation passes from daemon to daemon.
+    :param lost: tells which daemons the store does not answer.
     :param clock: the clock of ages.
     """
 
     def __init__(
-        self, membership: Membership, versions: Versions, clock: Clock
+        self,
+        membership: Membership,
+        versions: Versions,
+        lost: GossipTable,
+        clock: Clock,
     ) -> None:
         self.membership = membership
         self.versions = versions
+        self.lost = lost
         self.clock = clock
 
     def is_reader(self) -> bool:
@@ -63,14 +76,25 @@
         if self.clock.now() - confirmed_at > STALE_AGE:
             return True
         own = self.membership.own
+        if own.is_leaving:
+            return False
+        able = [one for one in self.membership.known() if self._is_able(one)]
+        domains = {one.failure_domain for one in able} | {own.failure_domain}
         rank = sum(
-            1
-            for daemon in self.membership.known()
-            if daemon.failure_domain == own.failure_domain
-            and not daemon.is_leaving
-            and daemon.address < own.address
+            one.failure_domain == own.failure_domain
+            and one.address < own.address
+            for one in able
         )
-        return rank < READERS_PER_DOMAIN and not own.is_leaving
+        return rank < math.ceil(READERS / len(domains))
+
+    def note_lost(self) -> None:
+        """Tell the others to read in place of this daemon."""
+        self.lost.put(self.membership.own.address, 'lost', _LOST_LIFE)
+
+    def _is_able(self, daemon: Daemon) -> bool:
+        if daemon.is_leaving or not daemon.failure_domain:
+            return False
+        return not self.lost.is_alive(daemon.address, self.clock.now())
 
 
 class StoreWatch:
@@ -149,6 +173,7 @@
             )
         self.is_lost = True
         self.revision = None
+        self.duty.note_lost()
         pause = self.retry * (1 + self.rng.random()) / 2
         self.retry = min(self.retry * 2, _LONGEST_RETRY)
         await self.clock.sleep(pause)
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_budget.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_budget.py
@@ -25,12 +25,16 @@
     def __init__(
         self, clock: Clock, share: float, floor: float, window: Millis
     ) -> None:
-        self.share = share * _USED_SHARE
-        self.floor = floor * _USED_FLOOR
         self.window = window
+        self.set_bounds(share, floor)
         self.spending = ShareBudget(clock, self._settings(1, 1))
         self.copying = ShareBudget(clock, self._settings(1, _COPY_SHARE))
 
+    def set_bounds(self, share: float, floor: float) -> None:
+        """Change the bounds; they count once they are divided."""
+        self.share = share * _USED_SHARE
+        self.floor = floor * _USED_FLOOR
+
     def set_daemons(self, count: int) -> None:
         """Divide the floor among the daemons."""
         self.spending.settings = self._settings(count, 1)
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_services.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_services.py
@@ -67,6 +67,14 @@
         for service in self.by_name.values():
             self._update(service)
 
+    def update_bounds(self, bounds: FleetBounds) -> None:
+        """Put other bounds in force."""
+        self.bounds = bounds
+        for service in self.by_name.values():
+            service.placer.ration.rate = bounds.reading_rate
+            service.budget.set_bounds(bounds.retry_share, bounds.retry_floor)
+        self.update_daemons()
+
     def update_daemons(self) -> None:
         """Divide bounds anew among the daemons."""
         for service in self.by_name.values():
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_candidates.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_candidates.py
@@ -1,5 +1,6 @@
 """Which upstreams a call may get, and which of them are worth a reading."""
 
+import math
 import random
 from collections.abc import Callable
 from typing import NamedTuple
@@ -18,6 +19,9 @@
 # milliseconds; speeds change about every 150 ms.
 _HINT_AGE: Millis = 80
 
+# An upstream of another failure domain has to be this much faster.
+_FAR_COST = 1.2
+
 # What an upstream of unknown load is taken for.
 _GUESSED_FACTOR = 1.6
 
@@ -71,12 +75,15 @@
     def best(self, ask: Ask, now: Millis) -> Grant | None:
         """Return the fastest upstream with a free slot by fresh readings."""
         best: Grant | None = None
+        least = math.inf
         for upstream in self.present(ask):
             factor = rate(upstream, now)
             reading = upstream.seen.reading
             if factor is None or reading is None:
                 continue
-            if best is None or factor < best.factor:
+            cost = factor * self._distance_cost(upstream)
+            if cost < least:
+                least = cost
                 best = Grant(upstream, factor, now - reading.read_at)
         return best
 
@@ -126,6 +133,10 @@
         pause = _UNREAD_PAUSE * 2 ** min(times, _MOST_DOUBLINGS)
         self.unread[upstream.address] = _Unread(times + 1, now + pause)
 
+    def _distance_cost(self, upstream: Upstream) -> float:
+        is_near = upstream.failure_domain == self.fleet.failure_domain
+        return 1 if is_near else _FAR_COST
+
     def _usable(self) -> list[Upstream]:
         return [
             upstream
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -5,11 +5,13 @@
 import random
 import uuid
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Any, NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
 from cowslippond_core import (
+    LOST_TABLE,
     UPSTREAM_TABLE,
     Clock,
     Configuration,
@@ -37,6 +39,7 @@
 from cowslippond_daemon._edge import Edge
 from cowslippond_daemon._fleet_calls import FleetRouter
 from cowslippond_daemon._node_settings import NodeSettings
+from cowslippond_daemon._reload import SettingsWatch
 from cowslippond_daemon._retirement import (
     DaemonState,
     RetirementPlan,
@@ -82,6 +85,7 @@
     """One load balancer process of a fleet.
 
     :param settings: of this process.
+    :param read_settings: reads them anew.
     :param open_store: returns what is in the store; connections to it are
         read by tasks of the group that it is given.
     :param interface: how others are spoken to.
@@ -90,10 +94,12 @@
     def __init__(
         self,
         settings: NodeSettings,
+        read_settings: Callable[[], Result[NodeSettings, str]],
         open_store: Callable[[TaskGroup, Clock], StoredRows],
         interface: Interface,
     ) -> None:
         self.settings = settings
+        self.read_settings = read_settings
         self.open_store = open_store
         self.interface = interface
         self.clock = Clock()
@@ -115,7 +121,7 @@
             self.log,
             self.metrics,
             self.rng,
-            (UPSTREAM_TABLE,),
+            (UPSTREAM_TABLE, LOST_TABLE),
         )
         self.book = UpstreamBook(
             self.clock,
@@ -129,6 +135,12 @@
             tasks.start_soon(wait_for_stop, self.stop_asked.set)
             await tasks.start(self.fleet.run)
             services = self._start_parts(tasks)
+            SettingsWatch(
+                self.settings,
+                self.read_settings,
+                partial(self._apply, services),
+                self.clock,
+            ).start(tasks)
             await self._serve(tasks, services)
             tasks.cancel_scope.cancel()
 
@@ -149,17 +161,20 @@
             self.fleet.membership.count,
             self.rng,
         )
-        settings = self.settings
-        bounds = FleetBounds(
-            settings.retry_share,
-            settings.retry_floor,
-            settings.retry_window,
-            settings.reading_rate,
+        services = Services(
+            ctx,
+            _bounds_of(self.settings),
+            self.settings.failure_domain,
+            tasks,
         )
-        services = Services(ctx, bounds, settings.failure_domain, tasks)
-        self.book.listeners.append(lambda: self._take_upstreams(services))
+        self.book.listeners.append(partial(self._take_upstreams, services))
         stored = self.open_store(tasks, self.clock)
-        duty = ReaderDuty(self.fleet.membership, self.log, self.clock)
+        duty = ReaderDuty(
+            self.fleet.membership,
+            self.log,
+            self.fleet.gossip_table(LOST_TABLE),
+            self.clock,
+        )
         for name, source, take in (
             ('configuration', stored.configuration, self.log.take),
             ('upstreams', stored.upstreams, self.book.take),
@@ -169,11 +184,16 @@
         tasks.start_soon(self._settle, services)
         return services
 
+    def _apply(self, services: Services, settings: NodeSettings) -> None:
+        """Put settings in force; addresses count from the next start."""
+        self.settings = settings
+        self.fleet.membership.seeds = settings.seeds
+        services.update_bounds(_bounds_of(settings))
+
     def _take_upstreams(self, services: Services) -> None:
         vms = self.book.vms()
         self.fleet.leaving.apply_list(vms)
         services.update_vms(vms)
-        self.fleet.peers.announce_rows()
 
     async def _settle(self, services: Services) -> None:
         while True:
@@ -255,5 +275,14 @@
         }
 
 
+def _bounds_of(settings: NodeSettings) -> FleetBounds:
+    return FleetBounds(
+        settings.retry_share,
+        settings.retry_floor,
+        settings.retry_window,
+        settings.reading_rate,
+    )
+
+
 def _owes_nothing() -> bool:
     return False
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/__main__.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/__main__.py
@@ -49,6 +49,7 @@
     dialect = PlatformDialect()
     return FleetDaemon(
         settings,
+        read_node_settings,
         _StoreOpener(settings.store_address),
         Interface(
             dialect=dialect,
--- /dev/null
+++ b/tests/core/test_store_watch.py
@@ -0,0 +1,150 @@
+"""Who reads the store, and what happens when it fails."""
+
+import random
+from collections.abc import Callable
+
+import anyio
+import pytest
+from cowslippond_core import (
+    LOST_TABLE,
+    Clock,
+    Millis,
+    ReaderDuty,
+    StoreError,
+    StoreFault,
+    StoreRow,
+    StoreRows,
+    StoreWatch,
+)
+from cowslippond_core._gossip_table import GossipTable
+from cowslippond_core._membership import Daemon, Membership
+from cowslippond_core._versions import Versions
+from expression import Error, Ok, Result
+from fixed_clock import FixedClock
+
+pytestmark = pytest.mark.anyio
+
+
+def duty_of(clock: Clock, own: Daemon, *others: Daemon) -> ReaderDuty:
+    table = GossipTable('daemons', clock)
+    for daemon in others:
+        Membership(clock, table, daemon).beat()
+    membership = Membership(clock, GossipTable('daemons', clock), own)
+    for row in table.rows():
+        membership.table.merge(row)
+    return ReaderDuty(
+        membership, Versions(), GossipTable(LOST_TABLE, clock), clock
+    )
+
+
+def daemon_of(number: int, domain: str) -> Daemon:
+    return Daemon(f'10.0.0.{number}:1', '1', domain, '', is_leaving=False)
+
+
+class TestReaderDuty:
+    def test_one_daemon_of_each_of_three_domains_reads(self) -> None:
+        clock = FixedClock()
+        fleet = [
+            daemon_of(number, domain)
+            for number, domain in enumerate('aaabbbccc', start=1)
+        ]
+        readers = []
+        for own in fleet:
+            duty = duty_of(clock, own, *[one for one in fleet if one != own])
+            duty.versions.confirm(clock.now(), 0)
+            readers.append(duty.is_reader())
+        assert readers == [True, False, False] * 3
+
+    def test_a_daemon_reads_when_nobody_confirms_what_it_has(self) -> None:
+        clock = FixedClock()
+        duty = duty_of(clock, daemon_of(2, 'a'), daemon_of(1, 'a'))
+        assert duty.is_reader()
+
+    def test_another_daemon_takes_over_from_one_that_lost_the_store(
+        self,
+    ) -> None:
+        clock = FixedClock()
+        others = [daemon_of(1, 'a'), daemon_of(2, 'b'), daemon_of(3, 'c')]
+        duty = duty_of(clock, daemon_of(4, 'a'), *others)
+        duty.versions.confirm(clock.now(), 0)
+        assert not duty.is_reader()
+        duty.lost.put('10.0.0.1:1', 'lost', 5000)
+        assert duty.is_reader()
+
+
+class ScriptedRows:
+    """Answers reads and waits by a script, then with nothing new."""
+
+    def __init__(self, *answers: Result[StoreRows, StoreError]) -> None:
+        self.answers = list(answers)
+        self.asked: list[str] = []
+
+    async def read(self) -> Result[StoreRows, StoreError]:
+        return await self._next('read')
+
+    async def wait(
+        self, after: int, wait: Millis
+    ) -> Result[StoreRows, StoreError]:
+        return await self._next(f'wait {after}')
+
+    async def _next(self, asked: str) -> Result[StoreRows, StoreError]:
+        self.asked.append(asked)
+        if self.answers:
+            return self.answers.pop(0)
+        await anyio.sleep_forever()
+        raise AssertionError
+
+
+async def watch(
+    rows: ScriptedRows, until: Callable[[], bool]
+) -> list[tuple[int, bool, bool]]:
+    clock = Clock()
+    taken: list[tuple[int, bool, bool]] = []
+    watched = StoreWatch(
+        'rows',
+        rows,
+        duty_of(clock, daemon_of(1, 'a')),
+        lambda found, whole, lost, _: taken.append(
+            (found.revision, whole, lost)
+        ),
+        clock,
+        random.Random(1),
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watched.run)
+        with anyio.fail_after(5):
+            while not until():
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    return taken
+
+
+def rows_at(revision: int) -> Result[StoreRows, StoreError]:
+    return Ok(StoreRows((StoreRow('k', revision, ''),), revision))
+
+
+def fault(kind: StoreFault) -> Result[StoreRows, StoreError]:
+    return Error(StoreError(kind, 'scripted'))
+
+
+class TestStoreWatch:
+    async def test_it_reads_all_and_then_waits_for_changes(self) -> None:
+        rows = ScriptedRows(rows_at(3), rows_at(4))
+        taken = await watch(rows, lambda: len(rows.asked) == 3)
+        assert rows.asked == ['read', 'wait 3', 'wait 4']
+        assert taken == [(3, True, False), (4, False, False)]
+
+    async def test_it_reads_all_again_when_the_history_is_lost(self) -> None:
+        rows = ScriptedRows(
+            rows_at(3), fault(StoreFault.HISTORY_LOST), rows_at(9)
+        )
+        taken = await watch(rows, lambda: len(rows.asked) == 4)
+        assert rows.asked == ['read', 'wait 3', 'read', 'wait 9']
+        assert taken[-1] == (9, True, False)
+
+    async def test_it_says_that_the_store_was_lost_in_between(self) -> None:
+        rows = ScriptedRows(
+            rows_at(3), fault(StoreFault.UNREACHABLE), rows_at(4)
+        )
+        taken = await watch(rows, lambda: len(rows.asked) == 4)
+        assert taken[-1] == (4, True, True)
--- /dev/null
+++ b/tests/core/test_upstream_book.py
@@ -0,0 +1,97 @@
+"""Entries of upstreams from the store and from peers."""
+
+import pytest
+from cowslippond_core import (
+    UPSTREAM_TABLE,
+    StoreRow,
+    StoreRows,
+    UpstreamBook,
+    Vm,
+    VmState,
+)
+from cowslippond_core._gossip_table import GossipRow, GossipTable
+from fixed_clock import FixedClock
+
+
+def decode(key: str, text: str) -> Vm | None:
+    if text == 'broken':
+        return None
+    return Vm(key, '1', 'a', VmState(text), 's', f'{key}:1')
+
+
+class Book(UpstreamBook):
+    def __init__(self, clock: FixedClock) -> None:
+        super().__init__(clock, GossipTable(UPSTREAM_TABLE, clock), decode)
+
+    def read(
+        self,
+        revision: int,
+        *rows: StoreRow,
+        is_whole: bool = False,
+        was_lost: bool = False,
+    ) -> None:
+        self.take(StoreRows(rows, revision), is_whole, was_lost, 0)
+
+    def states(self) -> dict[str, VmState]:
+        return {vm.name: vm.state for vm in self.vms()}
+
+
+@pytest.fixture
+def clock() -> FixedClock:
+    return FixedClock()
+
+
+@pytest.fixture
+def book(clock: FixedClock) -> Book:
+    return Book(clock)
+
+
+class TestTake:
+    def test_an_older_entry_never_replaces_a_newer_one(
+        self, book: Book
+    ) -> None:
+        book.read(9, StoreRow('u', 9, 'leaving'))
+        book.table.merge(GossipRow('u', 'live', 7, 60_000))
+        assert book.states() == {'u': VmState.LEAVING}
+
+    def test_a_removal_counts_at_once_while_the_store_is_sound(
+        self, book: Book
+    ) -> None:
+        book.read(1, StoreRow('u', 1, 'live'))
+        book.read(2, StoreRow('u', 2, None))
+        assert book.states() == {}
+
+    def test_an_entry_that_cannot_be_read_hides_no_other(
+        self, book: Book
+    ) -> None:
+        book.read(2, StoreRow('u', 1, 'live'), StoreRow('x', 2, 'broken'))
+        assert book.states() == {'u': VmState.LIVE}
+
+    def test_what_is_read_is_passed_on(self, book: Book) -> None:
+        book.read(1, StoreRow('u', 1, 'live'))
+        assert [row.key for row in book.table.take(9, 0)] == ['u']
+
+
+class TestAfterAnOutage:
+    """An outage made upstreams that lived vanish for every caller."""
+
+    def test_entries_that_lapsed_have_time_to_come_back(
+        self, book: Book, clock: FixedClock
+    ) -> None:
+        book.read(1, StoreRow('u', 1, 'live'), is_whole=True)
+        book.read(5, is_whole=True, was_lost=True)
+        assert book.states() == {'u': VmState.LIVE}
+        clock.advance(1000)
+        book.read(6, StoreRow('u', 6, 'live'))
+        clock.advance(3000)
+        book.settle()
+        assert book.states() == {'u': VmState.LIVE}
+
+    def test_entries_that_stay_away_are_gone(
+        self, book: Book, clock: FixedClock
+    ) -> None:
+        book.read(1, StoreRow('u', 1, 'live'), is_whole=True)
+        book.read(5, is_whole=True, was_lost=True)
+        clock.advance(2400)
+        book.settle()
+        assert book.states() == {}
--- /dev/null
+++ b/tests/dispatch/test_budget.py
@@ -0,0 +1,50 @@
+"""Repeated sends of all daemons together stay within the bound."""
+
+import random
+
+from cowslippond_core.dispatch._budget import FleetBudget
+from fixed_clock import FixedClock
+
+SHARE, FLOOR, WINDOW = 0.2, 62, 10_000
+DAEMONS = 18
+
+
+def fleet_of(clock: FixedClock) -> list[FleetBudget]:
+    fleet = [FleetBudget(clock, SHARE, FLOOR, WINDOW) for _ in range(DAEMONS)]
+    for budget in fleet:
+        budget.set_daemons(DAEMONS)
+    return fleet
+
+
+class TestFleetBudget:
+    def test_every_sliding_window_keeps_the_bound_when_all_calls_fail(
+        self,
+    ) -> None:
+        """A burst of failures after a calm time broke the bound."""
+        clock = FixedClock()
+        fleet = fleet_of(clock)
+        draw = random.Random(5)
+        calls: list[float] = []
+        repeats: list[float] = []
+        for _ in range(6000):
+            clock.advance(draw.expovariate(1 / 7))
+            budget = draw.choice(fleet)
+            budget.note_call()
+            calls.append(clock.now())
+            while budget.can_repeat() and draw.random() < 0.9:
+                budget.spend()
+                repeats.append(clock.now())
+        for end in range(int(calls[0]) + WINDOW, int(calls[-1]), 500):
+            asked = sum(end - WINDOW < at <= end for at in calls)
+            again = sum(end - WINDOW < at <= end for at in repeats)
+            assert again <= SHARE * asked + FLOOR
+
+    def test_copies_leave_a_part_for_calls_that_need_another_send(
+        self,
+    ) -> None:
+        budget = FleetBudget(FixedClock(), SHARE, 0, WINDOW)
+        for _ in range(200):
+            budget.note_call()
+        while budget.can_copy():
+            budget.spend()
+        assert budget.can_repeat()
--- /dev/null
+++ b/tests/placing/test_queue.py
@@ -0,0 +1,124 @@
+"""Which waiting call gets a slot, which waits on, and which is refused."""
+
+from typing import Any
+
+from cowslippond_core import RefusalReason
+from cowslippond_core.placing import Ask, CallQueue, Pace
+
+WORK = 60
+
+
+def ask_of(name: str, **changes: Any) -> Ask:
+    ask = Ask(
+        request_id=name,
+        arrived_at=0,
+        objective_at=200,
+        deadline=1200,
+        priority=2,
+        tried=frozenset(),
+    )
+    return ask._replace(**changes)
+
+
+def queue_of(*asks: Ask) -> CallQueue:
+    queue = CallQueue(Pace(WORK))
+    for ask in asks:
+        queue.add(ask)
+    return queue
+
+
+class TestOrder:
+    def test_the_call_with_the_least_time_left_goes_first(self) -> None:
+        late = ask_of('late', objective_at=300)
+        soon = ask_of('soon', objective_at=150)
+        assert queue_of(late, soon).in_order(0) == [soon, late]
+
+    def test_a_call_that_is_late_anyway_goes_behind_one_that_is_not(
+        self,
+    ) -> None:
+        lost = ask_of('lost', objective_at=30)
+        sound = ask_of('sound', objective_at=300)
+        assert queue_of(lost, sound).in_order(0) == [sound, lost]
+
+    def test_a_more_urgent_kind_goes_before_all_others(self) -> None:
+        usual = ask_of('usual', objective_at=100)
+        urgent = ask_of('urgent', objective_at=900, priority=0)
+        assert queue_of(usual, urgent).in_order(0)[0] is urgent
+
+
+class TestMatch:
+    def test_a_free_fast_slot_goes_to_the_most_urgent_call(self) -> None:
+        first = ask_of('first', objective_at=100)
+        second = ask_of('second')
+        assert queue_of(second, first).match('a:1', 1, 0) is first
+
+    def test_a_call_never_gets_an_upstream_that_it_has_tried(self) -> None:
+        tried = ask_of('tried', tried=frozenset(('a:1',)))
+        assert queue_of(tried).match('a:1', 1, 0) is None
+
+    def test_a_slow_slot_is_not_given_out_before_others_are_read(self) -> None:
+        assert queue_of(ask_of('one')).match('a:1', 5, 0) is None
+
+
+class TestAccepts:
+    def test_a_slower_slot_does_if_it_meets_the_objective(self) -> None:
+        ask = ask_of('one')
+        assert queue_of(ask).accepts(ask, 2, 0)
+
+    def test_a_call_waits_while_a_faster_slot_can_meet_the_objective(
+        self,
+    ) -> None:
+        ask = ask_of('one')
+        assert not queue_of(ask).accepts(ask, 5, 0)
+
+    def test_a_late_call_does_not_take_a_slot_that_is_far_too_slow(
+        self,
+    ) -> None:
+        ask = ask_of('one')
+        queue = queue_of(ask)
+        assert queue.accepts(ask, 1.7, 500)
+        assert not queue.accepts(ask, 5, 500)
+
+    def test_a_copy_takes_only_a_free_fast_slot(self) -> None:
+        ask = ask_of('one', is_copy=True)
+        queue = queue_of(ask)
+        assert queue.accepts(ask, 1, 0)
+        assert not queue.accepts(ask, 1.7, 0)
+
+
+class TestRefusal:
+    def test_a_call_that_cannot_be_done_in_time_is_refused_at_once(
+        self,
+    ) -> None:
+        ask = ask_of('one', deadline=20)
+        reason = queue_of().refuse_on_arrival(ask, 0)
+        assert reason is RefusalReason.DEADLINE
+
+    def test_a_call_behind_too_long_a_queue_is_refused_at_once(self) -> None:
+        waiting = [ask_of(str(number)) for number in range(40)]
+        reason = queue_of(*waiting).refuse_on_arrival(ask_of('one'), 0)
+        assert reason is RefusalReason.QUEUE_FULL
+
+    def test_a_call_is_taken_in_while_slots_become_free_fast_enough(
+        self,
+    ) -> None:
+        queue = queue_of(*[ask_of(str(number)) for number in range(10)])
+        for at in range(0, 1000, 20):
+            queue.pace.note_grant(at)
+        assert queue.refuse_on_arrival(ask_of('one'), 0) is None
+
+    def test_a_copy_never_waits_behind_calls(self) -> None:
+        copy = ask_of('copy', is_copy=True)
+        reason = queue_of(ask_of('one')).refuse_on_arrival(copy, 0)
+        assert reason is RefusalReason.QUEUE_FULL
+
+    def test_a_late_call_is_given_up_after_a_third_of_its_time(self) -> None:
+        ask = ask_of('one')
+        queue = queue_of(ask)
+        assert queue.expired(300) == []
+        assert queue.expired(500) == [ask]
+
+    def test_the_time_to_come_back_grows_with_the_queue(self) -> None:
+        short = queue_of(ask_of('one')).retry_after(0)
+        long = queue_of(*[ask_of(str(one)) for one in range(20)]).retry_after(0)
+        assert long > short * 5
--- /dev/null
+++ b/tests/placing/test_rating.py
@@ -0,0 +1,79 @@
+"""How fast an upstream is taken to be."""
+
+from typing import Any, cast
+
+import pytest
+from anyio.abc import TaskGroup
+from cowslippond_core import Connections, Upstream, Vm, VmState
+from cowslippond_core._upstreams import Reading
+from cowslippond_core.placing import rate
+from fixed_clock import FixedClock
+
+
+def upstream_of(clock: FixedClock, **changes: Any) -> Upstream:
+    vm = Vm('v', '1', 'a', VmState.LIVE, 's', '127.0.0.1:1', warm_up=0)
+    connections = Connections(vm.address, cast(TaskGroup, None), clock, 4)
+    upstream = Upstream(vm, connections)
+    upstream.seen.reading = Reading(
+        asked_at=clock.now(),
+        read_at=clock.now(),
+        running=0,
+        waiting=0,
+        slots=2,
+        slowness=1,
+        is_healthy=True,
+    )._replace(**changes)
+    return upstream
+
+
+@pytest.fixture
+def clock() -> FixedClock:
+    return FixedClock()
+
+
+class TestRate:
+    def test_a_free_upstream_of_usual_speed_is_rated_one(
+        self, clock: FixedClock
+    ) -> None:
+        assert rate(upstream_of(clock), clock.now()) == 1
+
+    def test_a_full_upstream_is_no_choice(self, clock: FixedClock) -> None:
+        assert rate(upstream_of(clock, running=2), clock.now()) is None
+        waiting = upstream_of(clock, running=1, waiting=1)
+        assert rate(waiting, clock.now()) is None
+
+    def test_the_last_slot_makes_an_upstream_slower(
+        self, clock: FixedClock
+    ) -> None:
+        crowded = rate(upstream_of(clock, running=1), clock.now())
+        assert crowded is not None and crowded > 1.5
+
+    def test_an_old_reading_says_nothing(self, clock: FixedClock) -> None:
+        upstream = upstream_of(clock)
+        clock.advance(100)
+        assert rate(upstream, clock.now()) is None
+
+    def test_a_call_that_is_on_its_way_counts_as_running(
+        self, clock: FixedClock
+    ) -> None:
+        upstream = upstream_of(clock)
+        upstream.seen.granted.extend((clock.now(), clock.now()))
+        assert rate(upstream, clock.now()) is None
+
+    def test_failures_make_an_upstream_that_looks_idle_a_bad_choice(
+        self, clock: FixedClock
+    ) -> None:
+        upstream = upstream_of(clock)
+        for _ in range(3):
+            upstream.failures.note(clock.now(), is_failure=True)
+        failing = rate(upstream, clock.now())
+        assert failing is not None and failing > 5
+
+    def test_an_upstream_that_has_not_failed_lately_is_tried_again(
+        self, clock: FixedClock
+    ) -> None:
+        upstream = upstream_of(clock)
+        for _ in range(3):
+            upstream.failures.note(clock.now(), is_failure=True)
+        clock.advance(20_000)
+        assert upstream.failures.share(clock.now()) < 0.01
--- /dev/null
+++ b/tests/placing/test_rationing.py
@@ -0,0 +1,34 @@
+"""Readings stay within the bound of all daemons together."""
+
+import random
+
+from cowslippond_core.placing import ReadingRation
+
+RATE = 60
+UPSTREAMS = 13
+SECOND = 1000
+
+
+class TestReadingRation:
+    def test_all_daemons_together_stay_below_the_bound_over_a_day(
+        self,
+    ) -> None:
+        daemons = 18
+        rations = [ReadingRation(RATE) for _ in range(daemons)]
+        draw = random.Random(1)
+        taken = 0
+        for tick in range(40 * 100):
+            for ration in rations:
+                wanted = draw.randrange(8)
+                taken += ration.take(wanted, UPSTREAMS, daemons, tick * 10)
+        assert taken <= RATE * UPSTREAMS * 40
+
+    def test_saved_readings_are_spent_in_a_burst(self) -> None:
+        ration = ReadingRation(RATE)
+        ration.take(0, UPSTREAMS, 18, 0)
+        assert ration.take(1000, UPSTREAMS, 18, 20 * SECOND) > RATE
+
+    def test_a_daemon_of_a_larger_fleet_gets_less(self) -> None:
+        alone, one_of_many = ReadingRation(RATE), ReadingRation(RATE)
+        few = one_of_many.take(1000, UPSTREAMS, 130, 0)
+        assert few * 20 < alone.take(1000, UPSTREAMS, 1, 0)
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,28 @@
+"""The platform's names are spoken in its folder only."""
+
+import pathlib
+import re
+
+ROOT = pathlib.Path(__file__).parents[2] / 'packages'
+FOLDER = 'cowslippond_daemon/platform/'
+
+# Names of the platform's wire that no other format uses.
+NAMES = re.compile(
+    'X-Target-Instance|X-Not-Executed|X-Backend-Load|X-Response-Signature'
+    '|X-Instance-Id|rows-tx|rows-get|rows-feed|warmup_left_ms|traffic_split'
+    '|target_latency_ms|path_prefix_ms|probes_per_s|retry_budget_ratio'
+    '|COWSLIPPOND_NODE_FILE',
+    re.IGNORECASE,
+)
+
+
+class TestBoundary:
+    def test_no_other_code_knows_the_names_of_the_wire(self) -> None:
+        strangers = [
+            str(path.relative_to(ROOT))
+            for path in ROOT.rglob('*.py')
+            if FOLDER not in path.as_posix()
+            and 'standins' not in path.as_posix()
+            and NAMES.search(path.read_text())
+        ]
+        assert strangers == []
