Drop expired rows before choosing what to pass on

Ruled out: the other tables, whose rows live for minutes. Change: what has expired is dropped first. The tests share one fake clock.

--- a/packages/cowslippond-core/src/cowslippond_core/_gossip_table.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_gossip_table.py
@@ -152,15 +152,12 @@
         :param limit: the most rows.
         :param fillers: the most rows that are not news.
         """
+        self.drop_expired()
         chosen = self._take_news(limit)
         room = min(limit - len(chosen), fillers)
         chosen.extend(self._take_in_turn(room, set(chosen)))
         now = self.clock.now()
-        return [
-            _as_row(key, self.kept[key], now)
-            for key in chosen
-            if self.kept[key].expires_at > now
-        ]
+        return [_as_row(key, self.kept[key], now) for key in chosen]
 
     def _is_plausible(self, row: GossipRow) -> bool:
         if row.remaining <= 0 or row.stamp > self.clock.wall() + _MAX_AHEAD:
@@ -179,7 +176,6 @@
         if room <= 0:
             return []
         if not self.cursor:
-            self.drop_expired()
             self.cursor = list(self.kept)
         turn = self.cursor[:room]
         self.cursor = self.cursor[room:]
--- a/tests/core/test_gossip_table.py
+++ b/tests/core/test_gossip_table.py
@@ -88,3 +88,12 @@
 
         in_turn = [table.take(3, 2) for _ in range(3)]
         assert {row.key for rows in in_turn for row in rows} == set('abcdef')
+
+    def test_news_that_expires_before_it_is_sent_is_left_out(self):
+        """A daemon ended by itself when a row expired that was still news."""
+        clock = FakeClock(1000)
+        table = GossipTable('t', clock)
+        table.merge(GossipRow('short', '', 1, 10))
+        clock.advance(20)
+
+        assert table.take(9, 9) == []
--- a/tests/core/test_store_watch.py
+++ b/tests/core/test_store_watch.py
@@ -20,7 +20,7 @@
 from cowslippond_core._membership import Daemon, Membership
 from cowslippond_core._versions import Versions
 from expression import Error, Ok, Result
-from fixed_clock import FixedClock
+from fakes import FakeClock
 
 pytestmark = pytest.mark.anyio
 
@@ -43,7 +43,7 @@
 
 class TestReaderDuty:
     def test_one_daemon_of_each_of_three_domains_reads(self) -> None:
-        clock = FixedClock()
+        clock = FakeClock(1_000_000)
         fleet = [
             daemon_of(number, domain)
             for number, domain in enumerate('aaabbbccc', start=1)
@@ -60,14 +60,14 @@
         ]
 
     def test_a_daemon_reads_when_nobody_confirms_what_it_has(self) -> None:
-        clock = FixedClock()
+        clock = FakeClock(1_000_000)
         duty = duty_of(clock, daemon_of(2, 'a'), daemon_of(1, 'a'))
         assert duty.is_reader()
 
     def test_another_daemon_takes_over_from_one_that_lost_the_store(
         self,
     ) -> None:
-        clock = FixedClock()
+        clock = FakeClock(1_000_000)
         others = [daemon_of(1, 'a'), daemon_of(2, 'b'), daemon_of(3, 'c')]
         duty = duty_of(clock, daemon_of(4, 'a'), *others)
         duty.versions.confirm(clock.now(), 0)
--- a/tests/core/test_upstream_book.py
+++ b/tests/core/test_upstream_book.py
@@ -9,7 +9,7 @@
     VmState,
 )
 from cowslippond_core._document import AcceptedDocument
-from fixed_clock import FixedClock
+from fakes import FakeClock
 
 
 def decode(key: str, text: str) -> Vm | None:
@@ -19,7 +19,7 @@
 
 
 class Book(UpstreamBook):
-    def __init__(self, clock: FixedClock) -> None:
+    def __init__(self, clock: FakeClock) -> None:
         super().__init__(clock, decode)
 
     def read(
@@ -36,12 +36,12 @@
 
 
 @pytest.fixture
-def clock() -> FixedClock:
-    return FixedClock()
+def clock() -> FakeClock:
+    return FakeClock(1_000_000)
 
 
 @pytest.fixture
-def book(clock: FixedClock) -> Book:
+def book(clock: FakeClock) -> Book:
     return Book(clock)
 
 
@@ -76,7 +76,7 @@
     """An outage made upstreams that lived vanish for every caller."""
 
     def test_entries_that_lapsed_have_time_to_come_back(
-        self, book: Book, clock: FixedClock
+        self, book: Book, clock: FakeClock
     ) -> None:
         book.read(1, StoreRow('u', 1, 'live'), is_whole=True)
         book.read(5, is_whole=True, was_lost=True)
@@ -88,7 +88,7 @@
         assert book.states() == {'u': VmState.LIVE}
 
     def test_entries_that_stay_away_are_gone(
-        self, book: Book, clock: FixedClock
+        self, book: Book, clock: FakeClock
     ) -> None:
         book.read(1, StoreRow('u', 1, 'live'), is_whole=True)
         book.read(5, is_whole=True, was_lost=True)
@@ -97,7 +97,7 @@
         assert book.states() == {}
 
     def test_peers_are_not_told_that_nothing_is_missing_meanwhile(
-        self, book: Book, clock: FixedClock
+        self, book: Book, clock: FakeClock
     ) -> None:
         """A peer that lags would keep the entry for ever."""
         book.read(1, StoreRow('u', 1, 'live'), is_whole=True)
--- a/tests/daemon/test_bounded_log.py
+++ b/tests/daemon/test_bounded_log.py
@@ -11,7 +11,7 @@
     BoundedHandler,
     PipeWriter,
 )
-from fixed_clock import FixedClock
+from fakes import FakeClock
 
 
 class Output:
@@ -21,7 +21,7 @@
         reader, writer = os.pipe()
         os.set_blocking(reader, False)
         self.reader = reader
-        self.clock = FixedClock()
+        self.clock = FakeClock(1_000_000)
         self.handler = BoundedHandler(PipeWriter(writer), self.clock)
         self.handler.setFormatter(_Json())
 
--- a/tests/dispatch/test_budget.py
+++ b/tests/dispatch/test_budget.py
@@ -3,13 +3,13 @@
 import random
 
 from cowslippond_core.dispatch._budget import FleetBudget
-from fixed_clock import FixedClock
+from fakes import FakeClock
 
 SHARE, FLOOR, WINDOW = 0.2, 62, 10_000
 DAEMONS = 18
 
 
-def fleet_of(clock: FixedClock) -> list[FleetBudget]:
+def fleet_of(clock: FakeClock) -> list[FleetBudget]:
     fleet = [FleetBudget(clock, SHARE, FLOOR, WINDOW) for _ in range(DAEMONS)]
     for budget in fleet:
         budget.set_daemons(DAEMONS)
@@ -21,7 +21,7 @@
         self,
     ) -> None:
         """A burst of failures after a calm time broke the bound."""
-        clock = FixedClock()
+        clock = FakeClock(1_000_000)
         fleet = fleet_of(clock)
         draw = random.Random(5)
         calls: list[float] = []
@@ -42,7 +42,7 @@
     def test_copies_leave_a_part_for_calls_that_need_another_send(
         self,
     ) -> None:
-        budget = FleetBudget(FixedClock(), SHARE, 0, WINDOW)
+        budget = FleetBudget(FakeClock(1_000_000), SHARE, 0, WINDOW)
         for _ in range(200):
             budget.note_call()
         while budget.can_copy():
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -141,6 +141,9 @@
     def wall(self) -> int:
         return int(self.current)
 
+    def advance(self, span: Millis) -> None:
+        self.current += span
+
     async def sleep(self, delay: Millis) -> None:
         self.current += max(delay, 0)
         await anyio.lowlevel.checkpoint()
