Take the expected wait from the slots of the fleet, and tell a request's story

Change: the wait follows from the usual work, the slots of all upstreams and the number of daemons. cowslippondctl story puts the lines of one request together.

--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -138,12 +138,15 @@
             return await self._wait(attempt, self.call.ends_at)
         race = Race(attempt, self._make_copy, self._wait_to_end)
         winner = await race.run()
-        kept = winner.attempt if isinstance(winner, Answered) else None
-        for loser in race.attempts:
-            if loser is not kept:
-                learn_given_up(self.service, loser, self.grants[loser])
+        if isinstance(winner, Answered):
+            self._learn_from_losers(race, winner.attempt)
         return winner
 
+    def _learn_from_losers(self, race: Race, winner: Attempt) -> None:
+        for attempt in race.attempts:
+            if attempt is not winner:
+                learn_given_up(self.service, attempt, self.grants[attempt])
+
     async def _make_copy(self) -> Attempt | None:
         if not self.repeats.may_copy():
             return None
@@ -181,7 +184,8 @@
         self.grants[attempt] = grant
         waited = self.clock.now() - self.call.arrived_at
         self.ctx.note_span(Metric.QUEUE_MS, waited)
-        self.ctx.note_span(Metric.READING_AGE_MS, grant.reading_age)
+        if grant.reading_age is not None:
+            self.ctx.note_span(Metric.READING_AGE_MS, grant.reading_age)
         _logger.info(
             'call sent',
             extra={
@@ -189,7 +193,8 @@
                 'upstream': grant.upstream.vm.name,
                 'send': self.sends,
                 'factor': round(grant.factor, 2),
-                'reading_age_ms': round(grant.reading_age, 1),
+                'reading_age_ms': grant.reading_age
+                and round(grant.reading_age, 1),
                 'waited_ms': round(waited, 1),
             },
         )
@@ -221,7 +226,7 @@
         self.service.placer.note_room()
 
     def _refuse(self, outcome: Outcome, reason: RefusalReason) -> CallRefusal:
-        wait = self.service.placer.queue.retry_after(self.clock.now())
+        wait = self.service.placer.queue.retry_after()
         spread = 1 + self.ctx.rng.random() * _RETURN_SPREAD
         delay = min(max(wait, _SOONEST_RETURN) * spread, _LATEST_RETURN)
         _logger.info(
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_ask.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_ask.py
@@ -29,9 +29,10 @@
     """An upstream for one send.
 
     ``factor`` is how many times as long as usual the work is expected to take,
-    ``reading_age`` the age of the reading that says so, in milliseconds.
+    ``reading_age`` the age of the reading that says so, in milliseconds;
+    ``None`` if the load of the upstream isn't known.
     """
 
     upstream: Upstream
     factor: float
-    reading_age: Millis
+    reading_age: Millis | None
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_candidates.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_candidates.py
@@ -124,7 +124,7 @@
             return None
         chosen = min(idle, key=lambda one: (one.chosen_at, one.address))
         factor = _GUESSED_FACTOR * handicap(chosen, now)
-        return Grant(chosen, factor, now - chosen.answered_at)
+        return Grant(chosen, factor, None)
 
     def to_read(
         self, wanted: int, now: Millis, *, is_near: bool
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_pace.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_pace.py
@@ -1,27 +1,32 @@
-"""How long the work of a service takes, and how often a slot is found."""
-
-from collections import deque
+"""How long the work of a service takes, and how often a slot becomes free."""
 
 from cowslippond_core._clock import Millis
 
 _WORK_WEIGHT = 0.05
 
-# Spans the queue of a burst; longer memory would lag behind its end.
-_PACE_WINDOW: Millis = 1500
-_KEPT_GRANTS = 64
-_FEWEST_GRANTS = 4
+# Calls hold their slots for longer than on a free upstream of usual speed, by
+# this factor at full load: upstreams are crowded, and some are slow.
+_FULL_LOAD_FACTOR = 1.7
 
 
 class Pace:
     """What a process has learnt of a service's speed.
 
+    ``turn`` is the mean time between two slots that fall to this process at
+    full load, in milliseconds.
+
     :param work: the expected time of one call on a free upstream of usual
         speed, in milliseconds, until calls show it.
     """
 
     def __init__(self, work: Millis) -> None:
         self.work = work
-        self.granted: deque[Millis] = deque(maxlen=_KEPT_GRANTS)
+        self.slots: float = 1
+
+    @property
+    def turn(self) -> Millis:
+        """The mean time between two slots for this process at full load."""
+        return self.work * _FULL_LOAD_FACTOR / self.slots
 
     def note_work(self, latency: Millis, factor: float) -> None:
         """Learn from an answered call.
@@ -31,16 +36,16 @@
         """
         self.work += _WORK_WEIGHT * (latency / max(factor, 1) - self.work)
 
-    def note_grant(self, now: Millis) -> None:
-        """Count a call that found a slot."""
-        self.granted.append(now)
+    def share_slots(self, slots: int, daemons: int) -> None:
+        """Learn how many slots all daemons share.
+
+        :param slots: of all upstreams together.
+        """
+        self.slots = max(slots / max(daemons, 1), 1 / max(daemons, 1))
 
-    def expected_wait(self, ahead: int, now: Millis) -> Millis:
+    def expected_wait(self, ahead: int) -> Millis:
         """Return how long a call waits behind others, in milliseconds.
 
         :param ahead: how many calls are served before it.
         """
-        if ahead <= 0:
-            return 0
-        recent = sum(1 for at in self.granted if now - at <= _PACE_WINDOW)
-        return ahead * _PACE_WINDOW / max(recent, _FEWEST_GRANTS)
+        return ahead * self.turn
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
@@ -99,6 +99,7 @@
         now = self.clock.now()
         if not self.candidates.present(ask):
             return RefusalReason.NO_UPSTREAM
+        self._share_slots()
         refusal = self.queue.refuse_on_arrival(ask, now)
         if refusal is not None:
             return refusal
@@ -112,6 +113,11 @@
         """Look for slots again, since a call has ended."""
         self.changed.set()
 
+    def _share_slots(self) -> None:
+        upstreams = self.upstreams.by_address.values()
+        slots = sum(upstream.vm.slots or 1 for upstream in upstreams)
+        self.pace.share_slots(slots, self.fleet.count_daemons())
+
     async def _wait(self, ask: Ask) -> Grant | RefusalReason:
         waiter = _Waiter(ask)
         self.queue.add(ask)
@@ -231,7 +237,6 @@
     def _take(self, grant: Grant, now: Millis) -> Grant:
         grant.upstream.seen.granted.append(now)
         grant.upstream.chosen_at = now
-        self.pace.note_grant(now)
         return grant
 
 
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_queue.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_queue.py
@@ -43,7 +43,7 @@
         if ask.is_copy:
             return RefusalReason.QUEUE_FULL if self.asks else None
         ahead = sum(1 for other in self.asks if other.priority <= ask.priority)
-        wait = self.pace.expected_wait(ahead, now)
+        wait = self.pace.expected_wait(ahead)
         if wait > _LONGEST_HOLD * (ask.deadline - now):
             return RefusalReason.QUEUE_FULL
         return None
@@ -117,9 +117,9 @@
             ask for ask in self.asks if self._is_expired(ask, is_short, now)
         ]
 
-    def retry_after(self, now: Millis) -> Millis:
+    def retry_after(self) -> Millis:
         """Return when a refused call can expect a slot, in milliseconds."""
-        return self.pace.expected_wait(len(self.asks) + 1, now)
+        return self.pace.expected_wait(len(self.asks) + 1)
 
     def _is_expired(self, ask: Ask, is_short: bool, now: Millis) -> bool:
         if self._is_hopeless(ask, now):
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_program.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_program.py
@@ -25,6 +25,7 @@
 from cowslippond_ctl._outcome import Outcome, fail, print_outcome
 from cowslippond_ctl._platform import PlatformLink, read_platform
 from cowslippond_ctl._status import StatusReader
+from cowslippond_ctl._story import tell_story
 
 _INTERRUPTED = (
     'interrupted; a change that was being applied may have been accepted, '
@@ -39,7 +40,7 @@
     """Run the ``cowslippondctl`` command."""
     try:
         code = defopt.run(
-            [check, apply, show, history, status, diff, fields],
+            [check, apply, show, history, status, diff, fields, story],
             argparse_kwargs={
                 'prog': 'cowslippondctl',
                 'description': 'Change and watch services.',
@@ -201,6 +202,18 @@
     return _finish(outcome, is_json=json)
 
 
+def story(request_id: str, *files: pathlib.Path, json: bool = False) -> int:
+    """Show what the logs of daemons say of one request.
+
+    Exits with 0 if there is a line about it, and with 7 if there is none.
+
+    :param request_id: as the caller sent it.
+    :param files: logs of one or more daemons.
+    :param json: print one JSON object.
+    """
+    return _finish(tell_story(request_id, files), is_json=json)
+
+
 async def _apply(
     files: tuple[pathlib.Path, ...],
     author: str,
--- /dev/null
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_story.py
@@ -0,0 +1,87 @@
+"""The story of one request, put together from the logs of several VMs."""
+
+import pathlib
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Any, NamedTuple
+
+import orjson
+from rich.table import Table
+
+from cowslippond_ctl._exit_codes import ExitCode
+from cowslippond_ctl._outcome import Outcome, fail
+
+# Fields that are shown in columns of their own, or say nothing to people.
+_HIDDEN = frozenset(('time', 'level', 'logger', 'message', 'request_id'))
+
+
+class LogLine(NamedTuple):
+    """A line of a daemon about one request.
+
+    ``source`` is the VM as far as the line tells, else the file.
+    """
+
+    time: str
+    source: str
+    message: str
+    facts: dict[str, Any]
+
+
+def tell_story(request_id: str, files: Sequence[pathlib.Path]) -> Outcome:
+    """Return what all logs say of a request, in the order of time."""
+    missing = [str(path) for path in files if not path.is_file()]
+    if missing:
+        names = ', '.join(missing)
+        return fail(ExitCode.FAULTY, 'no_file', f'no such log: {names}')
+    told = sorted(_find(request_id, files), key=_order)
+    if not told:
+        message = f'no line about request {request_id}'
+        return fail(ExitCode.NOT_FOUND, 'not_found', message)
+    record = {
+        'request_id': request_id,
+        'lines': [line._asdict() for line in told],
+    }
+    return Outcome(ExitCode.DONE, record, (_show(told),))
+
+
+def _order(line: LogLine) -> tuple[str, str]:
+    return line.time, line.source
+
+
+def _find(request_id: str, files: Iterable[pathlib.Path]) -> Iterator[LogLine]:
+    for path in files:
+        with path.open(errors='replace') as lines:
+            for line in lines:
+                if request_id not in line:
+                    continue
+                found = _read_line(line, path.name)
+                if found and found.facts.get('request_id') == request_id:
+                    yield found
+
+
+def _read_line(line: str, file_name: str) -> LogLine | None:
+    """Read a JSON line; a collector may have put the VM's name before it."""
+    prefix, brace, rest = line.partition('{')
+    try:
+        facts = orjson.loads(f'{brace}{rest}')
+    except orjson.JSONDecodeError:
+        return None
+    words = prefix.split()
+    source = words[-1] if words else file_name
+    return LogLine(
+        str(facts.get('time', '')),
+        source,
+        str(facts.get('message', '')),
+        facts,
+    )
+
+
+def _show(told: Iterable[LogLine]) -> Table:
+    table = Table('time', 'vm', 'what', 'with')
+    for line in told:
+        facts = ' '.join(
+            f'{name}={fact}'
+            for name, fact in line.facts.items()
+            if name not in _HIDDEN
+        )
+        table.add_row(line.time, line.source, line.message, facts)
+    return table
--- a/packages/cowslippond-standins/src/cowslippond_standins/model/_play.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/_play.py
@@ -107,7 +107,8 @@
         elif number < self.load.hanging + self.load.slow:
             machine.hidden_slowness = self.load.slow_factor
         self.machines[name] = machine
-        self.vms.append(Vm(name, '1', domain, VmState.LIVE, _SERVICE, name))
+        vm = Vm(name, '1', domain, VmState.LIVE, _SERVICE, name)
+        self.vms.append(vm._replace(slots=self.load.slots))
         tasks.start_soon(machine.disturb)
 
     def _make_daemons(self, tasks: TaskGroup) -> list['_Daemon']:
--- /dev/null
+++ b/tests/ctl/test_story.py
@@ -0,0 +1,52 @@
+"""The story of a request from the logs of several VMs."""
+
+import pathlib
+
+import orjson
+import pytest
+from cowslippond_ctl._exit_codes import ExitCode
+from cowslippond_ctl._story import tell_story
+
+
+def line(time: str, message: str, request_id: str = 'r1', **facts: str) -> str:
+    told = {'time': time, 'message': message, 'request_id': request_id, **facts}
+    return orjson.dumps(told).decode()
+
+
+@pytest.fixture
+def logs(tmp_path: pathlib.Path) -> list[pathlib.Path]:
+    first, second = tmp_path / 'a.log', tmp_path / 'b.log'
+    first.write_text(
+        f'{line("2", "call sent", upstream="u")}\nno json r1\n'
+        f'{line("3", "call answered")}\n{line("1", "other", "r12")}\n'
+    )
+    second.write_text(f'  2.5 front-2 {line("1", "call given up")}\n')
+    return [first, second]
+
+
+class TestStory:
+    def test_lines_of_all_files_are_told_in_order(
+        self, logs: list[pathlib.Path]
+    ) -> None:
+        outcome = tell_story('r1', logs)
+        told = [
+            (one['source'], one['message']) for one in outcome.record['lines']
+        ]
+        assert outcome.code is ExitCode.DONE
+        assert told == [
+            ('front-2', 'call given up'),
+            ('a.log', 'call sent'),
+            ('a.log', 'call answered'),
+        ]
+
+    def test_a_request_without_lines_is_not_found(
+        self, logs: list[pathlib.Path]
+    ) -> None:
+        assert tell_story('r9', logs).code is ExitCode.NOT_FOUND
+
+    def test_a_file_that_is_missing_is_named(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        outcome = tell_story('r1', [tmp_path / 'none.log'])
+        assert outcome.code is ExitCode.FAULTY
+        assert 'none.log' in outcome.record['message']
