--- a/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
@@ -117,6 +117,8 @@
         store was lost before, and when it was asked for.
     :param clock: the clock of all waits.
     :param rng: spreads reads.
+    :param is_first_start: whether the whole fleet starts for the first time,
+        before it is needed; then the first read is left to a few.
     """
 
     def __init__(
@@ -127,7 +129,10 @@
         take: Callable[[StoreRows, bool, bool, Millis], None],
         clock: Clock,
         rng: random.Random,
+        *,
+        is_first_start: bool = False,
     ) -> None:
+        self.is_first_start = is_first_start
         self.name = name
         self.source = source
         self.duty = duty
@@ -153,7 +158,7 @@
 
         Where all start at once, they tell the others within a second.
         """
-        if self.duty.is_seed():
+        if self.duty.is_seed() or not self.is_first_start:
             return
         ends_at = self.clock.now() + _FIRST_WAIT
         while self.clock.now() < ends_at:
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -184,7 +184,15 @@
             ('configuration', stored.configuration, self.log.take),
             ('upstreams', stored.upstreams, self.book.take),
         ):
-            watch = StoreWatch(name, source, duty, take, self.clock, self.rng)
+            watch = StoreWatch(
+                name,
+                source,
+                duty,
+                take,
+                self.clock,
+                self.rng,
+                is_first_start=self.settings.is_first_start,
+            )
             tasks.start_soon(watch.run)
         tasks.start_soon(self._settle, services)
         return services
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_node_settings.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_node_settings.py
@@ -8,7 +8,8 @@
 class NodeSettings(NamedTuple):
     """The settings of one process; addresses are ``ip:port``.
 
-    ``metrics_address`` may be empty.
+    ``metrics_address`` may be empty. ``is_first_start`` tells that the whole
+    fleet starts for the first time.
 
     ``stop_time`` is how long a planned stop may take. ``retry_share`` and
     ``retry_floor`` bound the repeated sends of a service within
@@ -24,6 +25,7 @@
     seeds: tuple[str, ...]
     store_address: str
     metrics_address: str
+    is_first_start: bool
     stop_time: Millis
     retry_share: float
     retry_floor: float
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_settings.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_settings.py
@@ -46,6 +46,7 @@
         peer_address=listen['control'],
         seeds=tuple(table.get('seeds', ())),
         store_address=table['platform']['address'],
+        is_first_start=bool(table.get('bootstrap')),
         metrics_address=f'{table["ip"]}:{metrics_port}' if metrics_port else '',
         stop_time=float(bounds['grace_s']) * _MILLIS_PER_SECOND,
         retry_share=float(bounds['retry_budget_ratio']),
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
@@ -168,6 +168,7 @@
         seeds = [str(node.peers) for node in self.nodes[:3]]
         table = {
             'node': name,
+            'ip': _HOST,
             'zone': domain,
             'seeds': seeds or [str(peers)],
             'listen': {
--- a/tests/core/test_field_rows.py
+++ b/tests/core/test_field_rows.py
@@ -15,8 +15,8 @@
     ('page', 'spec'),
     [
         ('SERVICE-DOCUMENT.md', DOCUMENT_SPEC),
-        ('OPERATORS.md', SETTINGS_SPEC),
-        ('OPERATORS.md', PLATFORM_SPEC),
+        ('OPERATIONS.md', SETTINGS_SPEC),
+        ('OPERATIONS.md', PLATFORM_SPEC),
     ],
 )
 def test_page_holds_the_table_of_fields(page: str, spec: ObjectSpec) -> None:
--- a/tests/core/test_store_watch.py
+++ b/tests/core/test_store_watch.py
@@ -152,3 +152,28 @@
         )
         taken = await watch(rows, lambda: len(rows.asked) == 4)
         assert taken[-1] == (4, True, True)
+
+
+class TestFirstRead:
+    async def test_a_daemon_that_restarts_reads_at_once(self) -> None:
+        """Waiting for peers cost a second after all had lost power."""
+        rows = ScriptedRows(rows_at(3))
+        started_at = Clock().now()
+        await watch(rows, lambda: bool(rows.asked))
+        assert Clock().now() - started_at < 1000
+
+    async def test_at_the_first_start_the_seeds_read_for_all(self) -> None:
+        clock = Clock()
+        rows = ScriptedRows(rows_at(3))
+        watched = StoreWatch(
+            'rows',
+            rows,
+            duty_of(clock, daemon_of(2, 'a'), daemon_of(1, 'a')),
+            lambda *_: None,
+            clock,
+            random.Random(1),
+            is_first_start=True,
+        )
+        with anyio.move_on_after(0.3):
+            await watched.run()
+        assert rows.asked == []
