Wait for changes in short calls of uneven length

The store was dropping its history; the open calls of all three readers (5 s each) stayed silent over the change and were given up at 4.2 s and later. Ruled out: peers, which passed the version on within 11 ms once one had read it; readers cut off, since calls for new reads were answered. Change: a call waits 0.7 to 1.3 s and is given up 0.4 s later; a daemon that nobody confirms reads after 4 s.

--- a/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
@@ -26,9 +26,9 @@
 #: cut off without noticing, and one may be killed meanwhile.
 READERS = 3
 
-#: The age at which a daemon reads for itself, in milliseconds: longer than one
-#: wait for changes that brings nothing, with the time to notice a dead store.
-STALE_AGE: Millis = 7500
+#: The age at which a daemon reads for itself, in milliseconds: longer than two
+#: waits for changes, with the time to notice a dead store.
+STALE_AGE: Millis = 4000
 
 #: The table in which daemons say that the store does not answer them.
 LOST_TABLE = 'store_lost'
@@ -36,9 +36,12 @@
 # How long that is believed unless it is said again, in milliseconds.
 _LOST_LIFE: Millis = 5000
 
-# Waits in milliseconds: of one call for changes, before the next try after an
-# error, and between two looks at whose turn it is.
-_CHANGE_WAIT: Millis = 5000
+# Waits in milliseconds: of one call for changes at least and at most, before the
+# next try after an error, and between two looks at whose turn it is. A change
+# has to be in force 2 s after it was stored, and an open call may stay silent
+# about it; calls of different length keep the readers out of step.
+_SHORTEST_CHANGE_WAIT: Millis = 700
+_LONGEST_CHANGE_WAIT: Millis = 1300
 _FIRST_RETRY: Millis = 150
 _LONGEST_RETRY: Millis = 1000
 _TURN_CHECK: Millis = 250
@@ -177,7 +180,8 @@
         if self.revision is None:
             answer = await self.source.read()
         else:
-            answer = await self.source.wait(self.revision, _CHANGE_WAIT)
+            wait = self.rng.uniform(_SHORTEST_CHANGE_WAIT, _LONGEST_CHANGE_WAIT)
+            answer = await self.source.wait(self.revision, wait)
         if answer.is_error():
             await self._note_error(answer.error)
             return
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_store.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_store.py
@@ -27,6 +27,11 @@
 # lost and asked again, in milliseconds.
 _TIMEOUT: Millis = 1000
 
+# A call for changes is answered this long after its wait at the latest, in
+# milliseconds, also by a store that is sixty times as slow as usual. Beyond, its
+# connection has gone silent, perhaps over a change.
+_WAIT_SLACK: Millis = 400
+
 _MAX_CALLS = 4
 
 
@@ -57,7 +62,11 @@
         target = f'{path}?{urlencode(query)}'
         headers = {'content-type': 'application/json'}
         called = await self.calls.call(
-            method, target, headers, body or b'', _TIMEOUT + wait
+            method,
+            target,
+            headers,
+            body or b'',
+            wait + _WAIT_SLACK if wait else _TIMEOUT,
         )
         if called.is_error():
             return _fail(StoreFault.UNREACHABLE, called.error)
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_store_app.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_store_app.py
@@ -1,6 +1,7 @@
 """The store as an ASGI application, with faults that a test switches on."""
 
 import base64
+import math
 from collections.abc import Mapping
 from typing import Any
 from urllib.parse import parse_qsl
@@ -41,6 +42,11 @@
         self.rows = Rows()
         self.faults = StoreFaults()
         self.calls: dict[str, int] = {}
+        self.deaf_before: Millis = -math.inf
+
+    def deafen(self) -> None:
+        """Let the open calls for changes hang for good, without an answer."""
+        self.deaf_before = self.clock.now()
 
     def write(self, table: str, key: str, plain: object) -> None:
         """Write a row as an operator or a back end does; ``None`` removes."""
@@ -64,7 +70,11 @@
             await _asgi.send_answer(send, _asgi.Answer(_asgi.HTTP_UNAVAILABLE))
             return
         query = dict(parse_qsl(scope['query_string'].decode()))
+        asked_at = self.clock.now()
         answer = await self._answer(path, query, body)
+        if path == '/rows-feed' and asked_at < self.deaf_before:
+            await _asgi.wait_for_disconnect(receive)
+            return
         if path == '/rows-tx' and self.faults.lost_answers:
             self.faults.lost_answers -= 1
             await _asgi.wait_for_disconnect(receive)
--- a/tests/core/test_store_watch.py
+++ b/tests/core/test_store_watch.py
@@ -82,6 +82,7 @@
     def __init__(self, *answers: Result[StoreRows, StoreError]) -> None:
         self.answers = list(answers)
         self.asked: list[str] = []
+        self.waits: list[Millis] = []
 
     async def read(self) -> Result[StoreRows, StoreError]:
         return await self._next('read')
@@ -89,6 +90,7 @@
     async def wait(
         self, after: int, wait: Millis
     ) -> Result[StoreRows, StoreError]:
+        self.waits.append(wait)
         return await self._next(f'wait {after}')
 
     async def _next(self, asked: str) -> Result[StoreRows, StoreError]:
@@ -154,6 +156,17 @@
         assert taken[-1] == (4, True, True)
 
 
+class TestWaits:
+    async def test_a_call_that_stays_silent_ends_well_before_the_bound(
+        self,
+    ) -> None:
+        """Calls of 5 s, silent over a change, kept it back for 2.2 s."""
+        rows = ScriptedRows(*[rows_at(3) for _ in range(30)])
+        await watch(rows, lambda: len(rows.waits) == 30)
+        assert max(rows.waits) <= 1300
+        assert len(set(rows.waits)) > 20
+
+
 class TestFirstRead:
     async def test_a_daemon_that_restarts_reads_at_once(self) -> None:
         """Waiting for peers cost a second after all had lost power."""
--- a/tests/fleet/test_serving.py
+++ b/tests/fleet/test_serving.py
@@ -159,3 +159,18 @@
         assert {told.verdict for told in caller.told} == {Verdict.GOOD}
         assert not await node.is_ready()
         assert await node.child.wait(8000) == 0
+
+
+class TestSilentStore:
+    async def test_a_change_that_open_calls_are_silent_about_is_in_force(
+        self, fleet: FleetDeployment
+    ) -> None:
+        """The store forgot its history, and open calls heard of no change."""
+        nodes = await open_shop(fleet, nodes=3)
+        await anyio.sleep(1)
+        fleet.store.deafen()
+        fleet.configure({'stock': route('catalogue', prefix='/stock/')})
+        await anyio.sleep(2)
+        for node in nodes:
+            told = await caller_of(fleet, node).ask('s', '/stock/1')
+            assert told.verdict is Verdict.GOOD
