Leave the reads of a young fleet to the daemons that all know

Ruled out: changes, of which there were 14. Change: in its first 15 s only a seed reads, or a daemon that nobody confirms; afterwards seeds go first in their failure domain.

--- a/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
@@ -51,6 +51,10 @@
 _FIRST_WAIT: Millis = 1200
 _FIRST_POLL: Millis = 50
 
+# Until it has met most of a large fleet, in milliseconds, a daemon would take
+# itself for the first of its failure domain.
+_MEETING_TIME: Millis = 15_000
+
 # Daemons that all find nobody confirming don't read at once.
 _TURN_SPREAD: Millis = 500
 
@@ -75,6 +79,7 @@
         self.versions = versions
         self.lost = lost
         self.clock = clock
+        self.started_at = clock.now()
 
     def is_reader(self) -> bool:
         """Tell whether this daemon waits for changes at the store."""
@@ -86,11 +91,14 @@
         own = self.membership.own
         if own.is_leaving:
             return False
+        if self.clock.now() - self.started_at < _MEETING_TIME:
+            return self.is_seed()
         able = [one for one in self.membership.known() if self._is_able(one)]
         domains = {one.failure_domain for one in able} | {own.failure_domain}
+        own_turn = self._turn(own.address)
         rank = sum(
             one.failure_domain == own.failure_domain
-            and one.address < own.address
+            and self._turn(one.address) < own_turn
             for one in able
         )
         return rank < math.ceil(READERS / len(domains))
@@ -104,6 +112,10 @@
         """Tell the others to read in place of this daemon."""
         self.lost.put(self.membership.own.address, 'lost', _LOST_LIFE)
 
+    def _turn(self, address: str) -> tuple[bool, str]:
+        """Return a rank among daemons; those that all know go first."""
+        return address not in self.membership.given_seeds, address
+
     def _is_able(self, daemon: Daemon) -> bool:
         if daemon.is_leaving or not daemon.failure_domain:
             return False
--- a/tests/core/test_store_watch.py
+++ b/tests/core/test_store_watch.py
@@ -51,6 +51,7 @@
         readers = []
         for own in fleet:
             duty = duty_of(clock, own, *[one for one in fleet if one != own])
+            clock.advance(20_000)
             duty.versions.confirm(clock.now(), 0)
             readers.append(duty.is_reader())
         assert [fleet[at].address for at in range(9) if readers[at]] == [
@@ -70,11 +71,29 @@
         clock = FakeClock(1_000_000)
         others = [daemon_of(1, 'a'), daemon_of(2, 'b'), daemon_of(3, 'c')]
         duty = duty_of(clock, daemon_of(4, 'a'), *others)
+        clock.advance(20_000)
         duty.versions.confirm(clock.now(), 0)
         assert not duty.is_reader()
         duty.lost.put('10.0.0.1:1', 'lost', 5000)
         assert duty.is_reader()
 
+    def test_a_daemon_that_knows_few_others_yet_leaves_reading_to_the_seeds(
+        self,
+    ) -> None:
+        """Of 130 daemons most took themselves for the first of their domain."""
+        clock = FakeClock(1000)
+        seed, other = daemon_of(1, 'a'), daemon_of(2, 'a')
+        seeds = (seed.address,)
+        table = GossipTable('daemons', clock)
+        lost = GossipTable(LOST_TABLE, clock)
+        readers = []
+        for own in (seed, other):
+            membership = Membership(clock, table, own, seeds)
+            duty = ReaderDuty(membership, Versions(), lost, clock)
+            duty.versions.confirm(clock.now(), 0)
+            readers.append(duty.is_reader())
+        assert readers == [True, False]
+
 
 class ScriptedRows:
     """Answers reads and waits by a script, then with nothing new."""
