Take a connection that is reset at once for a failed one

Ruled out: the table's outage at the time; the traceback names the connection. Change: it counts as a connection that failed; the call goes elsewhere. Measured: the new test fails before.

--- a/packages/cowslippond-core/src/cowslippond_core/_connections.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_connections.py
@@ -172,7 +172,13 @@
             return Error(repr(refused))
         finally:
             self.opening -= 1
-        connection = Connection(stream, self.clock)
+        try:
+            connection = Connection(stream, self.clock)
+        except (AttributeError, OSError):
+            # The other end reset it at once: the event loop has let go of the
+            # socket, which the library then looks for in vain.
+            await anyio.aclose_forcefully(stream)
+            return Error('reset while it was opened')
         self.open.add(connection)
         self.tasks.start_soon(connection.run, self._forget)
         return Ok(connection)
--- /dev/null
+++ b/tests/core/test_connections.py
@@ -0,0 +1,36 @@
+"""Connections to an upstream that fail while they are opened."""
+
+from typing import Any, NoReturn
+
+import anyio
+import pytest
+from cowslippond_core import Clock, Connections, _connections
+
+pytestmark = pytest.mark.anyio
+
+
+class ResetStream:
+    """A stream whose transport has let go of its socket already."""
+
+    def extra(self, *_: Any) -> NoReturn:
+        raise AttributeError('getpeername')
+
+    async def aclose(self) -> None:
+        await anyio.lowlevel.checkpoint()
+
+
+async def open_reset(_: str) -> ResetStream:
+    return ResetStream()
+
+
+class TestTake:
+    async def test_a_connection_that_is_reset_at_once_is_a_failed_one(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A caller got status 500 without an outcome (soak seed 1123)."""
+        monkeypatch.setattr(_connections, '_open_stream', open_reset)
+        async with anyio.create_task_group() as tasks:
+            connections = Connections('127.0.0.1:1', tasks, Clock(), 4)
+            taken = await connections.take(is_fresh=True)
+        assert taken.is_error()
+        assert connections.has_room()
