--- a/packages/cowslippond-standins/src/cowslippond_standins/_stream.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/_stream.py
@@ -24,10 +24,11 @@
 
 async def reset(stream: SocketStream) -> None:
     """Close a connection by RST."""
-    raw = stream.extra(SocketAttribute.raw_socket)
     try:
+        raw = stream.extra(SocketAttribute.raw_socket)
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_OFF)
-    except OSError:
+    except (AttributeError, OSError):
+        # The event loop has let go of the socket of a closed connection.
         return
     await anyio.aclose_forcefully(stream)
 
