Encode messages between platform daemons as JSON arrays

Ruled out: building the classes without the parser; the package imports it. Change: the codec is a part of the fleet's settings; the project's own deployment stays on thrift, the platform's daemon uses JSON arrays, whose parser is loaded anyway. statsd is imported by those that send to it.

--- a/packages/cowslippond-core/src/cowslippond_core/__init__.pyi
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.pyi
@@ -86,6 +86,7 @@
 from ._gossip_table import GossipTable as GossipTable
 from ._hooks import SendingHooks as SendingHooks
 from ._http_calls import HttpCalls as HttpCalls
+from ._json_codec import JsonCodec as JsonCodec
 from ._leaving import Leaving as Leaving
 from ._leaving import LeavingSource as LeavingSource
 from ._measuring import MeasuringAllowance as MeasuringAllowance
--- a/packages/cowslippond-core/src/cowslippond_core/_conversation.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_conversation.py
@@ -6,17 +6,18 @@
 
 from cowslippond_core._byte_budget import ByteBudget
 from cowslippond_core._clock import Millis
-from cowslippond_core._metrics import Metric, Metrics
-from cowslippond_core._peer_messages import (
-    Message,
-)
-from cowslippond_core._wire import (
+from cowslippond_core._codec import (
     LENGTH_BYTES,
     MAX_FRAME,
+    Codec,
     WireError,
     decode_message,
     encode_message,
 )
+from cowslippond_core._metrics import Metric, Metrics
+from cowslippond_core._peer_messages import (
+    Message,
+)
 
 #: The longest wait for an answer, in milliseconds.
 ANSWER_TIMEOUT: Millis = 2000
@@ -41,21 +42,27 @@
     """A connection to a peer whose bytes are counted.
 
     :param stream: the connection.
+    :param codec: of the messages.
     :param budget: charged with the bytes of both directions.
     :param metrics: counts the bytes of each direction.
     """
 
     def __init__(
-        self, stream: ByteStream, budget: ByteBudget, metrics: Metrics
+        self,
+        stream: ByteStream,
+        codec: Codec,
+        budget: ByteBudget,
+        metrics: Metrics,
     ) -> None:
         self.stream = stream
+        self.codec = codec
         self.buffered = BufferedByteReceiveStream(stream)
         self.budget = budget
         self.metrics = metrics
 
     async def send(self, message: Message) -> None:
         """Send a message."""
-        frame = encode_message(message)
+        frame = encode_message(self.codec, message)
         self.budget.spend(len(frame))
         self.metrics.count(Metric.GOSSIP_BYTES_SENT, len(frame))
         await self.stream.send(frame)
@@ -73,7 +80,7 @@
         size = len(head) + length
         self.budget.spend(size)
         self.metrics.count(Metric.GOSSIP_BYTES_RECEIVED, size)
-        return decode_message(checked)
+        return decode_message(self.codec, checked)
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/packages/cowslippond-core/src/cowslippond_core/_fleet.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_fleet.py
@@ -8,6 +8,7 @@
 from anyio.abc import SocketAttribute, TaskGroup, TaskStatus
 
 from cowslippond_core._clock import Clock
+from cowslippond_core._codec import Codec
 from cowslippond_core._contact import Contact
 from cowslippond_core._gossip import Gossip
 from cowslippond_core._gossip_table import GossipTable
@@ -32,7 +33,7 @@
 
     ``fleet`` is the same for all daemons that share a table.
     ``peer_address`` is listened on and told to peers; port 0 takes a free
-    one. ``seeds`` are peer addresses.
+    one. ``seeds`` are peer addresses, ``codec`` is that of all messages.
     """
 
     fleet: str
@@ -41,6 +42,7 @@
     failure_domain: str
     incarnation: str
     seeds: tuple[str, ...]
+    codec: Codec
 
 
 class Fleet:
@@ -92,6 +94,7 @@
             self.contact,
             self.tables.values(),
             clock,
+            settings.codec,
             logs,
         )
         self.peers = Peers(
--- a/packages/cowslippond-core/src/cowslippond_core/_gossip.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_gossip.py
@@ -5,6 +5,10 @@
 
 from cowslippond_core._byte_budget import ByteBudget
 from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._codec import (
+    Codec,
+    WireError,
+)
 from cowslippond_core._contact import Contact
 from cowslippond_core._document import AcceptedDocument
 from cowslippond_core._gossip_table import GossipTable
@@ -18,9 +22,6 @@
     TableRows,
 )
 from cowslippond_core._versions import Versions
-from cowslippond_core._wire import (
-    WireError,
-)
 
 #: The bytes a second that gossip may take, both directions together. Beyond
 #: it only digests, new documents and news of urgent tables are passed on.
@@ -51,6 +52,7 @@
     :param contact: the news of failure domains.
     :param tables: the rows to pass on, those that matter most first.
     :param clock: the clock of ages.
+    :param codec: of the messages.
     :param logs: further texts in versions, by the names of their logs.
     """
 
@@ -62,6 +64,7 @@
         contact: Contact,
         tables: Iterable[GossipTable],
         clock: Clock,
+        codec: Codec,
         logs: Mapping[str, Versions] | None = None,
     ) -> None:
         self.fleet = fleet
@@ -71,6 +74,7 @@
         self.contact = contact
         self.tables = {table.name: table for table in tables}
         self.clock = clock
+        self.codec = codec
         self.budget = ByteBudget(clock, GOSSIP_RATE, GOSSIP_DEPTH)
 
     def compose(self, room: int, wanted: int) -> Exchange:
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_json_codec.py
@@ -0,0 +1,225 @@
+"""Messages between daemons as JSON arrays.
+
+The nearest kin of thrift, whose library alone takes 7.4 MB in each process: the
+parser of JSON is there anyway, and arrays without names are shorter.
+"""
+
+from collections.abc import Callable, Mapping
+from functools import singledispatch
+from types import MappingProxyType
+from typing import Any
+
+import orjson
+
+from cowslippond_core._codec import (
+    WireError,
+    read_list,
+    read_number,
+    read_text,
+    whole_age,
+)
+from cowslippond_core._document import AcceptedDocument
+from cowslippond_core._gossip_table import GossipRow
+from cowslippond_core._peer_messages import (
+    Confirmation,
+    Digest,
+    Documents,
+    Exchange,
+    Message,
+    Pull,
+    TableRows,
+    Witness,
+)
+
+_EXCHANGE = 'x'
+_CONFIRMATION = 'c'
+_PULL = 'p'
+_DOCUMENTS = 'd'
+
+
+class JsonCodec:
+    """Messages as arrays: a letter for the kind, then the fields in order."""
+
+    def pack(self, message: Message) -> bytes:
+        """Return a message as bytes."""
+        return orjson.dumps(_pack(message))
+
+    def unpack(self, packed: bytes) -> Message:
+        """Return the message of some bytes.
+
+        :raises WireError: if they are none.
+        """
+        try:
+            kind, *fields = read_list(orjson.loads(packed))
+            message: Message = _UNPACKERS[kind](*fields)
+        except (ValueError, TypeError, KeyError) as broken:
+            raise WireError(f'unreadable message: {broken!r}') from broken
+        return message
+
+
+@singledispatch
+def _pack(message: Message) -> list[Any]:
+    raise TypeError(message)
+
+
+@_pack.register
+def _pack_exchange(message: Exchange) -> list[Any]:
+    return [
+        _EXCHANGE,
+        message.fleet,
+        message.sender,
+        message.failure_domain,
+        _pack_digest(message.digest),
+        [_pack_table(told) for told in message.tables],
+        message.row_limit,
+    ]
+
+
+@_pack.register
+def _pack_confirmation(message: Confirmation) -> list[Any]:
+    return [
+        _CONFIRMATION,
+        message.failure_domain,
+        _pack_digest(message.digest),
+    ]
+
+
+@_pack.register
+def _pack_pull(message: Pull) -> list[Any]:
+    return [_PULL, message.after, message.log]
+
+
+@_pack.register
+def _pack_documents(message: Documents) -> list[Any]:
+    entries = [list(entry) for entry in message.documents]
+    return [
+        _DOCUMENTS,
+        entries,
+        message.is_last,
+        message.revision,
+        message.log,
+    ]
+
+
+def _pack_digest(digest: Digest) -> list[Any]:
+    age = digest.confirmed_age
+    return [
+        digest.revision,
+        None if age is None else whole_age(age),
+        [
+            [told.failure_domain, whole_age(told.age)]
+            for told in digest.witnesses
+        ],
+        dict(digest.logs),
+    ]
+
+
+def _pack_table(told: TableRows) -> list[Any]:
+    rows = [
+        [row.key, row.text, row.stamp, int(row.remaining)] for row in told.rows
+    ]
+    return [told.table, rows]
+
+
+def _unpack_exchange(
+    fleet: Any,
+    sender: Any,
+    failure_domain: Any,
+    digest: Any,
+    tables: Any,
+    row_limit: Any,
+) -> Exchange:
+    return Exchange(
+        read_text(fleet),
+        read_text(sender),
+        read_text(failure_domain),
+        _unpack_digest(*read_list(digest)),
+        tuple(_unpack_table(*read_list(told)) for told in read_list(tables)),
+        read_number(row_limit),
+    )
+
+
+def _unpack_confirmation(failure_domain: Any, digest: Any) -> Confirmation:
+    return Confirmation(
+        read_text(failure_domain), _unpack_digest(*read_list(digest))
+    )
+
+
+def _unpack_pull(after: Any, log: Any) -> Pull:
+    return Pull(read_number(after), read_text(log))
+
+
+def _unpack_documents(
+    entries: Any, is_last: Any, revision: Any, log: Any
+) -> Documents:
+    if not isinstance(is_last, bool):
+        raise WireError('documents without their end')
+    return Documents(
+        tuple(
+            _unpack_document(*read_list(entry)) for entry in read_list(entries)
+        ),
+        is_last,
+        read_number(revision),
+        read_text(log),
+    )
+
+
+def _unpack_digest(
+    revision: Any, age: Any, witnesses: Any, logs: dict[str, Any]
+) -> Digest:
+    return Digest(
+        read_number(revision),
+        None if age is None else read_number(age),
+        tuple(
+            _unpack_witness(*read_list(told)) for told in read_list(witnesses)
+        ),
+        {name: read_number(known) for name, known in dict(logs).items()},
+    )
+
+
+def _unpack_witness(failure_domain: Any, age: Any) -> Witness:
+    return Witness(read_text(failure_domain), read_number(age))
+
+
+def _unpack_table(table: Any, rows: Any) -> TableRows:
+    return TableRows(
+        read_text(table),
+        tuple(_unpack_row(*read_list(row)) for row in read_list(rows)),
+    )
+
+
+def _unpack_row(key: Any, text: Any, stamp: Any, remaining: Any) -> GossipRow:
+    return GossipRow(
+        read_text(key),
+        read_text(text),
+        read_number(stamp),
+        read_number(remaining),
+    )
+
+
+def _unpack_document(
+    service: Any,
+    version: Any,
+    revision: Any,
+    text: Any,
+    author: Any,
+    accepted_at: Any,
+) -> AcceptedDocument:
+    return AcceptedDocument(
+        read_text(service),
+        read_number(version),
+        read_number(revision),
+        read_text(text),
+        read_text(author),
+        read_number(accepted_at),
+    )
+
+
+_UNPACKERS: Mapping[str, Callable[..., Message]] = MappingProxyType(
+    {
+        _EXCHANGE: _unpack_exchange,
+        _CONFIRMATION: _unpack_confirmation,
+        _PULL: _unpack_pull,
+        _DOCUMENTS: _unpack_documents,
+    }
+)
--- a/packages/cowslippond-core/src/cowslippond_core/_metrics.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_metrics.py
@@ -3,12 +3,16 @@
 import bisect
 import enum
 from collections import Counter
+from typing import Any
 
-from statsd import StatsClient
+import lazy_loader
 
 from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._reasons import RefusalReason, RetryReason
 
+# Imported by the daemons that send to it only.
+_statsd = lazy_loader.load('statsd')
+
 #: The time between two batches, in milliseconds.
 FLUSH_INTERVAL: Millis = 1000
 
@@ -97,10 +101,10 @@
         self.timings: dict[str, list[Millis]] = {}
         self.histograms: dict[str, Histogram] = {}
         self.prefix = prefix
-        self.client: StatsClient | None = None
+        self.client: Any = None
         if address:
             host, _, port = address.rpartition(':')
-            self.client = StatsClient(host, int(port), prefix)
+            self.client = _statsd.StatsClient(host, int(port), prefix)
 
     def count(self, name: str, by: int = 1) -> None:
         """Add to a counter."""
--- a/packages/cowslippond-core/src/cowslippond_core/_peer_server.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_peer_server.py
@@ -8,6 +8,7 @@
 from anyio.abc import SocketStream
 
 from cowslippond_core._clock import Clock, Millis, seconds_of
+from cowslippond_core._codec import WireError
 from cowslippond_core._conversation import (
     ANSWER_TIMEOUT,
     BROKEN_CONVERSATION,
@@ -16,7 +17,6 @@
 from cowslippond_core._gossip import Gossip
 from cowslippond_core._metrics import Metrics
 from cowslippond_core._peer_messages import Confirmation
-from cowslippond_core._wire import WireError
 
 # The longest wait for the next message of a peer, in milliseconds.
 _SILENCE_LIMIT: Millis = 60_000
@@ -50,7 +50,9 @@
                 await self._answer_all(stream)
 
     async def _answer_all(self, stream: SocketStream) -> None:
-        talk = Conversation(stream, self.gossip.budget, self.metrics)
+        talk = Conversation(
+            stream, self.gossip.codec, self.gossip.budget, self.metrics
+        )
         try:
             await self._answer_each(talk)
         except BROKEN_CONVERSATION as broken:
--- a/packages/cowslippond-core/src/cowslippond_core/_peers.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_peers.py
@@ -8,6 +8,9 @@
 import anyio
 
 from cowslippond_core._clock import Clock, Millis, seconds_of
+from cowslippond_core._codec import (
+    WireError,
+)
 from cowslippond_core._conversation import (
     ANSWER_TIMEOUT,
     BROKEN_CONVERSATION,
@@ -22,9 +25,6 @@
     Exchange,
     Pull,
 )
-from cowslippond_core._wire import (
-    WireError,
-)
 
 #: The most conversations that a daemon opens at a time.
 ACTIVE_PEERS = 8
@@ -139,7 +139,9 @@
         with anyio.fail_after(seconds_of(CONNECT_TIMEOUT)):
             stream = await anyio.connect_tcp(host, port)
         async with stream:
-            talk = Conversation(stream, self.gossip.budget, self.metrics)
+            talk = Conversation(
+                stream, self.gossip.codec, self.gossip.budget, self.metrics
+            )
             while self.clock.now() < ends_at:
                 news = self.news
                 await self._hold_round(talk, address)
--- a/packages/cowslippond-core/src/cowslippond_core/_spread.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_spread.py
@@ -13,6 +13,7 @@
 from cowslippond_core._outage_rule import OutageRule
 from cowslippond_core._poller import Poller
 from cowslippond_core._table import Table
+from cowslippond_core._thrift_codec import ThriftCodec
 from cowslippond_core._vm import Vm
 from cowslippond_core._vm_list_poller import VmListPoller
 
@@ -38,7 +39,7 @@
     @property
     def for_fleet(self) -> FleetSettings:
         """What the part without the list of VMs needs."""
-        return FleetSettings(*self[:-1])
+        return FleetSettings(*self[:-1], ThriftCodec())
 
 
 class SpreadStatus(NamedTuple):
--- a/packages/cowslippond-core/src/cowslippond_core/_wire.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_thrift_codec.py
@@ -1,8 +1,6 @@
-"""The messages between daemons as thrift frames."""
+"""Messages between daemons in thrift."""
 
-import math
 import pathlib
-from collections.abc import Iterable
 from functools import singledispatch
 from typing import Any
 
@@ -10,9 +8,14 @@
 from thriftpy2.protocol.cybin import TCyBinaryProtocolFactory
 from thriftpy2.thrift import TException
 from thriftpy2.utils import deserialize, serialize
-from xxhash import xxh3_64_digest
 
-from cowslippond_core._clock import Millis
+from cowslippond_core._codec import (
+    WireError,
+    read_list,
+    read_number,
+    read_text,
+    whole_age,
+)
 from cowslippond_core._document import AcceptedDocument
 from cowslippond_core._gossip_table import GossipRow
 from cowslippond_core._peer_messages import (
@@ -26,64 +29,38 @@
     Witness,
 )
 
-#: The largest frame that is read, in bytes.
-MAX_FRAME = 1_048_576
-
-#: The length that goes before a frame, in bytes.
-LENGTH_BYTES = 4
-
-_CHECKSUM_BYTES = 8
-_MAX_AGE: Millis = 2_000_000_000
 _IDL = pathlib.Path(__file__).with_name('cowslippond.thrift')
 
 _idl: Any = thriftpy2.load(str(_IDL), module_name='cowslippond_thrift')
 _protocol = TCyBinaryProtocolFactory()
 
 
-class WireError(Exception):
-    """A peer sent a frame that is no message.
-
-    :param detail: what is wrong with it.
-    """
-
-    def __init__(self, detail: str) -> None:
-        super().__init__(detail)
-        self.detail = detail
+class ThriftCodec:
+    """Messages in the binary protocol of ``cowslippond.thrift``."""
 
+    def pack(self, message: Message) -> bytes:
+        """Return a message as bytes."""
+        packed: bytes = serialize(_pack(message), _protocol)
+        return packed
 
-def encode_message(message: Message) -> bytes:
-    """Return a message as a frame, its length included."""
-    packed: bytes = serialize(_pack(message), _protocol)
-    checked = xxh3_64_digest(packed) + packed
-    return len(checked).to_bytes(LENGTH_BYTES, 'big') + checked
+    def unpack(self, packed: bytes) -> Message:
+        """Return the message of some bytes.
 
-
-def decode_message(checked: bytes) -> Message:
-    """Return the message of a frame.
-
-    The protocol's reader takes cut or damaged bytes for a message with other
-    numbers in it, and may read for seconds on them. So only bytes that match
-    their checksum reach it.
-
-    :param checked: the frame without its length.
-    :raises WireError: if it is none.
-    """
-    packed = checked[_CHECKSUM_BYTES:]
-    if xxh3_64_digest(packed) != checked[:_CHECKSUM_BYTES]:
-        raise WireError('a frame whose checksum does not match')
-    try:
-        frame = deserialize(_idl.Frame(), packed, _protocol)
-    except (TException, ValueError, EOFError) as broken:
-        raise WireError(f'unreadable frame: {broken!r}') from broken
-    if frame.exchange is not None:
-        return _unpack_exchange(frame.exchange)
-    if frame.confirmation is not None:
-        return _unpack_confirmation(frame.confirmation)
-    if frame.pull is not None:
-        return Pull(_number(frame.pull.after), frame.pull.log or '')
-    if frame.documents is not None:
-        return _unpack_documents(frame.documents)
-    raise WireError('a frame without a message')
+        :raises WireError: if they are none.
+        """
+        try:
+            frame = deserialize(_idl.Frame(), packed, _protocol)
+        except (TException, ValueError, EOFError) as broken:
+            raise WireError(f'unreadable frame: {broken!r}') from broken
+        if frame.exchange is not None:
+            return _unpack_exchange(frame.exchange)
+        if frame.confirmation is not None:
+            return _unpack_confirmation(frame.confirmation)
+        if frame.pull is not None:
+            return Pull(read_number(frame.pull.after), frame.pull.log or '')
+        if frame.documents is not None:
+            return _unpack_documents(frame.documents)
+        raise WireError('a frame without a message')
 
 
 @singledispatch
@@ -134,11 +111,11 @@
     age = digest.confirmed_age
     return _idl.Digest(
         revision=digest.revision,
-        confirmed_age_ms=None if age is None else _whole_age(age),
+        confirmed_age_ms=None if age is None else whole_age(age),
         witnesses=[
             _idl.Witness(
                 failure_domain=witness.failure_domain,
-                age_ms=_whole_age(witness.age),
+                age_ms=whole_age(witness.age),
             )
             for witness in digest.witnesses
         ],
@@ -172,18 +149,19 @@
 
 def _unpack_exchange(exchange: Any) -> Exchange:
     return Exchange(
-        _text(exchange.fleet),
-        _text(exchange.sender),
-        _text(exchange.failure_domain),
+        read_text(exchange.fleet),
+        read_text(exchange.sender),
+        read_text(exchange.failure_domain),
         _unpack_digest(exchange.digest),
-        tuple(_unpack_table(table) for table in _entries(exchange.tables)),
-        _number(exchange.row_limit),
+        tuple(_unpack_table(table) for table in read_list(exchange.tables)),
+        read_number(exchange.row_limit),
     )
 
 
 def _unpack_confirmation(confirmation: Any) -> Confirmation:
     return Confirmation(
-        _text(confirmation.failure_domain), _unpack_digest(confirmation.digest)
+        read_text(confirmation.failure_domain),
+        _unpack_digest(confirmation.digest),
     )
 
 
@@ -192,14 +170,16 @@
         raise WireError('a message without its digest')
     age = digest.confirmed_age_ms
     return Digest(
-        _number(digest.revision),
-        None if age is None else _number(age),
+        read_number(digest.revision),
+        None if age is None else read_number(age),
         tuple(
-            Witness(_text(witness.failure_domain), _number(witness.age_ms))
-            for witness in _entries(digest.witnesses)
+            Witness(
+                read_text(witness.failure_domain), read_number(witness.age_ms)
+            )
+            for witness in read_list(digest.witnesses)
         ),
         {
-            _text(name): _number(revision)
+            read_text(name): read_number(revision)
             for name, revision in (digest.logs or {}).items()
         },
     )
@@ -208,56 +188,34 @@
 def _unpack_table(table: Any) -> TableRows:
     rows = [
         GossipRow(
-            _text(row.key),
-            _text(row.text),
-            _number(row.stamp),
-            _number(row.remaining_ms),
+            read_text(row.key),
+            read_text(row.text),
+            read_number(row.stamp),
+            read_number(row.remaining_ms),
         )
-        for row in _entries(table.rows)
+        for row in read_list(table.rows)
     ]
-    return TableRows(_text(table.table), tuple(rows))
+    return TableRows(read_text(table.table), tuple(rows))
 
 
 def _unpack_documents(documents: Any) -> Documents:
     entries = [
         AcceptedDocument(
-            _text(entry.service_name),
-            _number(entry.version),
-            _number(entry.revision),
-            _text(entry.text),
-            _text(entry.author),
-            _number(entry.accepted_at),
+            read_text(entry.service_name),
+            read_number(entry.version),
+            read_number(entry.revision),
+            read_text(entry.text),
+            read_text(entry.author),
+            read_number(entry.accepted_at),
         )
-        for entry in _entries(documents.documents)
+        for entry in read_list(documents.documents)
     ]
     if documents.is_last is None:
         raise WireError('documents without their end')
-    revision = _number(documents.revision)
+    revision = read_number(documents.revision)
     return Documents(
         tuple(entries),
         bool(documents.is_last),
         revision,
         documents.log or '',
     )
-
-
-def _text(field: Any) -> str:
-    if isinstance(field, str):
-        return field
-    raise WireError(f'not a text: {field!r}')
-
-
-def _number(field: Any) -> int:
-    if isinstance(field, int) and field >= 0:
-        return field
-    raise WireError(f'not a number of zero or more: {field!r}')
-
-
-def _entries(field: Any) -> Iterable[Any]:
-    if isinstance(field, list):
-        return field
-    raise WireError(f'not a list: {field!r}')
-
-
-def _whole_age(age: Millis) -> int:
-    return math.ceil(min(max(age, 0), _MAX_AGE))
--- a/packages/cowslippond-core/src/cowslippond_core/_urgent_news.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_urgent_news.py
@@ -98,6 +98,8 @@
         host, port = split_address(address)
         message = self.gossip.compose(0, 0)._replace(tables=(told,))
         async with await anyio.connect_tcp(host, port) as stream:
-            talk = Conversation(stream, self.gossip.budget, self.metrics)
+            talk = Conversation(
+                stream, self.gossip.codec, self.gossip.budget, self.metrics
+            )
             await talk.send(message)
             await talk.receive()
--- a/tests/core/test_gossip.py
+++ b/tests/core/test_gossip.py
@@ -2,19 +2,22 @@
 
 import pytest
 from cowslippond_core import FRESHNESS_BOUND, GossipRow, GossipTable
+from cowslippond_core._codec import (
+    MAX_FRAME,
+    Codec,
+    WireError,
+    decode_message,
+    encode_message,
+)
 from cowslippond_core._contact import Contact
 from cowslippond_core._gossip import MAX_ROWS, Gossip
+from cowslippond_core._json_codec import JsonCodec
 from cowslippond_core._peer_messages import (
     Documents,
     Exchange,
     Pull,
 )
-from cowslippond_core._wire import (
-    MAX_FRAME,
-    WireError,
-    decode_message,
-    encode_message,
-)
+from cowslippond_core._thrift_codec import ThriftCodec
 from fakes import FakeClock
 from hypothesis import given
 from hypothesis import strategies as st
@@ -36,6 +39,7 @@
         Contact(f'domain-{port}'),
         tables,
         clock,
+        ThriftCodec(),
     )
 
 
@@ -54,36 +58,37 @@
     raise AssertionError('no end')
 
 
+@pytest.mark.parametrize('codec', [ThriftCodec(), JsonCodec()], ids=type)
 class TestWire:
-    def test_messages_survive(self):
+    def test_messages_survive(self, codec: Codec):
         gossip = make_gossip(FakeClock(5))
         gossip.catalogue.offer(accepted_as('till', 1, 1))
         gossip.tables['leaving'].put('a', 'b', 100)
         gossip.catalogue.confirm(0, 1)
         asked = gossip.compose(16, 16)
         for message in (asked, Pull(7), gossip.documents_after(0)):
-            frame = encode_message(message)
-            assert decode_message(frame[4:]) == message
+            frame = encode_message(codec, message)
+            assert decode_message(codec, frame[4:]) == message
 
     @given(junk=st.binary(max_size=60))
-    def test_junk_is_an_error(self, junk):
+    def test_junk_is_an_error(self, codec: Codec, junk):
         with pytest.raises(WireError):
-            decode_message(junk)
+            decode_message(codec, junk)
 
     @given(at=st.integers(0, 200), bit=st.integers(0, 7))
-    def test_a_damaged_frame_is_an_error(self, at, bit):
+    def test_a_damaged_frame_is_an_error(self, codec: Codec, at, bit):
         told = Documents((accepted_as('till', 1, 1),), True, 1)
-        damaged = bytearray(encode_message(told)[4:])
-        damaged[at] ^= 1 << bit
+        damaged = bytearray(encode_message(codec, told)[4:])
+        damaged[at % len(damaged)] ^= 1 << bit
         with pytest.raises(WireError):
-            decode_message(bytes(damaged))
+            decode_message(codec, bytes(damaged))
 
     @given(cut=st.integers(0, 10_000))
-    def test_a_cut_frame_is_an_error(self, cut):
+    def test_a_cut_frame_is_an_error(self, codec: Codec, cut):
         told = Documents((accepted_as('till', 1, 1),), True, 1)
-        frame = encode_message(told)[4:]
+        frame = encode_message(codec, told)[4:]
         with pytest.raises(WireError):
-            decode_message(frame[: cut % len(frame)])
+            decode_message(codec, frame[: cut % len(frame)])
 
 
 class TestBounds:
@@ -97,7 +102,8 @@
             gossip.contact.hear(f'failure-domain-{domain}', (), 0)
 
         sizes = [
-            len(encode_message(gossip.ask(is_new=False))) for _ in range(300)
+            len(encode_message(gossip.codec, gossip.ask(is_new=False)))
+            for _ in range(300)
         ]
 
         assert max(sizes) <= MESSAGE_BOUND
@@ -112,7 +118,7 @@
         answer = gossip.answer(new.ask(is_new=True))
         new.merge_rows(answer)
 
-        assert len(encode_message(answer)) <= MAX_FRAME
+        assert len(encode_message(gossip.codec, answer)) <= MAX_FRAME
         assert len(new.tables['daemons'].kept) == MAX_ROWS
 
     def test_without_bytes_left_only_urgent_news_is_told(self):
