End a planned stop beside callers that have gone silent

The server waits without end for a connection on which half of a body is owed. Ruled out: calls that run; they are waited for within the limit as before. Change: after the limit connections are waited for 300 ms, then the process ends. Measured: the new test with half a body failed first, then passes.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -36,6 +36,7 @@
     StoreWatch,
     UpstreamBook,
     Vm,
+    seconds_of,
 )
 from expression import Result
 
@@ -74,6 +75,9 @@
 # What is left of the time of a planned stop for closing connections.
 _STOP_MARGIN: Millis = 700
 
+# Of that, the longest wait for connections whose callers have gone silent.
+_LAST_WAIT: Millis = 300
+
 # Connections of callers stay open for longer than callers use them, so that
 # none is closed under a request that is on its way.
 _IDLE_MARGIN_SECONDS = 15
@@ -296,8 +300,15 @@
             closes_idle=True,
         )
         await plan.retire(edge, callers, _owes_nothing)
-        await callers.ended.wait()
-        _logger.info('stopped', extra={'vm': self.settings.vm})
+        with anyio.move_on_after(seconds_of(_LAST_WAIT)):
+            await callers.ended.wait()
+        _logger.info(
+            'stopped',
+            extra={
+                'vm': self.settings.vm,
+                'open': len(callers.server_state.connections),
+            },
+        )
 
     def _is_ready(self) -> bool:
         if self.state is not DaemonState.SERVING:
--- a/tests/fleet/test_serving.py
+++ b/tests/fleet/test_serving.py
@@ -130,6 +130,10 @@
         assert node.child.is_running()
 
 
+# As the settings of the deployment say, in milliseconds.
+GRACE_MS = 6000
+
+
 class TestLeaving:
     async def test_no_daemon_sends_to_an_upstream_that_leaves(
         self, fleet: FleetDeployment
@@ -160,6 +164,21 @@
         assert not await node.is_ready()
         assert await node.child.wait(8000) == 0
 
+    async def test_a_planned_stop_ends_beside_a_caller_that_went_silent(
+        self, fleet: FleetDeployment
+    ) -> None:
+        """A daemon waited on for half a body until it was killed."""
+        node, _ = await open_shop(fleet, nodes=2)
+        stream = await anyio.connect_tcp(*node.callers)
+        async with stream:
+            await stream.send(
+                b'POST /prints/1 HTTP/1.1\r\nhost: shop.example\r\n'
+                b'content-length: 10\r\n\r\nhalf'
+            )
+            await anyio.sleep(0.3)
+            node.child.ask_to_stop()
+            assert await node.child.wait(GRACE_MS) == 0
+
 
 class TestSilentStore:
     async def test_a_change_that_open_calls_are_silent_about_is_in_force(
