--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -18,5 +18,5 @@
         find "$deps/$name" -name __pycache__ -prune -exec rm -rf {} +
     fi
 done
-python3 -m compileall -q "$deps" || true
-PYTHONPATH="$deps" python3 -c "import cowslippond_daemon.platform.__main__"
+python3 -m compileall -q -o 2 "$deps" || true
+PYTHONPATH="$deps" python3 -S -OO -c "import cowslippond_daemon.platform.__main__"
