Learn the work of a service from its first calls

The first guess comes from the objective of the first route that is asked for, here one without an objective of its own, and each call moved it by a twentieth; all calls counted as late until then, after each start of a daemon. Change: the first calls weigh alike, and one that took three times as long as expected, or a third of it, counts as that.

--- a/packages/cowslippond-core/src/cowslippond_core/placing/_pace.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_pace.py
@@ -2,8 +2,14 @@
 
 from cowslippond_core._clock import Millis
 
+# The weight of a call once many have been answered; the work of calls varies by a
+# third. Before, all calls answered weigh alike.
 _WORK_WEIGHT = 0.05
 
+# A call that took more than this many times as long as expected, or less than
+# this part of it, says little of the others.
+_OUTLIER = 3
+
 # Calls hold their slots for longer than on a free upstream of usual speed, by
 # this factor at full load: upstreams are crowded, and some are slow.
 _FULL_LOAD_FACTOR = 1.7
@@ -21,6 +27,7 @@
 
     def __init__(self, work: Millis) -> None:
         self.work = work
+        self.answered = 0
         self.slots: float = 1
 
     @property
@@ -34,7 +41,11 @@
         :param latency: the time at the upstream, in milliseconds.
         :param factor: how slow the upstream was expected to be.
         """
-        self.work += _WORK_WEIGHT * (latency / max(factor, 1) - self.work)
+        self.answered += 1
+        seen = latency / max(factor, 1)
+        bounded = min(max(seen, self.work / _OUTLIER), self.work * _OUTLIER)
+        weight = max(_WORK_WEIGHT, 1 / self.answered)
+        self.work += weight * (bounded - self.work)
 
     def share_slots(self, slots: int, daemons: int) -> None:
         """Learn how many slots all daemons share.
--- a/packages/cowslippond-standins/src/cowslippond_standins/model/__main__.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/__main__.py
@@ -13,6 +13,7 @@
     objective=400,
     deadline=2500,
     work=150,
+    first_guess=140,
     domains=(5, 4, 3),
 )
 _P99 = 0.99
--- a/packages/cowslippond-standins/src/cowslippond_standins/model/_load.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/_load.py
@@ -19,6 +19,7 @@
     ``hanging`` swallow each call with the chance ``hang_share``, and ``slow``
     take ``slow_factor`` times as long, which their reports don't show. Daemons
     hear of each other's failures after ``news_delay``, or never if it is 0.
+    ``first_guess`` is what they take the work for at first.
     """
 
     rate: float
@@ -49,6 +50,7 @@
     slow: int = 0
     slow_factor: float = 6
     news_delay: Millis = 0
+    first_guess: Millis = 70
     seed: int = 1
 
 
--- a/packages/cowslippond-standins/src/cowslippond_standins/model/_play.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/_play.py
@@ -47,7 +47,6 @@
 )
 
 _MILLIS_PER_SECOND = 1000
-_FIRST_WORK_SHARE = 0.35
 _LEAST_WORK_SHARE = 0.1
 _SERVICE = 's'
 _OK_STATUS = 200
@@ -219,7 +218,7 @@
         load = self.world.load
         upstreams = UpstreamSet(self.tasks, self.clock, load.slots * 8)
         upstreams.update(self.world.vms)
-        pace = Pace(load.objective * _FIRST_WORK_SHARE)
+        pace = Pace(load.first_guess)
         placer = Placer(
             upstreams,
             self,
--- a/tests/placing/test_load.py
+++ b/tests/placing/test_load.py
@@ -106,6 +106,13 @@
 
 
 class TestStart:
+    def test_a_wrong_first_guess_of_the_work_costs_few_calls(self) -> None:
+        """After each start calls were refused as hopeless for seconds."""
+        start = CATALOGUE._replace(rate=140, seconds=4)
+        right = missed(play_all(start))
+        wrong = missed(play_all(start._replace(first_guess=350)))
+        assert wrong < right + 0.02
+
     def test_callers_that_come_back_at_once_find_readings(self) -> None:
         """Daemons that had lost power spent their ration in a second."""
         returning = CATALOGUE._replace(rate=140, seconds=4)
