--- /dev/null
+++ b/tests/integration/soak_run.py
@@ -0,0 +1,249 @@
+"""A deployment under load, and what was done to it and seen of it."""
+
+import itertools
+import re
+from collections import defaultdict
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import anyio
+from anyio.abc import TaskGroup
+from cowslippond_core import Clock, Millis
+from cowslippond_ctl._exit_codes import ExitCode
+from cowslippond_standins._address import Address
+from cowslippond_standins.harness._deployment import Deployment
+from cowslippond_standins.harness._handles import (
+    DaemonHandle,
+    LinkHandle,
+    UpstreamHandle,
+    UpstreamPlan,
+)
+from cowslippond_standins.harness._http import ControlError
+from cowslippond_standins.load._generator import LoadGenerator
+from cowslippond_standins.load._plan import Mix, Phase, plan_calls
+from cowslippond_standins.load._report import Told
+from integration.client import DOMAINS
+from integration.shop import DOCUMENT, SERVICE
+
+DAEMONS = 3
+UPSTREAMS = 4
+MIX = Mix(
+    'shop.example',
+    '/prints',
+    '/orders',
+    order_share=0.5,
+    repeat_share=0.5,
+    repeat_after_ms=400,
+    sizes=(0, 256, 256, 20_000, 300_000),
+    caller_header='x-caller',
+)
+CALLS_PER_SECOND = 60
+# Calls are planned in blocks that begin one after another, so that the load
+# lasts for as long as the faults do.
+BLOCK_MS: Millis = 2000
+# The longest pause and the longest deadline together.
+PATIENCE_MS: Millis = 18_000
+BALANCER_LAG_MS: Millis = 300
+RETIRE_LIMIT_MS: Millis = 15_000
+POLL_MS: Millis = 200
+SETTLE_LIMIT_SECONDS = 30
+NO_ANSWER_MS: Millis = 100
+
+
+class Fault(NamedTuple):
+    """A fault drawn from a seed.
+
+    ``pick`` chooses its victim, ``delay`` is the time from the beginning of
+    its round, and ``span`` how long it lasts, both in milliseconds.
+    """
+
+    kind: str
+    pick: int
+    delay: Millis
+    span: Millis
+
+    def __str__(self) -> str:
+        """Return it for the log of a run."""
+        return f'{self.kind}({self.pick}) {self.delay:.0f}+{self.span:.0f} ms'
+
+
+class Effect(NamedTuple):
+    """What a fault brought about; ``count`` is zero if nothing."""
+
+    fault: Fault
+    count: int
+    counter: str
+
+
+class Disturbance(NamedTuple):
+    """A span in which calls through a VM may be cut."""
+
+    vm: str
+    start: Millis
+    end: Millis
+
+
+class SoakRun:
+    """A shop under load and under faults.
+
+    ``versions`` holds, for each daemon, the pairs of revision and version
+    that it told one after another; ``targets`` are the addresses that callers
+    know, as a balancer would hand them out. ``accepted`` holds the versions
+    that operators were told, ``unsure`` counts those who were told that they
+    can't know. ``broken_off`` holds the nonces of the calls whose answers an
+    upstream broke off before it was killed.
+    """
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self.deployment = deployment
+        self.platform = deployment.platform
+        self.seed = seed
+        self.clock = Clock()
+        self.domains = itertools.cycle(DOMAINS)
+        self.daemons: list[DaemonHandle] = []
+        self.upstreams: list[UpstreamHandle] = []
+        self.links: dict[str, LinkHandle] = {}
+        self.targets: list[Address] = []
+        self.busy: set[str] = set()
+        self.told: list[Told] = []
+        self.stray_bytes = 0
+        self.broken_off: set[str] = set()
+        self.disturbed: list[Disturbance] = []
+        self.versions: dict[str, list[tuple[int, int]]] = defaultdict(list)
+        self.accepted: list[int] = []
+        self.unsure = 0
+        self.effects: list[Effect] = []
+        self.changes = itertools.count(1)
+        self.blocks = itertools.count()
+        self.is_over = False
+
+    async def open(self, group: TaskGroup) -> None:
+        """Start the shop."""
+        for _ in range(UPSTREAMS):
+            await self.add_upstream(next(self.domains))
+        await self.deployment.accept(DOCUMENT)
+        for _ in range(DAEMONS):
+            await self.add_daemon(next(self.domains), group)
+
+    async def add_upstream(self, domain: str) -> None:
+        """Start an upstream that the daemons reach over a link."""
+        plan = UpstreamPlan(SERVICE, seed=len(self.deployment.upstreams))
+        made = await self.deployment.add_upstreams(
+            plan, [domain], queue=8, keeps_all=True
+        )
+        link = await self.deployment.proxy.open(made[0].vm, made[0].address)
+        upstream = made[0]._replace(listed_address=link.address)
+        self.links[upstream.vm] = link
+        await self.deployment.list_upstream(upstream)
+        self.upstreams.append(upstream)
+
+    async def add_daemon(self, domain: str, group: TaskGroup) -> None:
+        """Start a daemon, and hand its address out once it serves."""
+        daemon = await self.deployment.add_daemon(domain)
+        await self.deployment.wait_serving(daemon)
+        link = await self.deployment.proxy.open(
+            daemon.vm, daemon.caller_address
+        )
+        self.links[daemon.vm] = link
+        self.daemons.append(daemon)
+        self.targets.append(link.address)
+        group.start_soon(self.watch, daemon)
+
+    async def watch(self, daemon: DaemonHandle) -> None:
+        """Note the versions that a daemon tells for as long as it runs."""
+        seen = self.versions[daemon.vm]
+        while daemon.child.is_running() and not self.is_over:
+            await self.clock.sleep(POLL_MS)
+            try:
+                status = await daemon.status()
+            except ControlError:
+                continue
+            version = int(status['versions'].get(SERVICE, 0))
+            seen.append((int(status['revision']), version))
+
+    async def load(self, group: TaskGroup) -> None:
+        """Start blocks of calls until the faults are over."""
+        while not self.is_over:
+            group.start_soon(self.run_block, next(self.blocks))
+            await self.clock.sleep(BLOCK_MS)
+
+    async def run_block(self, block: int) -> None:
+        """Send the calls of one block and keep what their callers hear."""
+        seed = self.seed * 1000 + block
+        phase = Phase(BLOCK_MS, CALLS_PER_SECOND)
+        generator = LoadGenerator(self.targets, seed, PATIENCE_MS)
+        report = await generator.run(plan_calls([phase], [MIX], seed))
+        self.told.extend(report.told)
+        self.stray_bytes += report.stray_bytes
+
+    async def ask_again(self) -> list[Told]:
+        """Send every order that wasn't answered once more."""
+        answered = {
+            one.call.key for one in self.told if one.outcome == 'answered'
+        }
+        orders = {one.call.key: one.call for one in self.told if one.call.key}
+        calls = [
+            orders[key]._replace(at=turn * 20, is_repeat=True)
+            for turn, key in enumerate(sorted(orders.keys() - answered))
+        ]
+        generator = LoadGenerator(self.targets, self.seed, PATIENCE_MS)
+        return (await generator.run(calls)).told
+
+    async def settle(self) -> None:
+        """Wait until no daemon owes the table a write."""
+        with anyio.fail_after(SETTLE_LIMIT_SECONDS):
+            for daemon in self.daemons:
+                while (await daemon.status())['unsettled_claims']:
+                    await self.clock.sleep(POLL_MS)
+
+    async def change_document(self) -> tuple[int, str]:
+        """Change the document by the operator tool."""
+        ceiling = 5000 + next(self.changes)
+        text = re.sub(
+            '"ceiling_ms": [0-9]+', f'"ceiling_ms": {ceiling}', DOCUMENT
+        )
+        code, printed = await self.deployment.apply(text)
+        found = re.search(r'version (\d+) accepted', printed)
+        if code == ExitCode.DONE and found:
+            self.accepted.append(int(found.group(1)))
+        self.unsure += code == ExitCode.UNKNOWN
+        return code, printed
+
+    def take_daemon(self, fault: Fault) -> DaemonHandle:
+        """Choose a daemon that no other fault has."""
+        free = [one for one in self.daemons if one.vm not in self.busy]
+        chosen = free[fault.pick % len(free)]
+        self.busy.add(chosen.vm)
+        return chosen
+
+    def take_upstream(self, fault: Fault) -> UpstreamHandle:
+        """Choose an upstream that no other fault has."""
+        free = [one for one in self.upstreams if one.vm not in self.busy]
+        chosen = free[fault.pick % len(free)]
+        self.busy.add(chosen.vm)
+        return chosen
+
+    def disturb(self, vm: str, start: Millis) -> None:
+        """Note that calls through a VM may be cut from a time to now."""
+        self.disturbed.append(Disturbance(vm, start, self.clock.now()))
+
+    def hand_out_no_more(self, daemon: DaemonHandle) -> None:
+        """Take a daemon's address from the callers."""
+        self.targets.remove(self.links[daemon.vm].address)
+        self.daemons.remove(daemon)
+
+    async def runs(self) -> list[tuple[str, Mapping[str, Any]]]:
+        """Return the runs of all upstreams, each with its VM."""
+        found: list[tuple[str, Mapping[str, Any]]] = []
+        for upstream in self.deployment.upstreams:
+            if upstream.child.is_running():
+                runs = (await upstream.ledger())['runs']
+            else:
+                runs = upstream.kept_runs()
+            found.extend((upstream.vm, one) for one in runs)
+        return found
+
+    async def count(self, part: str, counter: str) -> int:
+        """Return a counter of the platform."""
+        found: int = (await self.platform.counters())[part].get(counter, 0)
+        return found
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -12,7 +12,8 @@
 from cowslippond_standins.load._report import Told
 from integration.client import wait_until
 from integration.shop import SERVICE
-from integration.soak import KINDS, SoakRun, draw_faults, soak
+from integration.soak_faults import KINDS, draw_faults, soak
+from integration.soak_run import SoakRun
 
 pytestmark = pytest.mark.anyio
 
