--- a/tests/dispatch/test_dispatch.py
+++ b/tests/dispatch/test_dispatch.py
@@ -114,7 +114,7 @@
         async with anyio.create_task_group() as tasks:
             with anyio.fail_after(5):
                 reply = await make_dispatch(tasks).run()
-            await anyio.sleep(0)
+            await anyio.lowlevel.checkpoint()
             tasks.cancel_scope.cancel()
         assert reply.reason is RefusalReason.ANSWER_LOST
         assert watched == ['10.0.0.1:80']
