Say where three figures come from

Cause: constants of the shared failures and of compression had no source. Ruled out: other values; none were tried here. Change: comments only.

--- a/packages/cowslippond-core/src/cowslippond_core/_json_codec.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_json_codec.py
@@ -36,6 +36,7 @@
 # Messages of this many bytes and more are compressed: a configuration of 1,200
 # routes holds up the calls of a machine on a link of 5 Mbit/s for half a second.
 _COMPRESSED_FROM = 4096
+# The fastest: a daemon has half a core.
 _COMPRESSION_LEVEL = 1
 
 # The first byte of a message that is not compressed; a compressed one begins with
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_shared_failures.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_shared_failures.py
@@ -24,11 +24,13 @@
 # half of that.
 _ROW_LIFE: Millis = 3000
 
-# The least failures seen here, or the share known, that is worth telling.
+# The least failures seen here, or the share known, that is worth telling: one
+# failure less than a half-life old; a share below this doubles no expected time.
 _LEAST_FAILED = 0.5
 _LEAST_SHARE = 0.1
 
-# The most upstreams told of at a time; the others follow.
+# The most upstreams told of at a time, as many as a daemon reads of two services;
+# the others follow.
 _MOST_ROWS = 24
 
 _TEXT_PARTS = 2
