Decode the rate limit that upstreams announce, and log it with each send

Cause: the logs could not tell whether daemons knew of a limit (hypothesis 1), kept to it each for itself (2) or broke it by retries alone (3); the header was not read. Change: the adapter decodes it into AnswerMetadata.rate_limit, in calls per second; 'send ended' logs it. What cannot be parsed is logged and ignored. Nothing acts on it yet. The stand-in upstream can announce a limit. Conclusion: with 'send' in the same request's lines, the three can be told apart.

--- a/packages/cowslippond-core/src/cowslippond_core/_dialect.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_dialect.py
@@ -50,6 +50,8 @@
     promises that it did not run the call. ``is_genuine`` is false if a
     successful answer lacks the mark that shows it to be the upstream's own.
     ``idle_timeout`` is how long the connection may stay idle, in milliseconds.
+    ``rate_limit`` is how many calls per second the upstream accepts from all
+    daemons together, while it announces a limit.
     """
 
     request_id: bytes | None = None
@@ -58,6 +60,7 @@
     is_genuine: bool = True
     load: LoadReport | None = None
     idle_timeout: Millis | None = None
+    rate_limit: float | None = None
 
 
 class SendMetadata(NamedTuple):
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
@@ -62,6 +62,7 @@
             'upstream': upstream.vm.name,
             'took_ms': round(took, 1),
             'failure_share': round(upstream.failures.current_rate(now), 2),
+            'rate_limit': attempt.answer_metadata.rate_limit,
             **_describe(result),
         },
     )
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
@@ -1,5 +1,8 @@
 """The headers exchanged with upstreams on the platform."""
 
+import logging
+import math
+
 from cowslippond_core import (
     AnswerMetadata,
     HeaderList,
@@ -17,6 +20,7 @@
 _NOT_RUN = b'x-not-executed'
 _LOAD = b'x-backend-load'
 _KEEP_ALIVE = b'keep-alive'
+_RATE_LIMIT = b'server-limit'
 _TIMEOUT = b'timeout='
 
 _MISDIRECTED_STATUS = 421
@@ -24,6 +28,8 @@
 _MIN_LOAD_FIELDS = 3
 _MILLIS_PER_SECOND = 1000
 
+_logger = logging.getLogger(__name__)
+
 
 class PlatformDialect:
     """Encodes request headers for upstreams and decodes their responses."""
@@ -50,6 +56,7 @@
             is_genuine=_SIGNATURE in by_name,
             load=_read_load(by_name.get(_LOAD)),
             idle_timeout=_read_expiry(by_name.get(_KEEP_ALIVE)),
+            rate_limit=_read_rate_limit(by_name.get(_RATE_LIMIT)),
         )
 
     def encode_retry_after(self, delay: Millis) -> bytes:
@@ -81,6 +88,23 @@
     return LoadReport(int(running), int(waiting), int(slots), slowness)
 
 
+def _read_rate_limit(text: bytes | None) -> float | None:
+    """Read a limit in calls per second, or ``None`` if it is not one."""
+    if text is None:
+        return None
+    try:
+        rate = float(text)
+    except ValueError:
+        rate = math.nan
+    if math.isfinite(rate) and rate >= 0:
+        return rate
+    _logger.warning(
+        'cannot parse the rate limit of an upstream',
+        extra={'header': text.decode('latin-1')},
+    )
+    return None
+
+
 def _read_expiry(text: bytes | None) -> Millis | None:
     if text is None:
         return None
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_backend.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_backend.py
@@ -99,6 +99,8 @@
         self.running = 0
         self.waiting: collections.deque[anyio.Event] = collections.deque()
         self.is_leaving = False
+        # Announced in each answer, in requests per second.
+        self.rate_limit: float | None = None
         self.port = 0
         self.scope = anyio.CancelScope()
 
@@ -225,6 +227,8 @@
             b'x-backend-load: %d,%d,%d,100'
             % (self.running, len(self.waiting), self.slots),
         ]
+        if self.rate_limit is not None:
+            lines.append(b'server-limit: %.3f' % self.rate_limit)
         if request_id:
             lines.append(b'x-request-id: %b' % request_id.encode())
             lines.append(b'x-response-signature: %b' % signature(body))
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -248,5 +248,18 @@
         assert signed.is_genuine
         assert not self.dialect.read_answer(200, ()).is_genuine
 
+    def test_announced_rate_limit_is_in_calls_per_second(self) -> None:
+        metadata = self.dialect.read_answer(200, ((b'server-limit', b'2.5'),))
+        assert metadata.rate_limit == pytest.approx(2.5)
+        assert self.dialect.read_answer(200, ()).rate_limit is None
+
+    @pytest.mark.parametrize('text', [b'', b'-1', b'nan', b'inf', b'many'])
+    def test_invalid_rate_limit_is_logged_and_ignored(
+        self, text: bytes, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        metadata = self.dialect.read_answer(200, ((b'server-limit', text),))
+        assert metadata.rate_limit is None
+        assert 'cannot parse the rate limit' in caplog.text
+
     def test_retry_after_keeps_fractions_of_a_second(self) -> None:
         assert self.dialect.encode_retry_after(120) == b'0.120'
