Keep to the rate limits that upstreams announce, over all daemons together

Cause: no code read the announced limit. Its class: a limit of the whole fleet that each daemon would have to divide, with far less than one call a second for each. Change: a daemon that hears of a limit tells its peers. Consistent hashing over the daemons chooses int(rate) + 2 of them, which share the whole rate; the others send none. Equal shares would let 19 daemons with one saved call each exceed 1.3 calls a second at once. Calls that all limits delay for too long are refused at once as rate_limited. The end is heard by whoever holds a share, or the limit is forgotten, by a few daemons at a time.

--- a/packages/cowslippond-core/src/cowslippond_core/_hooks.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_hooks.py
@@ -5,6 +5,11 @@
 
 from cowslippond_core._quarantine import Quarantine
 from cowslippond_core._reasons import RetryReason
+from cowslippond_core._upstreams import Upstream
+
+
+def ignore_rate_limit(upstream: Upstream, rate: float | None) -> None:
+    """Ignore a rate limit, where upstreams announce none."""
 
 
 class SendingHooks(NamedTuple):
@@ -15,9 +20,14 @@
     when an answer of an upstream says that it is leaving. ``count_retry`` is
     called with the reason for each retry or hedge. ``quarantine`` is consulted
     before each send, and notified of broken connections and answers.
+    ``record_rate_limit`` is called with the rate limit that an answer announces,
+    in calls per second, or with ``None`` if it announces none.
     """
 
     is_leaving: Callable[[str], bool]
     mark_leaving: Callable[[str, str], None]
     count_retry: Callable[[RetryReason], None]
     quarantine: Quarantine
+    record_rate_limit: Callable[[Upstream, float | None], None] = (
+        ignore_rate_limit
+    )
--- a/packages/cowslippond-core/src/cowslippond_core/_membership.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_membership.py
@@ -131,6 +131,17 @@
             self.merged = self._merge(now)
         return self.merged
 
+    def serving_addresses(self) -> list[str]:
+        """Return the addresses of the other daemons that serve calls.
+
+        Addresses that are only known from the settings are not included.
+        """
+        return [
+            daemon.address
+            for daemon in self.known_daemons()
+            if daemon.incarnation and not daemon.is_leaving
+        ]
+
     def count(self) -> int:
         """Return the number of known daemons, including this one."""
         return len(self.known_daemons()) + 1
--- a/packages/cowslippond-core/src/cowslippond_core/_metrics.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_metrics.py
@@ -46,6 +46,7 @@
     READING_AGE_MS = 'reading_age_ms'
     CONFIGURATION = 'configuration.version'
     UPSTREAMS_KNOWN = 'upstreams.known'
+    UPSTREAMS_RATE_LIMITED = 'upstreams.rate_limited'
 
 
 def refusal_name(reason: RefusalReason) -> str:
--- a/packages/cowslippond-core/src/cowslippond_core/_reasons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reasons.py
@@ -14,6 +14,7 @@
     QUEUE_FULL = 'queue_full'
     NO_UPSTREAM = 'no_upstream'
     UPSTREAMS_FULL = 'upstreams_full'
+    RATE_LIMITED = 'rate_limited'
     CONNECT_FAILED = 'connect_failed'
     ANSWER_LOST = 'answer_lost'
     NO_CALLER = 'no_caller'
--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -10,6 +10,7 @@
 from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._connections import Connections
 from cowslippond_core._failures import FailureRate
+from cowslippond_core._rate_limit import RateLimit
 from cowslippond_core._vm import Vm, VmState
 
 _LATENCY_WEIGHT = 0.2
@@ -77,7 +78,8 @@
 
     ``latency`` is a moving average in milliseconds. ``answered_at`` is when the
     upstream last answered any call, and ``warmed_up_at`` when it reaches its
-    full speed, both in milliseconds on the clock.
+    full speed, both in milliseconds on the clock. ``rate_limit`` is set while the
+    upstream announces a limit.
 
     :param vm: its entry in the VM list.
     :param connections: the connections to it.
@@ -98,6 +100,7 @@
         self.is_removed = False
         self.load_state = LoadState()
         self.failures = FailureRate()
+        self.rate_limit: RateLimit | None = None
         self.warmed_up_at: Millis = connections.clock.now() + vm.warm_up
 
     def record_latency(self, latency: Millis) -> None:
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/__init__.py
@@ -15,3 +15,9 @@
 from cowslippond_core.dispatch._shared_failures import (
     SharedFailures as SharedFailures,
 )
+from cowslippond_core.dispatch._shared_rate_limits import (
+    RATE_LIMIT_TABLE as RATE_LIMIT_TABLE,
+)
+from cowslippond_core.dispatch._shared_rate_limits import (
+    SharedRateLimits as SharedRateLimits,
+)
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -277,7 +277,8 @@
         self.service.placer.notify_capacity_change()
 
     def _refuse(self, outcome: Outcome, reason: RefusalReason) -> CallRefusal:
-        wait = self.service.placer.queue.retry_after()
+        placer = self.service.placer
+        wait = placer.limited_waits.retry_after(self.clock.now())
         jitter = 1 + self.ctx.rng.random() * _RETRY_AFTER_JITTER
         delay = min(max(wait, _MIN_RETRY_AFTER) * jitter, _MAX_RETRY_AFTER)
         _logger.info(
@@ -287,10 +288,10 @@
                 'reason': reason.value,
                 'outcome': outcome.value,
                 'sends': self.send_count,
-                'waiting': len(self.service.placer.queue.pending),
+                'waiting': len(placer.queue.pending),
                 'work_ms': round(self.service.estimator.service_time, 1),
                 'upstreams': len(self.service.upstreams.by_address),
-                'expected_wait_ms': round(wait, 1),
+                'expected_wait_ms': round(min(wait, _MAX_RETRY_AFTER), 1),
             },
         )
         return CallRefusal(outcome, reason, delay)
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_load_prober.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_load_prober.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+from collections.abc import Callable
 
 import anyio
 
@@ -9,6 +10,7 @@
 from cowslippond_core._connection import Connection
 from cowslippond_core._dialect import AnswerMetadata, Dialect, LoadReport
 from cowslippond_core._exchange import Exchange
+from cowslippond_core._hooks import ignore_rate_limit
 from cowslippond_core._upstreams import LoadReading, Upstream
 
 _logger = logging.getLogger(__name__)
@@ -52,12 +54,23 @@
     :param clock: timestamps the load readings.
     :param dialect: decodes the load from the answer's headers.
     :param path: the path of the health page.
+    :param record_rate_limit: called with the rate limit that an answer
+        announces, in calls per second.
     """
 
-    def __init__(self, clock: Clock, dialect: Dialect, path: str) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        dialect: Dialect,
+        path: str,
+        record_rate_limit: Callable[
+            [Upstream, float | None], None
+        ] = ignore_rate_limit,
+    ) -> None:
         self.clock = clock
         self.dialect = dialect
         self.path = path
+        self.record_rate_limit = record_rate_limit
         self.reports_load = True
 
     async def probe(self, upstream: Upstream) -> bool:
@@ -112,6 +125,8 @@
                 extra={'upstream': upstream.vm.name, 'answered': metadata.vm},
             )
             return False
+        if metadata.rate_limit is not None:
+            self.record_rate_limit(upstream, metadata.rate_limit)
         if metadata.idle_timeout is not None:
             upstream.connections.update_idle_timeout(metadata.idle_timeout)
         now = self.clock.now()
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
@@ -44,6 +44,7 @@
     now = ctx.clock.now()
     took = now - attempt.sent_at
     _store_load(attempt, now)
+    _store_rate_limit(ctx, attempt, result)
     if isinstance(result, Answered):
         upstream.answered_at = now
         is_failure = result.answer.status >= _FIRST_ERROR_STATUS
@@ -97,6 +98,19 @@
     store_reading(attempt.upstream, report, now, now, is_healthy=is_healthy)
 
 
+def _store_rate_limit(
+    ctx: DispatchContext, attempt: Attempt, result: AttemptResult
+) -> None:
+    is_own_answer = isinstance(result, Answered) or (
+        isinstance(result, NotRun)
+        and result.reason in {NotRunReason.SHED, NotRunReason.DRAINING}
+    )
+    if is_own_answer:
+        ctx.hooks.record_rate_limit(
+            attempt.upstream, attempt.answer_metadata.rate_limit
+        )
+
+
 def _record_loss(
     ctx: DispatchContext,
     service: Service,
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_services.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_services.py
@@ -100,7 +100,12 @@
         daemons = ctx.count_daemons()
         limit = max(entry.max_connections // daemons, _MIN_CONNECTIONS)
         upstreams = UpstreamSet(self.tasks, ctx.clock, limit)
-        prober = LoadProber(ctx.clock, ctx.dialect, entry.health_path)
+        prober = LoadProber(
+            ctx.clock,
+            ctx.dialect,
+            entry.health_path,
+            ctx.hooks.record_rate_limit,
+        )
         estimator = ServiceTimeEstimator(service_time)
         bounds = self.bounds
         placer = Placer(
--- a/packages/cowslippond-core/src/cowslippond_core/placing/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/__init__.py
@@ -1,5 +1,8 @@
 """Admission, queueing and upstream selection for the calls of a service."""
 
+from cowslippond_core.placing._limit_division import (
+    LimitDivision as LimitDivision,
+)
 from cowslippond_core.placing._pending_call import Grant as Grant
 from cowslippond_core.placing._pending_call import PendingCall as PendingCall
 from cowslippond_core.placing._placer import Placer as Placer
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_limited_waits.py
@@ -0,0 +1,50 @@
+"""Refuses calls that the rate limits of all upstreams delay for too long."""
+
+from cowslippond_core._clock import Millis
+from cowslippond_core.placing._pending_call import PendingCall
+from cowslippond_core.placing._queue import CallQueue
+from cowslippond_core.placing._selector import UpstreamSelector
+
+# Once the limits allow a call, the search for a slot may take this long.
+_PLACING_TIME: Millis = 100
+
+
+class LimitedWaits:
+    """Estimates how long the rate limits of upstreams delay calls.
+
+    :param queue: the calls that wait.
+    :param selector: knows the upstreams and their limits.
+    """
+
+    def __init__(self, queue: CallQueue, selector: UpstreamSelector) -> None:
+        self.queue = queue
+        self.selector = selector
+
+    def is_refused(self, call: PendingCall, ahead: int, now: Millis) -> bool:
+        """Tell whether the limits delay a call for too long.
+
+        A call that would miss its objective may only wait if no other call
+        does: timely calls that arrive later would take its turn.
+
+        :param ahead: the number of calls that are sent before it.
+        """
+        wait = self.selector.limit_wait(call.excluded, ahead, now)
+        if wait == 0:
+            return False
+        if self.queue.is_too_long(wait + _PLACING_TIME, call, now):
+            return True
+        return ahead > 0 and self.queue.is_late(call, now + wait)
+
+    def refused_calls(self, now: Millis) -> list[PendingCall]:
+        """Return the waiting calls that are delayed for too long."""
+        return [
+            call
+            for ahead, call in enumerate(self.queue.service_order(now))
+            if self.is_refused(call, ahead, now)
+        ]
+
+    def retry_after(self, now: Millis) -> Millis:
+        """Return when a refused call can expect an upstream, in milliseconds."""
+        waiting = len(self.queue.pending)
+        limited = self.selector.limit_wait(frozenset(), waiting, now)
+        return max(self.queue.retry_after(), limited)
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
@@ -12,10 +12,15 @@
 from cowslippond_core._isolation import run_contained, run_restarting
 from cowslippond_core._reasons import RefusalReason
 from cowslippond_core._upstreams import Upstream, UpstreamSet
+from cowslippond_core.placing._limited_waits import LimitedWaits
 from cowslippond_core.placing._pending_call import Grant, PendingCall
 from cowslippond_core.placing._probe_limiter import ProbeLimiter
 from cowslippond_core.placing._queue import CallQueue
-from cowslippond_core.placing._selector import FleetView, UpstreamSelector
+from cowslippond_core.placing._selector import (
+    FleetView,
+    UpstreamSelector,
+    is_within_limit,
+)
 from cowslippond_core.placing._service_time import ServiceTimeEstimator
 from cowslippond_core.placing._slowdown import expected_slowdown
 
@@ -100,17 +105,20 @@
         self.is_out_of_probes = False
         self.capacity_changed = anyio.Event()
         self.selector = UpstreamSelector(upstreams, fleet, rng)
+        self.limited_waits = LimitedWaits(self.queue, self.selector)
 
     async def acquire(self, call: PendingCall) -> Grant | RefusalReason:
         """Wait for an upstream and return it, or why the call gets none."""
         now = self.clock.now()
-        if not self.selector.eligible(call):
+        if not self.selector.eligible(call.excluded):
             return RefusalReason.NO_UPSTREAM
         self.selector.update_failure_baseline(now)
         self._update_slots()
         refusal = self.queue.check_admission(call, now)
         if refusal is not None:
             return refusal
+        if self.limited_waits.is_refused(call, len(self.queue.pending), now):
+            return RefusalReason.RATE_LIMITED
         if not self.queue.pending:
             best = self.selector.best(call, now)
             if best is not None and self.queue.accepts(
@@ -175,6 +183,8 @@
 
     def _expire(self) -> None:
         now = self.clock.now()
+        for limited in self.limited_waits.refused_calls(now):
+            self._settle(limited, RefusalReason.RATE_LIMITED)
         for call in self.queue.expired(now):
             is_late = self.queue.is_late(call, now)
             self._settle(
@@ -232,6 +242,8 @@
         slowdown = expected_slowdown(upstream, now)
         if slowdown is None or self.fleet.is_leaving(upstream.address):
             return
+        if not is_within_limit(upstream, now):
+            return
         call = self.queue.match(upstream.address, slowdown, now)
         if call is not None:
             self._settle(
@@ -272,6 +284,8 @@
     def _record_grant(self, grant: Grant, now: Millis) -> Grant:
         grant.upstream.load_state.grant_times.append(now)
         grant.upstream.chosen_at = now
+        if grant.upstream.rate_limit is not None:
+            grant.upstream.rate_limit.take(now)
         return grant
 
 
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_queue.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_queue.py
@@ -49,10 +49,14 @@
             1 for other in self.pending if other.priority <= call.priority
         )
         wait = self.estimator.expected_wait(ahead)
-        if wait > _MAX_WAIT_RATIO * (call.deadline - now):
+        if self.is_too_long(wait, call, now):
             return RefusalReason.QUEUE_FULL
         return None
 
+    def is_too_long(self, wait: Millis, call: PendingCall, now: Millis) -> bool:
+        """Tell whether a call that has to wait this long is refused."""
+        return wait > _MAX_WAIT_RATIO * (call.deadline - now)
+
     def add(self, call: PendingCall) -> None:
         """Add a call to the queue."""
         self.pending.append(call)
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_selector.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_selector.py
@@ -1,9 +1,10 @@
 """Selects the upstreams that a call may get and those worth probing."""
 
+import heapq
 import math
 import random
 import statistics
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import NamedTuple
 
 import xxhash
@@ -103,14 +104,43 @@
         self.baseline_updated_at: Millis = -math.inf
         self.free_ratio: float = 1
 
-    def eligible(self, call: PendingCall) -> list[Upstream]:
-        """Return the upstreams that a call may get, whatever their load."""
+    def eligible(self, excluded: Container[str]) -> list[Upstream]:
+        """Return the upstreams that a call may get, whatever their load.
+
+        :param excluded: the addresses that the call must not get.
+        """
         return [
             upstream
             for upstream in self._usable()
-            if upstream.address not in call.excluded
+            if upstream.address not in excluded
         ]
 
+    def limit_wait(
+        self, excluded: Container[str], ahead: int, now: Millis
+    ) -> Millis:
+        """Return how long the rate limits of the upstreams delay a call.
+
+        :param excluded: the addresses that the call must not get.
+        :param ahead: the number of calls that are sent before it.
+        :return: a time in milliseconds, 0 if an upstream without a limit is
+            eligible, and infinity if this daemon has no share of any limit.
+        """
+        limits = []
+        for upstream in self.eligible(excluded):
+            if upstream.rate_limit is None:
+                return 0
+            limits.append(upstream.rate_limit)
+        # The waits until each limit allows its next call, the shortest first.
+        waits = [
+            (limit.wait(0, now), 0, index) for index, limit in enumerate(limits)
+        ]
+        heapq.heapify(waits)
+        for _ in range(ahead):
+            _, sent, index = waits[0]
+            later = limits[index].wait(sent + 1, now)
+            heapq.heapreplace(waits, (later, sent + 1, index))
+        return waits[0][0] if waits else math.inf
+
     def update_failure_baseline(self, now: Millis) -> None:
         """Set the failure baseline to the median rate of all upstreams."""
         if now - self.baseline_updated_at < _BASELINE_INTERVAL:
@@ -132,7 +162,7 @@
         """
         best: Grant | None = None
         least = math.inf
-        for upstream in self.eligible(call):
+        for upstream in self._available(call, now):
             slowdown = expected_slowdown(upstream, now)
             reading = upstream.load_state.reading
             if slowdown is None or reading is None:
@@ -174,7 +204,7 @@
         """
         idle = [
             upstream
-            for upstream in self.eligible(call)
+            for upstream in self._available(call, now)
             if upstream.in_flight == 0
             and now - upstream.chosen_at > GRANT_LAG
             and not self._is_backing_off(upstream, now)
@@ -210,6 +240,8 @@
                 continue
             if self._is_backing_off(upstream, now):
                 continue
+            if not is_within_limit(upstream, now):
+                continue
             if expected_slowdown(upstream, now) is None:
                 targets.append(upstream)
         targets.sort(key=self._subset_rank)
@@ -255,6 +287,14 @@
             and upstream.connections.has_room()
         ]
 
+    def _available(self, call: PendingCall, now: Millis) -> list[Upstream]:
+        """Return the eligible upstreams whose rate limit allows a call now."""
+        return [
+            upstream
+            for upstream in self.eligible(call.excluded)
+            if is_within_limit(upstream, now)
+        ]
+
     def _is_backing_off(self, upstream: Upstream, now: Millis) -> bool:
         return (
             self.probe_failures.get(upstream.address, _NO_PROBE_FAILURES).until
@@ -262,6 +302,12 @@
         )
 
 
+def is_within_limit(upstream: Upstream, now: Millis) -> bool:
+    """Tell whether the rate limit of an upstream allows a call now."""
+    limit = upstream.rate_limit
+    return limit is None or limit.available(now) >= 1
+
+
 def _expected_load(upstream: Upstream, now: Millis) -> float:
     """Return a rank that is lower the likelier an upstream is free and fast."""
     rank = upstream.in_flight + penalty(upstream, now)
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -12,6 +12,7 @@
 from anyio.abc import TaskGroup
 from cowslippond_core import (
     FAILURE_TABLE,
+    RATE_LIMIT_TABLE,
     STORE_LOST_TABLE,
     UPSTREAM_LOG,
     Clock,
@@ -33,6 +34,7 @@
     SendingHooks,
     Services,
     SharedFailures,
+    SharedRateLimits,
     StoreWatch,
     UpstreamRegistry,
     Vm,
@@ -152,9 +154,17 @@
             self.metrics,
             self.rng,
             {UPSTREAM_LOG: self.upstream_registry},
-            (STORE_LOST_TABLE,),
+            (STORE_LOST_TABLE, RATE_LIMIT_TABLE),
             (FAILURE_TABLE,),
         )
+        self.rate_limits = SharedRateLimits(
+            self.fleet.gossip_table(RATE_LIMIT_TABLE),
+            settings.peer_address,
+            self.fleet.membership.serving_addresses,
+            self._count_daemons,
+            self.clock,
+            self.rng,
+        )
 
     async def run(self) -> None:
         """Serve until a graceful shutdown is complete."""
@@ -187,6 +197,7 @@
                 ),
                 count_retry=self.metrics.count_retry,
                 quarantine=quarantine,
+                record_rate_limit=self.rate_limits.record_answer,
             ),
             self._count_daemons,
             self.rng,
@@ -236,6 +247,9 @@
             self.clock,
         )
         tasks.start_soon(run_restarting, self.clock, shared_failures.run)
+        tasks.start_soon(
+            run_restarting, self.clock, self.rate_limits.run, services.upstreams
+        )
         return services
 
     def _count_daemons(self) -> int:
@@ -350,6 +364,9 @@
         self.metrics.gauge(
             Metric.UPSTREAMS_KNOWN, len(self.upstream_registry.by_key)
         )
+        self.metrics.gauge(
+            Metric.UPSTREAMS_RATE_LIMITED, self.rate_limits.count()
+        )
         self.metrics.gauge(Metric.DAEMONS_KNOWN, self.fleet.membership.count())
         return self.metrics.render()
 
--- a/tests/dispatch/test_dispatch.py
+++ b/tests/dispatch/test_dispatch.py
@@ -93,7 +93,8 @@
             acquire=acquire,
             notify_capacity_change=lambda: None,
             tasks=tasks,
-            queue=SimpleNamespace(retry_after=lambda: 50, pending=()),
+            limited_waits=SimpleNamespace(retry_after=lambda _: 50),
+            queue=SimpleNamespace(pending=()),
         ),
     )
     request = CallRequest(
--- a/tests/fleet/test_rate_limits.py
+++ b/tests/fleet/test_rate_limits.py
@@ -29,6 +29,10 @@
 EXTRA_CALLS = 5
 NOTICE: Millis = 500
 
+# A call that cannot be served within this time is refused on arrival, and not
+# when a part of its time has passed.
+REFUSAL_TIME: Millis = 150
+
 
 async def start_fleet(
     fleet: FleetDeployment, backends: int
@@ -97,3 +101,40 @@
             for call_result in caller.call_results
         }
         assert verdicts == {Verdict.GOOD}
+
+    async def test_calls_beyond_the_limits_of_all_upstreams_are_refused_at_once(
+        self, fleet: FleetDeployment
+    ) -> None:
+        """They waited for a third of their time, and were then refused."""
+        backends, callers = await start_fleet(fleet, 2)
+        for backend in backends:
+            backend.rate_limit = 3
+        limited_at = fleet.clock.now()
+        await send_calls(callers, 8)
+        for backend in backends:
+            busiest = busiest_window(backend, limited_at + NOTICE)
+            assert busiest <= allowed_calls(3)
+        refused = [
+            call_result
+            for caller in callers
+            for call_result in caller.call_results
+            if call_result.verdict is not Verdict.GOOD
+        ]
+        assert {one.verdict for one in refused} == {Verdict.NOT_RUN}
+        late = [one for one in refused if one.duration > REFUSAL_TIME]
+        assert len(late) <= len(refused) / 20
+        ran = sum(len(backend.runs) for backend in backends)
+        assert ran >= 2 * 3 * 8 * 0.7
+
+    async def test_calls_return_when_the_limit_ends(
+        self, fleet: FleetDeployment
+    ) -> None:
+        backends, callers = await start_fleet(fleet, 2)
+        backends[0].rate_limit = 2
+        await send_calls(callers, 4)
+        backends[0].rate_limit = None
+        await send_calls(callers, 3)
+        ended_at = fleet.clock.now()
+        await send_calls(callers, 3)
+        calls = [run for run in backends[0].runs if run.at > ended_at]
+        assert len(calls) >= 20
