Keep the rate limit of an upstream with its load

Cause: an upstream's state was at the linter's limit of attributes, and the limit belongs beside the load reading and the grants. Change: a move; no behaviour.

--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -64,13 +64,15 @@
 
     ``reading`` is the latest load reading and ``probe_time`` the time that a
     probe takes. ``grant_times`` are the times at which this daemon placed calls
-    on the upstream, in milliseconds.
+    on the upstream, in milliseconds. ``rate_limit`` is set while the upstream
+    announces a limit.
     """
 
     def __init__(self) -> None:
         self.reading: LoadReading | None = None
         self.probe_time: Millis = 0
         self.grant_times: deque[Millis] = deque(maxlen=_MAX_GRANTS)
+        self.rate_limit: RateLimit | None = None
 
 
 class Upstream:
@@ -78,8 +80,7 @@
 
     ``latency`` is a moving average in milliseconds. ``answered_at`` is when the
     upstream last answered any call, and ``warmed_up_at`` when it reaches its
-    full speed, both in milliseconds on the clock. ``rate_limit`` is set while the
-    upstream announces a limit.
+    full speed, both in milliseconds on the clock.
 
     :param vm: its entry in the VM list.
     :param connections: the connections to it.
@@ -100,7 +101,6 @@
         self.is_removed = False
         self.load_state = LoadState()
         self.failures = FailureRate()
-        self.rate_limit: RateLimit | None = None
         self.warmed_up_at: Millis = connections.clock.now() + vm.warm_up
 
     def record_latency(self, latency: Millis) -> None:
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_shared_rate_limits.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_shared_rate_limits.py
@@ -79,10 +79,10 @@
         self.division.update(self.list_daemons(), self.count_daemons())
         for row in self.table.rows():
             upstream = self.by_key.get(row.key)
-            if upstream is not None and upstream.rate_limit is None:
+            if upstream is not None and upstream.load_state.rate_limit is None:
                 self.receive(row)
         for key, upstream in self.by_key.items():
-            limit = upstream.rate_limit
+            limit = upstream.load_state.rate_limit
             if limit is None:
                 continue
             if limit.expires_at <= now:
@@ -93,7 +93,10 @@
 
     def count(self) -> int:
         """Return the number of upstreams with a limit."""
-        return sum(one.rate_limit is not None for one in self.by_key.values())
+        return sum(
+            one.load_state.rate_limit is not None
+            for one in self.by_key.values()
+        )
 
     def record_answer(self, upstream: Upstream, rate: float | None) -> None:
         """Apply what an upstream announces in an answer to a call.
@@ -103,7 +106,7 @@
         """
         key = _key_of(upstream)
         if rate is None:
-            if upstream.rate_limit is not None:
+            if upstream.load_state.rate_limit is not None:
                 self._lift(upstream, 'answer')
                 self.table.put(key, '', _LIMIT_LIFE)
             return
@@ -121,7 +124,7 @@
         if upstream is None:
             return
         if not row.text:
-            if upstream.rate_limit is not None:
+            if upstream.load_state.rate_limit is not None:
                 self._lift(upstream, 'peer')
             return
         rate = _parse_rate(row.text)
@@ -137,13 +140,13 @@
         now = self.clock.now()
         share = self.division.share_of(_key_of(upstream), rate)
         expires_at = now + _LIMIT_LIFE + self._forget_delay(rate)
-        limit = upstream.rate_limit
+        limit = upstream.load_state.rate_limit
         if limit is not None and limit.rate == rate:
             limit.expires_at = expires_at
             return
         if limit is None:
             limit = RateLimit(rate, share, now, expires_at)
-            upstream.rate_limit = limit
+            upstream.load_state.rate_limit = limit
         limit.update(rate, share, now)
         limit.expires_at = expires_at
         _logger.info(
@@ -161,7 +164,7 @@
         return self.rng.random() * min(span, _MAX_FORGET_SPAN)
 
     def _lift(self, upstream: Upstream, source: str) -> None:
-        upstream.rate_limit = None
+        upstream.load_state.rate_limit = None
         _logger.info(
             'rate limit of an upstream has ended',
             extra={'upstream': upstream.vm.name, 'source': source},
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
@@ -284,8 +284,8 @@
     def _record_grant(self, grant: Grant, now: Millis) -> Grant:
         grant.upstream.load_state.grant_times.append(now)
         grant.upstream.chosen_at = now
-        if grant.upstream.rate_limit is not None:
-            grant.upstream.rate_limit.take(now)
+        if grant.upstream.load_state.rate_limit is not None:
+            grant.upstream.load_state.rate_limit.take(now)
         return grant
 
 
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_selector.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_selector.py
@@ -127,9 +127,9 @@
         """
         limits = []
         for upstream in self.eligible(excluded):
-            if upstream.rate_limit is None:
+            if upstream.load_state.rate_limit is None:
                 return 0
-            limits.append(upstream.rate_limit)
+            limits.append(upstream.load_state.rate_limit)
         # The waits until each limit allows its next call, the shortest first.
         waits = [
             (limit.wait(0, now), 0, index) for index, limit in enumerate(limits)
@@ -304,7 +304,7 @@
 
 def is_within_limit(upstream: Upstream, now: Millis) -> bool:
     """Tell whether the rate limit of an upstream allows a call now."""
-    limit = upstream.rate_limit
+    limit = upstream.load_state.rate_limit
     return limit is None or limit.available(now) >= 1
 
 
--- a/tests/dispatch/test_shared_rate_limits.py
+++ b/tests/dispatch/test_shared_rate_limits.py
@@ -71,13 +71,15 @@
                 table.merge(row)
 
     def limited_count(self) -> int:
-        return sum(one.rate_limit is not None for one in self.upstreams)
+        return sum(
+            one.load_state.rate_limit is not None for one in self.upstreams
+        )
 
     def send_all(self) -> int:
         """Send the calls that are allowed now and return their number."""
         sent = 0
         for upstream in self.upstreams:
-            limit = upstream.rate_limit
+            limit = upstream.load_state.rate_limit
             assert limit is not None
             while limit.available(self.clock.now()) >= 1:
                 limit.take(self.clock.now())
@@ -162,7 +164,7 @@
         fleet.upstreams[1] = make_upstream(fleet.clock, '2')
         fleet.update()
         fleet.spread_rows()
-        assert fleet.upstreams[1].rate_limit is None
+        assert fleet.upstreams[1].load_state.rate_limit is None
 
     @pytest.mark.parametrize('text', ['many', 'nan', '-1', 'inf'])
     def test_unreadable_row_of_a_peer_is_logged_and_ignored(
@@ -179,4 +181,6 @@
         fleet.spread_rows()
         fleet.clock.advance(10_000)
         assert fleet.send_all() == 0
-        assert math.isfinite(fleet.upstreams[0].rate_limit.expires_at)
+        assert math.isfinite(
+            fleet.upstreams[0].load_state.rate_limit.expires_at
+        )
