Log when no upstream of a service is within reach

Change: each service records whether its upstreams accept connections and whether they answer, from calls and probes; a line tells when all failed in a row, and when one works again. Nothing acts on it yet.

--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/_reach.py
@@ -0,0 +1,110 @@
+"""Tells whether this daemon reaches the upstreams of a service.
+
+A daemon may be partitioned from all upstreams while callers, peers and the store
+reach it. Connections to upstreams then hang or are reset, or open ones work while
+new ones are refused.
+"""
+
+import logging
+from collections.abc import Callable, Collection
+
+_logger = logging.getLogger(__name__)
+
+# So many different upstreams, or all of a smaller service, have failed in a row
+# before the service counts as out of reach. Some fail at a time when a rack or
+# a failure domain is lost.
+_MIN_FAILED_UPSTREAMS = 4
+
+
+class Evidence:
+    """The upstreams that failed since one last succeeded.
+
+    :param list_addresses: returns the addresses of the service's upstreams.
+    :param service: the name of the service, for the log.
+    :param kind: what the upstreams fail to do, for the log.
+    """
+
+    def __init__(
+        self,
+        list_addresses: Callable[[], Collection[str]],
+        service: str,
+        kind: str,
+    ) -> None:
+        self.list_addresses = list_addresses
+        self.service = service
+        self.kind = kind
+        self.failed: set[str] = set()
+        self.is_cut = False
+
+    def record_success(self) -> None:
+        """Record that an upstream has answered or accepted a connection."""
+        self.failed.clear()
+        if self.is_cut:
+            self.is_cut = False
+            _logger.info(
+                'upstreams of a service are within reach again',
+                extra={'service': self.service, 'kind': self.kind},
+            )
+
+    def record_failure(self, address: str) -> None:
+        """Record that an upstream has not done so."""
+        self.failed.add(address)
+        known = self.list_addresses()
+        required = min(_MIN_FAILED_UPSTREAMS, len(known))
+        if self.is_cut or len(self.failed.intersection(known)) < required:
+            return
+        self.is_cut = True
+        _logger.warning(
+            'no upstream of a service is within reach',
+            extra={
+                'service': self.service,
+                'kind': self.kind,
+                'failed': len(self.failed),
+                'upstreams': len(known),
+            },
+        )
+
+
+class ServiceReach:
+    """Whether upstreams of a service accept connections and answer.
+
+    :param list_addresses: returns the addresses of the service's upstreams.
+    :param service: the name of the service, for the log.
+    """
+
+    def __init__(
+        self, list_addresses: Callable[[], Collection[str]], service: str
+    ) -> None:
+        self.connects = Evidence(list_addresses, service, 'connect')
+        self.answers = Evidence(list_addresses, service, 'answer')
+
+    def is_cut(self, *, needs_connection: bool) -> bool:
+        """Tell whether a call would fail at all upstreams.
+
+        :param needs_connection: whether the call needs a new connection.
+        """
+        return self.answers.is_cut or (
+            needs_connection and self.connects.is_cut
+        )
+
+    def record_answer(self, *, is_new_connection: bool) -> None:
+        """Record that an upstream has answered a call or a probe."""
+        self.answers.record_success()
+        if is_new_connection:
+            self.connects.record_success()
+
+    def record_silence(self, address: str) -> None:
+        """Record that an upstream has not answered."""
+        self.answers.record_failure(address)
+
+    def record_connect_failure(
+        self, address: str, *, has_open_connections: bool
+    ) -> None:
+        """Record that an upstream has not accepted a connection.
+
+        :param has_open_connections: whether others to it are open, which may
+            still work.
+        """
+        self.connects.record_failure(address)
+        if not has_open_connections:
+            self.answers.record_failure(address)
--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from anyio.abc import TaskGroup
@@ -11,6 +11,7 @@
 from cowslippond_core._connections import Connections
 from cowslippond_core._failures import FailureRate
 from cowslippond_core._rate_limit import RateLimit
+from cowslippond_core._reach import ServiceReach
 from cowslippond_core._vm import Vm, VmState
 
 _LATENCY_WEIGHT = 0.2
@@ -84,10 +85,17 @@
 
     :param vm: its entry in the VM list.
     :param connections: the connections to it.
+    :param reach: records whether the upstreams of its service answer.
     """
 
-    def __init__(self, vm: Vm, connections: Connections) -> None:
+    def __init__(
+        self,
+        vm: Vm,
+        connections: Connections,
+        reach: ServiceReach | None = None,
+    ) -> None:
         self.vm = vm
+        self.reach = reach or ServiceReach(lambda: (vm.address,), vm.service)
         self.address = vm.address
         self.failure_domain = vm.failure_domain
         self.connections = connections
@@ -118,15 +126,21 @@
     :param tasks: runs the tasks that read from connections.
     :param clock: the clock of the connections.
     :param connection_limit: the maximum number of connections per upstream.
+    :param service: the name of the service, for the log.
     """
 
     def __init__(
-        self, tasks: TaskGroup, clock: Clock, connection_limit: int
+        self,
+        tasks: TaskGroup,
+        clock: Clock,
+        connection_limit: int,
+        service: str = '',
     ) -> None:
         self.tasks = tasks
         self.clock = clock
         self.connection_limit = connection_limit
         self.by_address: dict[str, Upstream] = {}
+        self.reach = ServiceReach(self._list_addresses, service)
 
     def update(self, vms: Iterable[Vm]) -> None:
         """Replace the upstreams by the live VMs of the VM list.
@@ -160,7 +174,10 @@
         connections = Connections(
             vm.address, self.tasks, self.clock, self.connection_limit
         )
-        return Upstream(vm, connections)
+        return Upstream(vm, connections, self.reach)
+
+    def _list_addresses(self) -> Collection[str]:
+        return self.by_address.keys()
 
 
 def _retire(upstream: Upstream) -> None:
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_load_prober.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_load_prober.py
@@ -73,24 +73,37 @@
         self.record_rate_limit = record_rate_limit
         self.reports_load = True
 
-    async def probe(self, upstream: Upstream) -> bool:
-        """Probe an upstream; return whether there is a new load reading."""
+    async def probe(
+        self, upstream: Upstream, *, is_fresh: bool = False
+    ) -> bool:
+        """Probe an upstream; return whether there is a new load reading.
+
+        :param is_fresh: whether to use a new connection.
+        """
         with anyio.move_on_after(seconds_of(_PROBE_TIMEOUT)):
-            return await self._probe(upstream)
+            return await self._probe(upstream, is_fresh)
+        upstream.reach.record_silence(upstream.address)
         return False
 
-    async def _probe(self, upstream: Upstream) -> bool:
-        acquired = await upstream.connections.acquire(is_fresh=False)
+    async def _probe(self, upstream: Upstream, is_fresh: bool) -> bool:
+        acquired = await upstream.connections.acquire(is_fresh=is_fresh)
         if acquired.is_error():
+            upstream.reach.record_connect_failure(
+                upstream.address,
+                has_open_connections=bool(upstream.connections.open),
+            )
             return False
         connection = acquired.ok
+        is_new_connection = connection.calls == 0
         exchange = Exchange(is_head=False)
         sent_at = self.clock.now()
         with contextlib.ExitStack() as cleanup:
             cleanup.callback(upstream.connections.end_call, connection)
             await self._request(connection, exchange, upstream)
         if not exchange.is_complete:
+            upstream.reach.record_silence(upstream.address)
             return False
+        upstream.reach.record_answer(is_new_connection=is_new_connection)
         metadata = self.dialect.read_answer(
             exchange.status, tuple(exchange.headers)
         )
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
@@ -45,6 +45,7 @@
     took = now - attempt.sent_at
     _store_load(attempt, now)
     _store_rate_limit(ctx, attempt, result)
+    _store_reach(attempt, result)
     if isinstance(result, Answered):
         upstream.answered_at = now
         is_failure = result.answer.status >= _FIRST_ERROR_STATUS
@@ -111,6 +112,23 @@
         )
 
 
+def _store_reach(attempt: Attempt, result: AttemptResult) -> None:
+    upstream = attempt.upstream
+    if isinstance(result, AnswerLost):
+        upstream.reach.record_silence(upstream.address)
+        return
+    if isinstance(result, NotRun):
+        if result.reason is NotRunReason.CONNECT_FAILED:
+            upstream.reach.record_connect_failure(
+                upstream.address,
+                has_open_connections=bool(upstream.connections.open),
+            )
+            return
+        if result.reason is NotRunReason.DEADLINE:
+            return
+    upstream.reach.record_answer(is_new_connection=not attempt.is_reused)
+
+
 def _record_loss(
     ctx: DispatchContext,
     service: Service,
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_services.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_services.py
@@ -99,7 +99,7 @@
         ctx = self.ctx
         daemons = ctx.count_daemons()
         limit = max(entry.max_connections // daemons, _MIN_CONNECTIONS)
-        upstreams = UpstreamSet(self.tasks, ctx.clock, limit)
+        upstreams = UpstreamSet(self.tasks, ctx.clock, limit, entry.name)
         prober = LoadProber(
             ctx.clock,
             ctx.dialect,
--- a/tests/dispatch/test_dispatch.py
+++ b/tests/dispatch/test_dispatch.py
@@ -23,6 +23,7 @@
 )
 from cowslippond_core._exchange import ExchangeFault
 from cowslippond_core._failures import FailureRate
+from cowslippond_core._reach import ServiceReach
 from cowslippond_core.dispatch import _dispatch
 from cowslippond_core.placing import Grant
 from fakes import FakeClock
@@ -80,6 +81,7 @@
         address='10.0.0.1:80',
         vm=SimpleNamespace(name='u1'),
         failures=FailureRate(),
+        reach=ServiceReach(tuple, 's'),
     )
 
     async def acquire(_: Any) -> Grant:
