List failing tests: a daemon that lost all upstreams serves none of its callers

Cause: reproduces the incident with two sound daemons and two whose connections to the upstreams hang, are refused and reset, or stay open while new ones are refused. A file in the test switches the cut on and off.

--- /dev/null
+++ b/tests/fleet/test_partitioned_daemons.py
@@ -0,0 +1,178 @@
+"""Daemons that have lost all upstreams, but not their callers and peers."""
+
+import itertools
+import pathlib
+from collections import Counter
+
+import anyio
+import pytest
+from cowslippond_standins.fleet import (
+    DOMAINS,
+    Caller,
+    CallResult,
+    FleetDeployment,
+    Node,
+    Verdict,
+    route,
+)
+
+pytestmark = pytest.mark.anyio
+
+PARTITION = pathlib.Path(__file__).with_name('partition')
+INTERVAL_SECONDS = 0.05
+CALLS = (('GET', '/prints/1'), ('POST', '/orders/1'))
+
+# What the users allow: callers of the partitioned daemons are served at least
+# two thirds as often as others, once this time has passed, or no more than some
+# first tries fail.
+CONTACT_SECONDS = 3
+MIN_SHARE = 2 / 3
+FREE_FAILURES = 10
+FREE_SHARE = 1 / 50
+
+
+class Shop:
+    """Two sound daemons and two that can be cut off from all upstreams."""
+
+    def __init__(self, fleet: FleetDeployment) -> None:
+        self.fleet = fleet
+        self.cut_file = fleet.folder / 'cut'
+        self.sound: list[Caller] = []
+        self.partitioned: list[Caller] = []
+        self.nodes: list[Node] = []
+        self.numbers = itertools.count()
+
+    async def start(self) -> None:
+        fleet = self.fleet
+        for service in ('catalogue', 'checkout'):
+            for domain in DOMAINS[:2]:
+                await fleet.add_backend(service, domain=domain)
+        fleet.configure(
+            {
+                'prints': route('catalogue', prefix='/prints/'),
+                'orders': route(
+                    'checkout', prefix='/orders/', is_idempotent=False
+                ),
+            }
+        )
+        self.sound = [
+            self._make_caller(await fleet.add_node(domain))
+            for domain in DOMAINS[:2]
+        ]
+        fleet.environment = {
+            'COWSLIPPOND_TEST_PARTITION': str(self.cut_file),
+            'PYTHONPATH': str(PARTITION),
+        }
+        self.nodes = [await fleet.add_node(domain) for domain in DOMAINS[:2]]
+        self.partitioned = [self._make_caller(node) for node in self.nodes]
+
+    def cut(self, mode: str) -> None:
+        addresses = [
+            f'127.0.0.1:{backend.port}' for backend in self.fleet.backends
+        ]
+        draft = self.cut_file.with_suffix('.draft')
+        draft.write_text('\n'.join((mode, *addresses)))
+        draft.rename(self.cut_file)
+
+    def heal(self) -> None:
+        self.cut_file.unlink()
+
+    async def send_calls(self, seconds: float) -> None:
+        """Send calls of both kinds to all daemons."""
+        async with anyio.create_task_group() as tasks:
+            for _ in range(int(seconds / INTERVAL_SECONDS)):
+                number = next(self.numbers)
+                method, path = CALLS[number % len(CALLS)]
+                for caller in (*self.sound, *self.partitioned):
+                    tasks.start_soon(self._send, caller, method, path)
+                await anyio.sleep(INTERVAL_SECONDS)
+
+    async def _send(self, caller: Caller, method: str, path: str) -> None:
+        name = f'{caller.node}-{next(self.numbers)}'
+        await caller.send_request(name, path, method=method)
+
+    def _make_caller(self, node: Node) -> Caller:
+        return Caller(
+            node.name, node.caller_address, self.fleet.tasks, self.fleet.clock
+        )
+
+
+def served_share(callers: list[Caller], since: float) -> float:
+    results = first_tries(callers, since)
+    return len(good_ones(results)) / len(results)
+
+
+def first_tries(callers: list[Caller], since: float) -> list[CallResult]:
+    return [
+        one
+        for caller in callers
+        for one in caller.call_results
+        if one.sent_at >= since
+    ]
+
+
+def good_ones(results: list[CallResult]) -> list[CallResult]:
+    return [one for one in results if one.verdict is Verdict.GOOD]
+
+
+async def relayed_calls(node: Node) -> int:
+    status = await node.status()
+    return int(status['counters'].get('relayed', 0))
+
+
+class TestPartitionedDaemon:
+    @pytest.mark.parametrize('mode', ['hang', 'reset', 'live'])
+    async def test_serves_its_callers_while_peers_reach_the_upstreams(
+        self, fleet: FleetDeployment, mode: str
+    ) -> None:
+        shop = Shop(fleet)
+        await shop.start()
+        await shop.send_calls(CONTACT_SECONDS)
+        shop.cut(mode)
+        await shop.send_calls(CONTACT_SECONDS)
+        since = fleet.clock.now()
+        await shop.send_calls(4)
+        share = served_share(shop.partitioned, since)
+        assert share >= MIN_SHARE * served_share(shop.sound, since)
+        tries = first_tries(shop.partitioned, since)
+        failed = len(tries) - len(good_ones(tries))
+        assert failed <= FREE_FAILURES + FREE_SHARE * len(tries)
+        runs = Counter(
+            run.request_id
+            for backend in fleet.backends
+            for run in backend.runs
+            if run.method == 'POST'
+        )
+        assert set(runs.values()) == {1}
+
+    async def test_uses_its_own_paths_again_once_they_are_back(
+        self, fleet: FleetDeployment
+    ) -> None:
+        shop = Shop(fleet)
+        await shop.start()
+        shop.cut('reset')
+        await shop.send_calls(CONTACT_SECONDS)
+        shop.heal()
+        await shop.send_calls(CONTACT_SECONDS)
+        relayed = [await relayed_calls(node) for node in shop.nodes]
+        assert min(relayed) > 0
+        since = fleet.clock.now()
+        await shop.send_calls(2)
+        assert served_share(shop.partitioned, since) == pytest.approx(1)
+        assert [await relayed_calls(node) for node in shop.nodes] == relayed
+
+    async def test_calls_are_refused_if_no_daemon_reaches_an_upstream(
+        self, fleet: FleetDeployment
+    ) -> None:
+        """Daemons without a path sent calls to each other in a circle."""
+        shop = Shop(fleet)
+        await shop.start()
+        shop.cut('reset')
+        await shop.send_calls(CONTACT_SECONDS)
+        for backend in fleet.backends:
+            backend.kill()
+        await anyio.sleep(1)
+        since = fleet.clock.now()
+        await shop.send_calls(2)
+        results = first_tries([*shop.sound, *shop.partitioned], since)
+        assert {one.verdict for one in results} == {Verdict.NOT_RUN}
