Encode the counters of the status page

Callers saw: nothing; operators got an error 500 from /status as soon as a call or a gossip exchange had been counted. Cause: counters are keyed by enumeration members, and orjson accepts only plain str as keys. Found as daemons began to ask each other for this page. Measured: the new test fails before (the page answers 500) and passes now.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -384,7 +384,10 @@
             else now - confirmed_at,
             'daemons': self.fleet.membership.count(),
             'upstreams': len(self.upstream_registry.by_key),
-            'counters': dict(self.metrics.totals),
+            # The names are enumeration members, which the encoder refuses.
+            'counters': {
+                str(name): total for name, total in self.metrics.totals.items()
+            },
         }
 
 
--- a/tests/fleet/test_serving.py
+++ b/tests/fleet/test_serving.py
@@ -51,6 +51,15 @@
             Verdict.GOOD
         }
 
+    async def test_status_page_can_be_read_after_a_call(
+        self, fleet: FleetDeployment
+    ) -> None:
+        """The page failed once a call or an exchange had been counted."""
+        node = (await start_shop(fleet))[0]
+        await make_caller(fleet, node).send_request('p', '/prints/1')
+        status = await node.status()
+        assert status['counters']['calls'] == 1
+
     async def test_path_without_route_is_not_found(
         self, fleet: FleetDeployment
     ) -> None:
