Send calls through a peer while no upstream is within reach

Callers saw: 503 after 230 to 750 ms from daemons that had lost every path to the upstreams, for as long as the cut lasted, while other daemons served all calls. Cause: a daemon only sent to upstreams itself. Class: one node's view of the network taken for the state of the service, where the fleet together could serve. Change: when three sends or probes in a row have failed, at four different upstreams or all of a smaller service, the daemon asks up to eight peers which services they reach, and sends calls to one of them, by the less busy of two, in its failure domain if there is one. A relayed call is not relayed again. A peer's refusal stays a promise that the call was not run; a peer that is lost leaves an order's outcome unknown. New connections are tried every 250 ms until one works. Orders, which need a new connection, are judged by connections alone.

--- a/packages/cowslippond-core/src/cowslippond_core/__init__.pyi
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.pyi
@@ -164,7 +164,6 @@
 from ._vm_list import fetch_vms as fetch_vms
 from ._vm_list import read_vms as read_vms
 from .dispatch import FAILURE_TABLE as FAILURE_TABLE
-from .dispatch import RATE_LIMIT_TABLE as RATE_LIMIT_TABLE
 from .dispatch import Call as Call
 from .dispatch import Dispatch as Dispatch
 from .dispatch import DispatchContext as DispatchContext
--- a/packages/cowslippond-core/src/cowslippond_core/_dialect.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_dialect.py
@@ -10,6 +10,7 @@
     NOT_RUN,
     NOT_RUN_DRAINING,
     NOT_RUN_SHED,
+    RELAYED,
 )
 from cowslippond_core._messages import HeaderList
 
@@ -102,7 +103,7 @@
 class DefaultDialect:
     """The default dialect: deadline, attempt number and not-run promise."""
 
-    reserved_headers = frozenset((_DEADLINE, _ATTEMPT))
+    reserved_headers = frozenset((_DEADLINE, _ATTEMPT, RELAYED.encode()))
     allows_close_delimited = False
     echoes_request_id = False
 
--- a/packages/cowslippond-core/src/cowslippond_core/_headers.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_headers.py
@@ -7,6 +7,9 @@
 REASON = 'x-reason'
 RETRY_AFTER = 'retry-after'
 
+# Set on a call that one daemon sends through another.
+RELAYED = 'x-relayed'
+
 # An upstream's promise that it did not run the request: 'shed' if it had no
 # free slot, 'draining' if it is leaving.
 NOT_RUN = 'x-not-run'
--- a/packages/cowslippond-core/src/cowslippond_core/_membership.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_membership.py
@@ -136,8 +136,12 @@
 
         Addresses that are only known from the settings are not included.
         """
+        return [daemon.address for daemon in self.serving_daemons()]
+
+    def serving_daemons(self) -> list[Daemon]:
+        """Return the other daemons that serve calls."""
         return [
-            daemon.address
+            daemon
             for daemon in self.known_daemons()
             if daemon.incarnation and not daemon.is_leaving
         ]
--- a/packages/cowslippond-core/src/cowslippond_core/_metrics.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_metrics.py
@@ -27,6 +27,7 @@
 
     CALLS = 'calls'
     CALL_MS = 'call_ms'
+    CALLS_RELAYED = 'relayed'
     STORE_READS = 'store.reads'
     STORE_ERRORS = 'store.errors'
     VM_LIST_READS = 'vm_list.reads'
--- a/packages/cowslippond-core/src/cowslippond_core/_reach.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reach.py
@@ -15,6 +15,9 @@
 # a failure domain is lost.
 _MIN_FAILED_UPSTREAMS = 4
 
+# So many failures in a row, as one or two upstreams fail more easily at a time.
+_MIN_FAILURES = 3
+
 
 class Evidence:
     """The upstreams that failed since one last succeeded.
@@ -34,11 +37,13 @@
         self.service = service
         self.kind = kind
         self.failed: set[str] = set()
+        self.failure_count = 0
         self.is_cut = False
 
     def record_success(self) -> None:
         """Record that an upstream has answered or accepted a connection."""
         self.failed.clear()
+        self.failure_count = 0
         if self.is_cut:
             self.is_cut = False
             _logger.info(
@@ -49,9 +54,12 @@
     def record_failure(self, address: str) -> None:
         """Record that an upstream has not done so."""
         self.failed.add(address)
+        self.failure_count += 1
         known = self.list_addresses()
         required = min(_MIN_FAILED_UPSTREAMS, len(known))
-        if self.is_cut or len(self.failed.intersection(known)) < required:
+        if self.is_cut or self.failure_count < _MIN_FAILURES:
+            return
+        if len(self.failed.intersection(known)) < required:
             return
         self.is_cut = True
         _logger.warning(
@@ -68,6 +76,8 @@
 class ServiceReach:
     """Whether upstreams of a service accept connections and answer.
 
+    ``on_cut`` is called with each failure while the service is out of reach.
+
     :param list_addresses: returns the addresses of the service's upstreams.
     :param service: the name of the service, for the log.
     """
@@ -77,6 +87,7 @@
     ) -> None:
         self.connects = Evidence(list_addresses, service, 'connect')
         self.answers = Evidence(list_addresses, service, 'answer')
+        self.on_cut: Callable[[], None] = _ignore
 
     def is_cut(self, *, needs_connection: bool) -> bool:
         """Tell whether a call would fail at all upstreams.
@@ -96,6 +107,7 @@
     def record_silence(self, address: str) -> None:
         """Record that an upstream has not answered."""
         self.answers.record_failure(address)
+        self._notify_if_cut()
 
     def record_connect_failure(
         self, address: str, *, has_open_connections: bool
@@ -108,3 +120,12 @@
         self.connects.record_failure(address)
         if not has_open_connections:
             self.answers.record_failure(address)
+        self._notify_if_cut()
+
+    def _notify_if_cut(self) -> None:
+        if self.is_cut(needs_connection=True):
+            self.on_cut()
+
+
+def _ignore() -> None:
+    """Do nothing; the daemon has no peers."""
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/__init__.py
@@ -6,6 +6,7 @@
 )
 from cowslippond_core.dispatch._dispatch import Dispatch as Dispatch
 from cowslippond_core.dispatch._load_prober import LoadProber as LoadProber
+from cowslippond_core.dispatch._relay_peers import RelayPeers as RelayPeers
 from cowslippond_core.dispatch._service import FleetBounds as FleetBounds
 from cowslippond_core.dispatch._service import Service as Service
 from cowslippond_core.dispatch._services import Services as Services
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_call_relay.py
@@ -0,0 +1,134 @@
+"""Sends a call through a peer while this daemon reaches no upstream."""
+
+import logging
+
+from cowslippond_core._attempt import (
+    AnswerLost,
+    Attempt,
+    AttemptResult,
+    NotRun,
+)
+from cowslippond_core._dialect import NotRunReason
+from cowslippond_core._exchange import ExchangeFault
+from cowslippond_core._headers import RELAYED
+from cowslippond_core._reasons import RefusalReason
+from cowslippond_core._upstreams import Upstream
+from cowslippond_core.dispatch._call import Call
+from cowslippond_core.dispatch._context import DispatchContext
+from cowslippond_core.dispatch._relay_dialect import RelayDialect
+from cowslippond_core.dispatch._service import Service
+
+_logger = logging.getLogger(__name__)
+
+_RELAYED = RELAYED.encode()
+_DIALECT = RelayDialect()
+
+# A call that several peers have refused finds no free upstream anywhere.
+_MAX_RELAYS = 2
+
+
+class CallRelay:
+    """Decides whether one call is sent through a peer, and sends it.
+
+    A call that a peer has relayed to this daemon is not relayed again.
+
+    :param ctx: dependencies that all dispatches share.
+    :param service: the service that the call is for.
+    :param call: the call.
+    """
+
+    def __init__(
+        self, ctx: DispatchContext, service: Service, call: Call
+    ) -> None:
+        self.ctx = ctx
+        self.service = service
+        self.call = call
+        self.tried: set[str] = set()
+        self.has_failed_to_connect = False
+
+    async def run(self) -> AttemptResult | None:
+        """Send the call through peers, until one does not refuse it.
+
+        :return: the last result, or ``None`` if the call is to be sent directly.
+        """
+        result: AttemptResult | None = None
+        while result is None or isinstance(result, NotRun):
+            peer = self._choose_peer()
+            if peer is None:
+                return result
+            result = await self._send(peer)
+        return result
+
+    def is_next_after(self, refusal: RefusalReason) -> bool:
+        """Tell whether a call that got no upstream is now sent through a peer."""
+        return refusal is RefusalReason.OUT_OF_REACH and self._may_relay()
+
+    def _choose_peer(self) -> Upstream | None:
+        relays = self.ctx.relays
+        if relays is None or not self._may_relay():
+            return None
+        needs_connection = (
+            not self.call.request.is_idempotent or self.has_failed_to_connect
+        )
+        reach = self.service.upstreams.reach
+        if not reach.is_cut(needs_connection=needs_connection):
+            return None
+        return relays.choose(self.service.entry.name, self.tried)
+
+    def _may_relay(self) -> bool:
+        if len(self.tried) >= _MAX_RELAYS:
+            return False
+        return all(name != _RELAYED for name, _ in self.call.request.headers)
+
+    def record_result(self, result: AttemptResult) -> None:
+        """Record the result of a direct send."""
+        if isinstance(result, NotRun):
+            self.has_failed_to_connect |= (
+                result.reason is NotRunReason.CONNECT_FAILED
+            )
+
+    async def _send(self, peer: Upstream) -> AttemptResult:
+        self.tried.add(peer.address)
+        attempt: Attempt = self.ctx.make_attempt(
+            peer,
+            self.call.request,
+            0,
+            self.ctx.clock,
+            is_fresh=False,
+            dialect=_DIALECT,
+        )
+        sent_at = self.ctx.clock.now()
+        try:
+            result = await self._await_result(attempt)
+        except BaseException:
+            attempt.end()
+            raise
+        if self.ctx.relays is not None:
+            self.ctx.relays.count_relayed()
+            if _has_lost_peer(result):
+                self.ctx.relays.discard(peer)
+        _logger.info(
+            'call relayed',
+            extra={
+                'request_id': self.call.request.request_id,
+                'peer': peer.vm.name,
+                'took_ms': round(self.ctx.clock.now() - sent_at, 1),
+                'result': type(result).__name__,
+            },
+        )
+        return result
+
+    async def _await_result(self, attempt: Attempt) -> AttemptResult:
+        result: AttemptResult | None = await attempt.start()
+        if result is None:
+            result = await attempt.wait_buffered(self.call.effective_deadline)
+        if result is None:
+            attempt.end()
+            return AnswerLost(ExchangeFault.TIMEOUT)
+        return result
+
+
+def _has_lost_peer(result: AttemptResult) -> bool:
+    if isinstance(result, NotRun):
+        return result.reason is NotRunReason.CONNECT_FAILED
+    return isinstance(result, AnswerLost)
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_context.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_context.py
@@ -8,6 +8,7 @@
 from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._dialect import Dialect
 from cowslippond_core._hooks import SendingHooks
+from cowslippond_core.dispatch._relay_peers import RelayPeers
 
 
 def discard_duration(*_: Any) -> None:
@@ -20,6 +21,7 @@
     ``count_daemons`` returns the number of running daemons, including this
     one. ``make_attempt`` creates the attempts; simulations replace it.
     ``record_duration`` adds a duration to the histogram of the given name.
+    ``relays`` are the daemons that calls can be sent through.
     """
 
     clock: Clock
@@ -29,3 +31,4 @@
     rng: random.Random
     make_attempt: Callable[..., Any] = Attempt
     record_duration: Callable[[str, Millis], None] = discard_duration
+    relays: RelayPeers | None = None
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -22,6 +22,7 @@
 from cowslippond_core._reasons import RefusalReason, RetryReason
 from cowslippond_core._upstreams import Upstream
 from cowslippond_core.dispatch._call import Call
+from cowslippond_core.dispatch._call_relay import CallRelay
 from cowslippond_core.dispatch._context import DispatchContext
 from cowslippond_core.dispatch._results import record_abandoned, record_result
 from cowslippond_core.dispatch._retries import CallRetries
@@ -61,6 +62,7 @@
         self.attempted_addresses: set[str] = set()
         self.send_count = 0
         self.retries = CallRetries(ctx, service, call)
+        self.relay = CallRelay(ctx, service, call)
         self.grants: dict[Attempt, Grant] = {}
         self.best_result: Answered | AnswerLost | None = None
 
@@ -93,29 +95,39 @@
             )
             if check is not None:
                 return check.reason
+            relayed = await self.relay.run()
+            if relayed is not None:
+                self._keep_result(relayed)
+                return RefusalReason.OUT_OF_REACH
             grant = await self.service.placer.acquire(self._pending_call())
             if isinstance(grant, RefusalReason):
+                if self.relay.is_next_after(grant):
+                    continue
                 return grant
             result = await self._send(grant)
             self.service.placer.notify_capacity_change()
-            if isinstance(result, AnswerLost):
-                await self._check_crash(grant.upstream, result)
+            await self._check_crash(grant.upstream, result)
             self._keep_result(result)
+            self.relay.record_result(result)
             if not self.retries.should_retry(result):
                 return _refusal_reason(result)
 
-    async def _check_crash(self, upstream: Upstream, lost: AnswerLost) -> None:
-        """Check whether an upstream crashed under the call.
+    async def _check_crash(
+        self, upstream: Upstream, result: AttemptResult
+    ) -> None:
+        """Check whether an upstream crashed under a call without an answer.
 
         A retry waits for the result of the check. For a call that cannot be
         retried, the check runs in the background, so that the caller does not
         wait for it.
         """
+        if not isinstance(result, AnswerLost):
+            return
         crash_check = partial(
             watch_crash,
             self.ctx.hooks.quarantine,
             upstream,
-            lost,
+            result,
             may_retry=self.call.is_retryable,
         )
         if self.call.is_retryable:
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_load_prober.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_load_prober.py
@@ -85,6 +85,10 @@
         upstream.reach.record_silence(upstream.address)
         return False
 
+    async def probe_new_connection(self, upstream: Upstream) -> None:
+        """Learn whether an upstream accepts a connection and answers."""
+        await self.probe(upstream, is_fresh=True)
+
     async def _probe(self, upstream: Upstream, is_fresh: bool) -> bool:
         acquired = await upstream.connections.acquire(is_fresh=is_fresh)
         if acquired.is_error():
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_relay_dialect.py
@@ -0,0 +1,42 @@
+"""The headers of calls that one daemon sends through another."""
+
+from cowslippond_core._dialect import (
+    AnswerMetadata,
+    NotRunReason,
+    SendMetadata,
+)
+from cowslippond_core._headers import DEADLINE, OUTCOME, RELAYED, REQUEST_ID
+from cowslippond_core._messages import HeaderList, Outcome
+
+_DEADLINE = DEADLINE.encode()
+_RELAYED = RELAYED.encode()
+_OUTCOME = OUTCOME.encode()
+_REQUEST_ID = REQUEST_ID.encode()
+_NOT_RUN = Outcome.NOT_RUN.encode()
+
+
+class RelayDialect:
+    """Encodes calls to a peer's caller address and decodes its answers.
+
+    The peer has checked that an answer is the upstream's own.
+    """
+
+    reserved_headers = frozenset((_DEADLINE, _RELAYED))
+    allows_close_delimited = False
+    echoes_request_id = True
+
+    def request_headers(self, metadata: SendMetadata) -> HeaderList:
+        """Return the remaining time, and a mark that prevents a second relay."""
+        return (
+            (_DEADLINE, b'%d' % max(metadata.remaining, 0)),
+            (_RELAYED, b'1'),
+        )
+
+    def read_answer(self, status: int, headers: HeaderList) -> AnswerMetadata:
+        """Return the ID of the call, and the peer's promise not to run it."""
+        by_name = dict(headers)
+        is_refused = by_name.get(_OUTCOME) == _NOT_RUN
+        return AnswerMetadata(
+            request_id=by_name.get(_REQUEST_ID),
+            not_run=NotRunReason.SHED if is_refused else None,
+        )
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
@@ -115,7 +115,8 @@
 def _store_reach(attempt: Attempt, result: AttemptResult) -> None:
     upstream = attempt.upstream
     if isinstance(result, AnswerLost):
-        upstream.reach.record_silence(upstream.address)
+        if result.fault is not ExchangeFault.FRAMING:
+            upstream.reach.record_silence(upstream.address)
         return
     if isinstance(result, NotRun):
         if result.reason is NotRunReason.CONNECT_FAILED:
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_services.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_services.py
@@ -1,16 +1,19 @@
 """The services in use, kept up to date with configuration and VM list."""
 
 from collections.abc import Iterable, Iterator
+from functools import partial
 
 from anyio.abc import TaskGroup
 
 from cowslippond_core._clock import Millis
 from cowslippond_core._configuration import ServiceEntry
+from cowslippond_core._reach import ServiceReach
 from cowslippond_core._upstreams import Upstream, UpstreamSet
 from cowslippond_core._vm import Vm
 from cowslippond_core.dispatch._budget import FleetRetryBudget
 from cowslippond_core.dispatch._context import DispatchContext
 from cowslippond_core.dispatch._load_prober import LoadProber
+from cowslippond_core.dispatch._reach_watch import ReachWatch
 from cowslippond_core.dispatch._service import FleetBounds, Service
 from cowslippond_core.placing import Placer, ProbeLimiter, ServiceTimeEstimator
 from cowslippond_core.placing._selector import FleetView
@@ -45,6 +48,16 @@
         self.tasks = tasks
         self.by_name: dict[str, Service] = {}
         self.vms: tuple[Vm, ...] = ()
+        self.reach_watch: ReachWatch | None = None
+        if ctx.relays is not None:
+            self.reach_watch = ReachWatch(
+                ctx.relays,
+                self.by_name.values,
+                ctx.count_daemons,
+                tasks,
+                ctx.clock,
+                ctx.rng,
+            )
 
     def get(self, entry: ServiceEntry, objective: Millis) -> Service:
         """Return the state of a service, creating it if necessary.
@@ -68,6 +81,15 @@
         for service in self.by_name.values():
             yield from service.upstreams.by_address.values()
 
+    def out_of_reach(self) -> list[str]:
+        """Return the services of which no upstream is within reach."""
+        if self.reach_watch is None:
+            return []
+        return [
+            service.entry.name
+            for service in self.reach_watch.services_out_of_reach()
+        ]
+
     def update_vms(self, vms: Iterable[Vm]) -> None:
         """Apply a new list of upstream VMs."""
         self.vms = tuple(vms)
@@ -127,4 +149,15 @@
             bounds.retry_window,
         )
         budget.set_daemon_count(daemons)
+        if self.reach_watch is not None:
+            upstreams.reach.on_cut = self.reach_watch.start
+            placer.is_bypassed = partial(
+                self._is_bypassed, upstreams.reach, entry.name
+            )
         return Service(entry, upstreams, prober, estimator, placer, budget)
+
+    def _is_bypassed(self, reach: ServiceReach, name: str) -> bool:
+        relays = self.ctx.relays
+        if relays is None or not reach.is_cut(needs_connection=False):
+            return False
+        return relays.choose(name, set()) is not None
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+from collections.abc import Callable
 from itertools import repeat
 from typing import Protocol
 
@@ -104,6 +105,8 @@
         self.is_searching = False
         self.is_out_of_probes = False
         self.capacity_changed = anyio.Event()
+        # Tells whether calls are to be sent through peers instead.
+        self.is_bypassed: Callable[[], bool] = _never
         self.selector = UpstreamSelector(upstreams, fleet, rng)
         self.limited_waits = LimitedWaits(self.queue, self.selector)
 
@@ -183,6 +186,9 @@
 
     def _expire(self) -> None:
         now = self.clock.now()
+        if self.is_bypassed():
+            for call in tuple(self.queue.pending):
+                self._settle(call, RefusalReason.OUT_OF_REACH)
         for limited in self.limited_waits.refused_calls(now):
             self._settle(limited, RefusalReason.RATE_LIMITED)
         for call in self.queue.expired(now):
@@ -289,6 +295,10 @@
         return grant
 
 
+def _never() -> bool:
+    return False
+
+
 class _ProbeRound:
     """The probes of one round that have not ended yet."""
 
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -11,8 +11,6 @@
 import anyio
 from anyio.abc import TaskGroup
 from cowslippond_core import (
-    FAILURE_TABLE,
-    RATE_LIMIT_TABLE,
     STORE_LOST_TABLE,
     UPSTREAM_LOG,
     Clock,
@@ -33,8 +31,6 @@
     RowSource,
     SendingHooks,
     Services,
-    SharedFailures,
-    SharedRateLimits,
     StoreWatch,
     UpstreamRegistry,
     Vm,
@@ -42,6 +38,13 @@
     seconds_of,
     share_quarantine,
 )
+from cowslippond_core.dispatch import (
+    FAILURE_TABLE,
+    RATE_LIMIT_TABLE,
+    RelayPeers,
+    SharedFailures,
+    SharedRateLimits,
+)
 from expression import Result
 
 from cowslippond_daemon._admin import Admin
@@ -202,6 +205,14 @@
             self._count_daemons,
             self.rng,
             record_duration=self.metrics.timing,
+            relays=RelayPeers(
+                self.fleet.membership.serving_daemons,
+                self.settings.failure_domain,
+                partial(self.metrics.count, Metric.CALLS_RELAYED),
+                tasks,
+                self.clock,
+                self.rng,
+            ),
         )
         services = Services(
             ctx,
@@ -299,7 +310,7 @@
         )
         admin = Admin(
             self._is_ready,
-            partial(self._status, edge),
+            partial(self._status, edge, services),
             self.adapter.ready_path,
             self._render_metrics,
         )
@@ -370,7 +381,7 @@
         self.metrics.gauge(Metric.DAEMONS_KNOWN, self.fleet.membership.count())
         return self.metrics.render()
 
-    def _status(self, edge: Edge) -> Mapping[str, Any]:
+    def _status(self, edge: Edge, services: Services) -> Mapping[str, Any]:
         now = self.clock.now()
         confirmed_at = self.configuration_log.confirmed_at
         return {
@@ -378,6 +389,8 @@
             'state': self.state,
             'ready': self._is_ready(),
             'running_calls': edge.active_calls,
+            'callers': self.settings.caller_address,
+            'out_of_reach': services.out_of_reach(),
             'configuration': self.configuration_log.revision,
             'confirmed_age': None
             if confirmed_at is None
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
@@ -11,6 +11,7 @@
     NotRunReason,
     SendMetadata,
 )
+from cowslippond_core._headers import RELAYED
 
 _REQUEST_ID = b'x-request-id'
 _DEADLINE = b'x-deadline-ms'
@@ -34,7 +35,7 @@
 class PlatformDialect:
     """Encodes request headers for upstreams and decodes their responses."""
 
-    reserved_headers = frozenset((_DEADLINE, _TARGET_VM))
+    reserved_headers = frozenset((_DEADLINE, _TARGET_VM, RELAYED.encode()))
     allows_close_delimited = True
     echoes_request_id = True
 
