Give the attempts of the model the field that tells reused connections

Cause: the model's attempts replace Attempt and lacked is_reused, which results now read; tests/placing/test_load.py failed with AttributeError in every test since. Change: the model has no connections, so its attempts count as on reused ones.

--- a/packages/cowslippond-standins/src/cowslippond_standins/model/_simulation.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/_simulation.py
@@ -284,6 +284,7 @@
         self.scope = anyio.CancelScope()
         self.done = anyio.Event()
         self.is_started = False
+        self.is_reused = True
         self.is_ended = False
         upstream.in_flight += 1
 
