Stop using an upstream at once when any answer says that it leaves

Cause: the announcement was not read. Only the store's entry, a refusal or a 421 ended new calls. Change: the adapter decodes it, and a pause that a refusal asks for, which nothing acts on yet. Calls, failures, broken-off answers, losing hedges and probes pass it to the leaving marks, which belong to one start of the upstream and spread by gossip. Heads of answers that are broken off or cancelled are now read too. The stand-in groups what it announces. Weighed: telling peers. Each would hear it with its next call; the marks tell all within a gossip round, and cost one row.

--- a/packages/cowslippond-core/src/cowslippond_core/_attempt.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_attempt.py
@@ -127,6 +127,7 @@
         self.clock = clock
         self.dialect = dialect
         self.answer_metadata = AnswerMetadata()
+        self.has_metadata = False
         self.sent_at: Millis = clock.now()
         self.connection: Connection | None = None
         self.is_fresh = is_fresh or not request.is_idempotent
@@ -216,6 +217,8 @@
         if self.is_ended:
             return
         self.is_ended = True
+        if self.exchange.has_head:
+            self._read_metadata()
         self.upstream.in_flight -= 1
         if self.connection is not None:
             self._release_connection(self.connection)
@@ -284,9 +287,7 @@
     def _read_head(self) -> AttemptResult:
         exchange = self.exchange
         headers = tuple(exchange.headers)
-        self.answer_metadata = self.dialect.read_answer(
-            exchange.status, headers
-        )
+        self._read_metadata()
         if self.answer_metadata.idle_timeout is not None:
             self.upstream.connections.update_idle_timeout(
                 self.answer_metadata.idle_timeout
@@ -305,6 +306,14 @@
         )
         return Answered(answer, self)
 
+    def _read_metadata(self) -> None:
+        if self.has_metadata:
+            return
+        self.has_metadata = True
+        self.answer_metadata = self.dialect.read_answer(
+            self.exchange.status, tuple(self.exchange.headers)
+        )
+
     def _is_own_answer(self) -> bool:
         """Return whether this upstream sent the answer, and to this call."""
         answered_id = self.answer_metadata.request_id
--- a/packages/cowslippond-core/src/cowslippond_core/_dialect.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_dialect.py
@@ -52,7 +52,9 @@
     successful answer lacks the mark that shows it to be the upstream's own.
     ``idle_timeout`` is how long the connection may stay idle, in milliseconds.
     ``rate_limit`` is how many calls per second the upstream accepts from all
-    daemons together, while it announces a limit.
+    daemons together, while it announces a limit. ``is_leaving`` is set if the
+    upstream says that it stops soon. ``pause`` is how long it wants no calls from
+    this daemon, in milliseconds.
     """
 
     request_id: bytes | None = None
@@ -62,6 +64,8 @@
     load: LoadReport | None = None
     idle_timeout: Millis | None = None
     rate_limit: float | None = None
+    is_leaving: bool = False
+    pause: Millis | None = None
 
 
 class SendMetadata(NamedTuple):
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -199,7 +199,9 @@
     def _record_losers(self, race: Race, winner: Attempt) -> None:
         for attempt in race.attempts:
             if attempt is not winner:
-                record_abandoned(self.service, attempt, self.grants[attempt])
+                record_abandoned(
+                    self.ctx, self.service, attempt, self.grants[attempt]
+                )
 
     async def _make_hedge(self) -> Attempt | None:
         if not self.retries.can_hedge():
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_load_prober.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_load_prober.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import logging
-from collections.abc import Callable
 
 import anyio
 
@@ -10,7 +9,7 @@
 from cowslippond_core._connection import Connection
 from cowslippond_core._dialect import AnswerMetadata, Dialect, LoadReport
 from cowslippond_core._exchange import Exchange
-from cowslippond_core._hooks import ignore_rate_limit
+from cowslippond_core._hooks import SendingHooks
 from cowslippond_core._upstreams import LoadReading, Upstream
 
 _logger = logging.getLogger(__name__)
@@ -54,8 +53,7 @@
     :param clock: timestamps the load readings.
     :param dialect: decodes the load from the answer's headers.
     :param path: the path of the health page.
-    :param record_rate_limit: called with the rate limit that an answer
-        announces, in calls per second.
+    :param hooks: receive what the answers announce.
     """
 
     def __init__(
@@ -63,14 +61,12 @@
         clock: Clock,
         dialect: Dialect,
         path: str,
-        record_rate_limit: Callable[
-            [Upstream, float | None], None
-        ] = ignore_rate_limit,
+        hooks: SendingHooks | None = None,
     ) -> None:
         self.clock = clock
         self.dialect = dialect
         self.path = path
-        self.record_rate_limit = record_rate_limit
+        self.hooks = hooks
         self.reports_load = True
 
     async def probe(
@@ -123,6 +119,16 @@
         )
         await exchange.wait_buffered()
 
+    def _store_announcements(
+        self, upstream: Upstream, metadata: AnswerMetadata
+    ) -> None:
+        if self.hooks is None:
+            return
+        if metadata.rate_limit is not None:
+            self.hooks.record_rate_limit(upstream, metadata.rate_limit)
+        if metadata.is_leaving and not upstream.is_removed:
+            self.hooks.mark_leaving(upstream.address, 'probe')
+
     def _store_answer(
         self,
         upstream: Upstream,
@@ -142,8 +148,7 @@
                 extra={'upstream': upstream.vm.name, 'answered': metadata.vm},
             )
             return False
-        if metadata.rate_limit is not None:
-            self.record_rate_limit(upstream, metadata.rate_limit)
+        self._store_announcements(upstream, metadata)
         if metadata.idle_timeout is not None:
             upstream.connections.update_idle_timeout(metadata.idle_timeout)
         now = self.clock.now()
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
@@ -46,6 +46,7 @@
     _store_load(attempt, now)
     _store_rate_limit(ctx, attempt, result)
     _store_reach(attempt, result)
+    _store_leaving(ctx, attempt)
     if isinstance(result, Answered):
         upstream.answered_at = now
         is_failure = result.answer.status >= _FIRST_ERROR_STATUS
@@ -70,8 +71,11 @@
     )
 
 
-def record_abandoned(service: Service, attempt: Attempt, grant: Grant) -> None:
+def record_abandoned(
+    ctx: DispatchContext, service: Service, attempt: Attempt, grant: Grant
+) -> None:
     """Record a send that was cancelled since another one was answered."""
+    _store_leaving(ctx, attempt)
     now = attempt.clock.now()
     expected = service.estimator.service_time * grant.slowdown
     if now - attempt.sent_at > _UNRESPONSIVE_FACTOR * expected:
@@ -112,6 +116,12 @@
         )
 
 
+def _store_leaving(ctx: DispatchContext, attempt: Attempt) -> None:
+    """Stop using an upstream that leaves, unless a new start replaced it."""
+    if attempt.answer_metadata.is_leaving and not attempt.upstream.is_removed:
+        ctx.hooks.mark_leaving(attempt.upstream.address, 'answer')
+
+
 def _store_reach(attempt: Attempt, result: AttemptResult) -> None:
     upstream = attempt.upstream
     if isinstance(result, AnswerLost):
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_services.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_services.py
@@ -126,7 +126,7 @@
             ctx.clock,
             ctx.dialect,
             entry.health_path,
-            ctx.hooks.record_rate_limit,
+            ctx.hooks,
         )
         estimator = ServiceTimeEstimator(service_time)
         bounds = self.bounds
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+from collections.abc import Mapping
 
 from cowslippond_core import (
     AnswerMetadata,
@@ -22,9 +23,13 @@
 _LOAD = b'x-backend-load'
 _KEEP_ALIVE = b'keep-alive'
 _RATE_LIMIT = b'server-limit'
+_LEAVING = b'server-leaving'
+_IS_LEAVING = b'1'
+_RETRY_AFTER = b'retry-after'
 _TIMEOUT = b'timeout='
 
 _MISDIRECTED_STATUS = 421
+_UNAVAILABLE_STATUS = 503
 _NORMAL_SLOWNESS_PERCENT = 100
 _MIN_LOAD_FIELDS = 3
 _MILLIS_PER_SECOND = 1000
@@ -57,7 +62,9 @@
             is_genuine=_SIGNATURE in by_name,
             load=_read_load(by_name.get(_LOAD)),
             idle_timeout=_read_expiry(by_name.get(_KEEP_ALIVE)),
-            rate_limit=_read_rate_limit(by_name.get(_RATE_LIMIT)),
+            rate_limit=_read_number(by_name, _RATE_LIMIT),
+            is_leaving=by_name.get(_LEAVING) == _IS_LEAVING,
+            pause=_read_pause(status, by_name),
         )
 
     def encode_retry_after(self, delay: Millis) -> bytes:
@@ -89,19 +96,28 @@
     return LoadReport(int(running), int(waiting), int(slots), slowness)
 
 
-def _read_rate_limit(text: bytes | None) -> float | None:
-    """Read a limit in calls per second, or ``None`` if it is not one."""
+def _read_pause(status: int, headers: Mapping[bytes, bytes]) -> Millis | None:
+    """Read for how long a refusing upstream wants no calls."""
+    if status != _UNAVAILABLE_STATUS:
+        return None
+    seconds = _read_number(headers, _RETRY_AFTER)
+    return None if seconds is None else seconds * _MILLIS_PER_SECOND
+
+
+def _read_number(headers: Mapping[bytes, bytes], name: bytes) -> float | None:
+    """Read a number that is not negative, or ``None`` if there is none."""
+    text = headers.get(name)
     if text is None:
         return None
     try:
-        rate = float(text)
+        number = float(text)
     except ValueError:
-        rate = math.nan
-    if math.isfinite(rate) and rate >= 0:
-        return rate
+        number = math.nan
+    if math.isfinite(number) and number >= 0:
+        return number
     _logger.warning(
-        'cannot parse the rate limit of an upstream',
-        extra={'header': text.decode('latin-1')},
+        'cannot parse a header of an upstream',
+        extra={'header': name.decode(), 'text': text.decode('latin-1')},
     )
     return None
 
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_backend.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_backend.py
@@ -53,6 +53,21 @@
         self.unframed: float = 0
 
 
+class Announcements:
+    """What a back end says about itself in its answers.
+
+    ``rate_limit`` is in requests per second, in each answer.
+    ``leaving_answers`` are the kinds of answers (``success``, ``failure``,
+    ``refusal``, ``health``) that say that it leaves. With ``pause``, the text
+    of a header, it refuses all requests and asks for a pause.
+    """
+
+    def __init__(self) -> None:
+        self.rate_limit: float | None = None
+        self.leaving_answers: frozenset[str] = frozenset()
+        self.pause: str | None = None
+
+
 class _RequestParser:
     """Collects one HTTP request from the callbacks of its parser."""
 
@@ -95,12 +110,12 @@
         self.rng = random.Random(name)
         self.faults = Faults()
         self.runs: list[Run] = []
+        self.refused_at: list[Millis] = []
         self.counters: collections.Counter[str] = collections.Counter()
         self.running = 0
         self.waiting: collections.deque[anyio.Event] = collections.deque()
         self.is_leaving = False
-        # Announced in each answer, in requests per second.
-        self.rate_limit: float | None = None
+        self.announced = Announcements()
         self.port = 0
         self.scope = anyio.CancelScope()
 
@@ -136,12 +151,17 @@
         if request.path == _HEALTH_PATH:
             self.counters['probes'] += 1
             status = b'503 Leaving' if self.is_leaving else b'200 OK'
-            await stream.send(self._encode_response(status, b'', ''))
+            await stream.send(
+                self._encode_response(status, b'', '', kind='health')
+            )
             return True
         target = request.headers.get('x-target-instance', self.name)
         if target != self.name:
             await stream.send(self._encode_response(b'421 Other', b'', ''))
             return True
+        if self.announced.pause is not None:
+            await stream.send(self._encode_refusal(request))
+            return True
         has_completed = False
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_on_close, stream, tasks.cancel_scope)
@@ -204,7 +224,7 @@
             return False
         if self._is_drawn(self.faults.fail):
             response = self._encode_response(
-                b'500 Failed', b'failed', request_id
+                b'500 Failed', b'failed', request_id, kind='failure'
             )
         if self._is_drawn(self.faults.truncate):
             await stream.send(response[:-4])
@@ -218,8 +238,25 @@
         await stream.send(response)
         return True
 
+    def _encode_refusal(self, request: _RequestParser) -> bytes:
+        self.refused_at.append(self.clock.now())
+        request_id = request.headers.get('x-request-id', '')
+        extra = (
+            b'x-not-executed: 1',
+            b'retry-after: %b' % (self.announced.pause or '').encode(),
+        )
+        return self._encode_response(
+            b'503 Paused', b'', request_id, kind='refusal', extra=extra
+        )
+
     def _encode_response(
-        self, status: bytes, body: bytes, request_id: str
+        self,
+        status: bytes,
+        body: bytes,
+        request_id: str,
+        *,
+        kind: str = 'success',
+        extra: tuple[bytes, ...] = (),
     ) -> bytes:
         lines = [
             b'HTTP/1.1 %b' % status,
@@ -227,8 +264,11 @@
             b'x-backend-load: %d,%d,%d,100'
             % (self.running, len(self.waiting), self.slots),
         ]
-        if self.rate_limit is not None:
-            lines.append(b'server-limit: %.3f' % self.rate_limit)
+        lines.extend(extra)
+        if kind in self.announced.leaving_answers:
+            lines.append(b'server-leaving: 1')
+        if self.announced.rate_limit is not None:
+            lines.append(b'server-limit: %.3f' % self.announced.rate_limit)
         if request_id:
             lines.append(b'x-request-id: %b' % request_id.encode())
             lines.append(b'x-response-signature: %b' % signature(body))
--- a/tests/fleet/test_rate_limits.py
+++ b/tests/fleet/test_rate_limits.py
@@ -90,11 +90,11 @@
     ) -> None:
         backends, callers = await start_fleet(fleet, 3)
         limited = backends[0]
-        limited.rate_limit = 1.5
+        limited.announced.rate_limit = 1.5
         limited_at = fleet.clock.now()
         await send_calls(callers, 10)
         busiest = busiest_window(limited, limited_at + NOTICE)
-        assert busiest <= allowed_calls(limited.rate_limit)
+        assert busiest <= allowed_calls(limited.announced.rate_limit)
         verdicts = {
             call_result.verdict
             for caller in callers
@@ -108,7 +108,7 @@
         """They waited for a third of their time, and were then refused."""
         backends, callers = await start_fleet(fleet, 2)
         for backend in backends:
-            backend.rate_limit = 3
+            backend.announced.rate_limit = 3
         limited_at = fleet.clock.now()
         await send_calls(callers, 8)
         for backend in backends:
@@ -130,9 +130,9 @@
         self, fleet: FleetDeployment
     ) -> None:
         backends, callers = await start_fleet(fleet, 2)
-        backends[0].rate_limit = 2
+        backends[0].announced.rate_limit = 2
         await send_calls(callers, 4)
-        backends[0].rate_limit = None
+        backends[0].announced.rate_limit = None
         await send_calls(callers, 3)
         ended_at = fleet.clock.now()
         await send_calls(callers, 3)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -259,7 +259,29 @@
     ) -> None:
         metadata = self.dialect.read_answer(200, ((b'server-limit', text),))
         assert metadata.rate_limit is None
-        assert 'cannot parse the rate limit' in caplog.text
+        assert 'cannot parse a header' in caplog.text
+
+    def test_refusal_may_ask_for_a_pause(self) -> None:
+        headers = ((b'retry-after', b'2.5'),)
+        assert self.dialect.read_answer(503, headers).pause == 2500
+        assert self.dialect.read_answer(429, headers).pause is None
+        assert self.dialect.read_answer(503, ()).pause is None
+
+    @pytest.mark.parametrize(
+        'text', [b'Fri, 04 Dec 2026 15:00:00 GMT', b'-1', b'soon', b'']
+    )
+    def test_pause_that_is_no_number_of_seconds_is_ignored(
+        self, text: bytes, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        metadata = self.dialect.read_answer(503, ((b'retry-after', text),))
+        assert metadata.pause is None
+        assert 'cannot parse a header' in caplog.text
+
+    def test_upstream_may_say_that_it_leaves(self) -> None:
+        leaving = self.dialect.read_answer(200, ((b'server-leaving', b'1'),))
+        staying = self.dialect.read_answer(200, ((b'server-leaving', b'0'),))
+        assert leaving.is_leaving
+        assert not staying.is_leaving
 
     def test_retry_after_keeps_fractions_of_a_second(self) -> None:
         assert self.dialect.encode_retry_after(120) == b'0.120'
