Send nothing to an upstream for the pause that it asks for

Callers saw: calls went to upstreams that had asked for a pause, and were refused there; 56 instead of 2 in 2.5 s in the new test. Cause: Retry-After of an upstream's refusal was not read. Change: a 503 with a number of seconds pauses the upstream at this daemon, for calls, retries, hedges and probes; ten minutes at the most, as a longer one is taken for a mistake. It is prolonged at random by up to a fifth, so that daemons that heard of it together do not return together. The wait is added to that of rate limits, so calls that no upstream accepts in time are refused at once. A refusal with a pause is no failure. Where every upstream has lost its path, probes respect pauses as well.

--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -66,7 +66,7 @@
     ``reading`` is the latest load reading and ``probe_time`` the time that a
     probe takes. ``grant_times`` are the times at which this daemon placed calls
     on the upstream, in milliseconds. ``rate_limit`` is set while the upstream
-    announces a limit.
+    announces a limit. It wants no calls before ``paused_until``, in milliseconds.
     """
 
     def __init__(self) -> None:
@@ -74,6 +74,7 @@
         self.probe_time: Millis = 0
         self.grant_times: deque[Millis] = deque(maxlen=_MAX_GRANTS)
         self.rate_limit: RateLimit | None = None
+        self.paused_until: Millis = 0
 
 
 class Upstream:
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_reach_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_reach_watch.py
@@ -11,6 +11,7 @@
 from cowslippond_core._isolation import run_contained
 from cowslippond_core.dispatch._relay_peers import RelayPeers
 from cowslippond_core.dispatch._service import Service
+from cowslippond_core.placing._selector import accepts_calls
 
 _INTERVAL: Millis = 250
 _REFRESH_INTERVAL: Millis = 1000
@@ -83,12 +84,17 @@
                 probes.start_soon(self._probe, service)
 
     async def _probe(self, service: Service) -> None:
-        upstreams = list(service.upstreams.by_address.values())
+        now = self.clock.now()
+        upstreams = [
+            upstream
+            for upstream in service.upstreams.by_address.values()
+            if accepts_calls(upstream, now)
+        ]
         allowed = service.placer.probe_limiter.acquire(
             min(_PROBES, len(upstreams)),
             len(upstreams),
             self.count_daemons(),
-            self.clock.now(),
+            now,
         )
         async with anyio.create_task_group() as probes:
             for upstream in self.rng.sample(upstreams, allowed):
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
@@ -31,6 +31,14 @@
 # the call was answered first.
 _ABANDONED_WEIGHT = 0.5
 
+# A longer pause is taken for a mistake; the upstream then refuses once more.
+_MAX_PAUSE: Millis = 600_000
+
+# Pauses are prolonged at random by up to this fraction and time, as many daemons
+# hear of a pause in the same instant.
+_PAUSE_JITTER = 0.2
+_MAX_PAUSE_JITTER: Millis = 1000
+
 
 def record_result(
     ctx: DispatchContext,
@@ -47,6 +55,7 @@
     _store_rate_limit(ctx, attempt, result)
     _store_reach(attempt, result)
     _store_leaving(ctx, attempt)
+    _store_pause(ctx, attempt, now)
     if isinstance(result, Answered):
         upstream.answered_at = now
         is_failure = result.answer.status >= _FIRST_ERROR_STATUS
@@ -122,6 +131,24 @@
         ctx.hooks.mark_leaving(attempt.upstream.address, 'answer')
 
 
+def _store_pause(ctx: DispatchContext, attempt: Attempt, now: Millis) -> None:
+    pause = attempt.answer_metadata.pause
+    if pause is None:
+        return
+    pause = min(pause, _MAX_PAUSE)
+    jitter = ctx.rng.random() * min(pause * _PAUSE_JITTER, _MAX_PAUSE_JITTER)
+    state = attempt.upstream.load_state
+    state.paused_until = max(state.paused_until, now + pause + jitter)
+    _logger.info(
+        'upstream asked for a pause',
+        extra={
+            'request_id': attempt.request.request_id,
+            'upstream': attempt.upstream.vm.name,
+            'pause_ms': round(pause),
+        },
+    )
+
+
 def _store_reach(attempt: Attempt, result: AttemptResult) -> None:
     upstream = attempt.upstream
     if isinstance(result, AnswerLost):
@@ -165,6 +192,8 @@
     if refused.reason in {NotRunReason.DRAINING, NotRunReason.OTHER_VM}:
         ctx.hooks.mark_leaving(upstream.address, 'answer')
         return
+    if upstream.load_state.paused_until > now:
+        return
     upstream.failures.record(now, is_failure=True)
     if refused.reason is NotRunReason.SHED:
         upstream.load_state.reading = _as_full(upstream.load_state.reading, now)
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_limited_waits.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_limited_waits.py
@@ -1,16 +1,16 @@
-"""Refuses calls that the rate limits of all upstreams delay for too long."""
+"""Refuses calls that pauses and rate limits of all upstreams delay too long."""
 
 from cowslippond_core._clock import Millis
 from cowslippond_core.placing._pending_call import PendingCall
 from cowslippond_core.placing._queue import CallQueue
 from cowslippond_core.placing._selector import UpstreamSelector
 
-# Once the limits allow a call, the search for a slot may take this long.
+# Once an upstream accepts a call, the search for a slot may take this long.
 _PLACING_TIME: Millis = 100
 
 
 class LimitedWaits:
-    """Estimates how long the rate limits of upstreams delay calls.
+    """Estimates how long pauses and rate limits of upstreams delay calls.
 
     :param queue: the calls that wait.
     :param selector: knows the upstreams and their limits.
@@ -21,14 +21,14 @@
         self.selector = selector
 
     def is_refused(self, call: PendingCall, ahead: int, now: Millis) -> bool:
-        """Tell whether the limits delay a call for too long.
+        """Tell whether pauses and limits delay a call for too long.
 
         A call that would miss its objective may only wait if no other call
         does: timely calls that arrive later would take its turn.
 
         :param ahead: the number of calls that are sent before it.
         """
-        wait = self.selector.limit_wait(call.excluded, ahead, now)
+        wait = self.selector.acceptance_wait(call.excluded, ahead, now)
         if wait == 0:
             return False
         if self.queue.is_too_long(wait + _PLACING_TIME, call, now):
@@ -46,5 +46,5 @@
     def retry_after(self, now: Millis) -> Millis:
         """Return when a refused call can expect an upstream, in milliseconds."""
         waiting = len(self.queue.pending)
-        limited = self.selector.limit_wait(frozenset(), waiting, now)
+        limited = self.selector.acceptance_wait(frozenset(), waiting, now)
         return max(self.queue.retry_after(), limited)
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
@@ -20,7 +20,7 @@
 from cowslippond_core.placing._selector import (
     FleetView,
     UpstreamSelector,
-    is_within_limit,
+    accepts_calls,
 )
 from cowslippond_core.placing._service_time import ServiceTimeEstimator
 from cowslippond_core.placing._slowdown import expected_slowdown
@@ -248,7 +248,7 @@
         slowdown = expected_slowdown(upstream, now)
         if slowdown is None or self.fleet.is_leaving(upstream.address):
             return
-        if not is_within_limit(upstream, now):
+        if not accepts_calls(upstream, now):
             return
         call = self.queue.match(upstream.address, slowdown, now)
         if call is not None:
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_selector.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_selector.py
@@ -115,29 +115,29 @@
             if upstream.address not in excluded
         ]
 
-    def limit_wait(
+    def acceptance_wait(
         self, excluded: Container[str], ahead: int, now: Millis
     ) -> Millis:
-        """Return how long the rate limits of the upstreams delay a call.
+        """Return how long pauses and rate limits of upstreams delay a call.
 
         :param excluded: the addresses that the call must not get.
         :param ahead: the number of calls that are sent before it.
-        :return: a time in milliseconds, 0 if an upstream without a limit is
+        :return: a time in milliseconds, 0 if an upstream without either is
             eligible, and infinity if this daemon has no share of any limit.
         """
-        limits = []
-        for upstream in self.eligible(excluded):
-            if upstream.load_state.rate_limit is None:
-                return 0
-            limits.append(upstream.load_state.rate_limit)
-        # The waits until each limit allows its next call, the shortest first.
+        upstreams = self.eligible(excluded)
+        # The waits until each upstream accepts its next call, shortest first.
         waits = [
-            (limit.wait(0, now), 0, index) for index, limit in enumerate(limits)
+            (_wait_of(upstream, 0, now), 0, index)
+            for index, upstream in enumerate(upstreams)
         ]
         heapq.heapify(waits)
-        for _ in range(ahead):
+        for _ in range(ahead if waits else 0):
             _, sent, index = waits[0]
-            later = limits[index].wait(sent + 1, now)
+            upstream = upstreams[index]
+            if upstream.load_state.rate_limit is None:
+                break
+            later = _wait_of(upstream, sent + 1, now)
             heapq.heapreplace(waits, (later, sent + 1, index))
         return waits[0][0] if waits else math.inf
 
@@ -240,7 +240,7 @@
                 continue
             if self._is_backing_off(upstream, now):
                 continue
-            if not is_within_limit(upstream, now):
+            if not accepts_calls(upstream, now):
                 continue
             if expected_slowdown(upstream, now) is None:
                 targets.append(upstream)
@@ -288,11 +288,11 @@
         ]
 
     def _available(self, call: PendingCall, now: Millis) -> list[Upstream]:
-        """Return the eligible upstreams whose rate limit allows a call now."""
+        """Return the eligible upstreams that accept a call now."""
         return [
             upstream
             for upstream in self.eligible(call.excluded)
-            if is_within_limit(upstream, now)
+            if accepts_calls(upstream, now)
         ]
 
     def _is_backing_off(self, upstream: Upstream, now: Millis) -> bool:
@@ -302,10 +302,18 @@
         )
 
 
-def is_within_limit(upstream: Upstream, now: Millis) -> bool:
-    """Tell whether the rate limit of an upstream allows a call now."""
-    limit = upstream.load_state.rate_limit
-    return limit is None or limit.available(now) >= 1
+def accepts_calls(upstream: Upstream, now: Millis) -> bool:
+    """Tell whether the upstream's pause and rate limit allow a call now."""
+    return _wait_of(upstream, 0, now) <= 0
+
+
+def _wait_of(upstream: Upstream, ahead: int, now: Millis) -> Millis:
+    """Return the time until an upstream accepts a call, in milliseconds."""
+    state = upstream.load_state
+    pause = max(state.paused_until - now, 0)
+    if state.rate_limit is None:
+        return pause
+    return max(pause, state.rate_limit.wait(ahead, now))
 
 
 def _expected_load(upstream: Upstream, now: Millis) -> float:
--- a/tests/fleet/test_announcements.py
+++ b/tests/fleet/test_announcements.py
@@ -22,6 +22,10 @@
 # What the users allow: no calls this long after an answer that said so.
 DRAIN_TIME: Millis = 2000
 
+# What the users allow within a pause, from half a second after it was asked for.
+CALLS_IN_PAUSE = 2
+NOTICE: Millis = 500
+
 # A call that cannot be served is refused within this time.
 REFUSAL_TIME: Millis = 150
 
@@ -105,3 +109,46 @@
         assert {one.verdict for one in results} == {Verdict.NOT_RUN}
         late = [one for one in results if one.duration > REFUSAL_TIME]
         assert len(late) <= len(results) / 20
+
+
+class TestPause:
+    async def test_upstream_that_asks_for_a_pause_gets_it(
+        self, fleet: FleetDeployment
+    ) -> None:
+        load = Load(fleet)
+        paused = (await load.start())[0]
+        paused.announced.pause = '3'
+        results = await load.send(4)
+        asked_at = paused.refused_at[0]
+        within = [
+            at
+            for at in paused.refused_at
+            if asked_at + NOTICE <= at < asked_at + 3000
+        ]
+        assert len(within) <= CALLS_IN_PAUSE
+        assert {one.verdict for one in results} == {Verdict.GOOD}
+
+    async def test_upstream_is_used_again_after_its_pause(
+        self, fleet: FleetDeployment
+    ) -> None:
+        load = Load(fleet)
+        paused = (await load.start())[0]
+        paused.announced.pause = '1.5'
+        await load.send(1)
+        paused.announced.pause = None
+        await load.send(2)
+        since = fleet.clock.now()
+        await load.send(1)
+        assert calls_since(paused, since) >= 5
+
+    async def test_calls_are_refused_at_once_while_all_upstreams_pause(
+        self, fleet: FleetDeployment
+    ) -> None:
+        load = Load(fleet)
+        for backend in await load.start():
+            backend.announced.pause = '3'
+        await load.send(1)
+        results = await load.send(1)
+        assert {one.verdict for one in results} == {Verdict.NOT_RUN}
+        late = [one for one in results if one.duration > REFUSAL_TIME]
+        assert len(late) <= len(results) / 20
