Let the fault proxy reset a connection that has just closed

The event loop had closed one of the link's sockets in that moment, and reset() expects only OSError and AttributeError. Change: ValueError counts as closed, too. Conclusion: a fault of the test's tool, not of the daemon.

--- a/packages/cowslippond-standins/src/cowslippond_standins/_stream.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/_stream.py
@@ -31,8 +31,9 @@
     try:
         raw = stream.extra(SocketAttribute.raw_socket)
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
-    except (AttributeError, OSError):
-        # The connection is closed and its transport has no socket any more.
+    except (AttributeError, OSError, ValueError):
+        # The connection is closed and its transport has no socket any more, or
+        # one without a descriptor.
         return
     await anyio.aclose_forcefully(stream)
 
