Draw announcements of upstreams and partitions of daemons in the soak

Change: two more faults a run: an upstream that announces a limit, asks for a pause or says in its answers that it leaves; a daemon that loses all upstreams in one of three ways. They are drawn apart, so the other faults of a seed stay as they were. The cut is told to a daemon by a file beside its settings, so a restarted one keeps its own. A new check: the calls at a limited upstream.

--- a/tests/fleet/partition/sitecustomize.py
+++ b/tests/fleet/partition/sitecustomize.py
@@ -1,8 +1,8 @@
 """Cuts a daemon off from its upstreams while a file exists.
 
-Tests start daemons with this directory on their ``PYTHONPATH`` and the path of
-the file in ``COWSLIPPOND_TEST_PARTITION``. Shipped code does not read the
-variable. The file's first line is the mode, the others are addresses:
+Tests start daemons with this directory on their ``PYTHONPATH``. The file lies
+beside the daemon's settings, with the suffix ``.cut``. Its first line is the
+mode, the others are addresses:
 
 - ``hang``: new connections and calls on open ones get no answer;
 - ``reset``: new connections are refused and open ones break;
@@ -16,7 +16,7 @@
 import anyio
 from anyio.abc import SocketAttribute
 
-PARTITION_VARIABLE = 'COWSLIPPOND_TEST_PARTITION'
+SETTINGS_VARIABLE = 'COWSLIPPOND_NODE_FILE'
 
 
 def _read_mode(file: pathlib.Path, address: str) -> str:
@@ -57,6 +57,6 @@
     _connection.Connection.send = send_unless_cut
 
 
-path = os.environ.get(PARTITION_VARIABLE)
+path = os.environ.get(SETTINGS_VARIABLE)
 if path is not None:
-    _patch(pathlib.Path(path))
+    _patch(pathlib.Path(path).with_suffix('.cut'))
--- a/tests/fleet/test_partitioned_daemons.py
+++ b/tests/fleet/test_partitioned_daemons.py
@@ -36,7 +36,6 @@
 
     def __init__(self, fleet: FleetDeployment) -> None:
         self.fleet = fleet
-        self.cut_file = fleet.folder / 'cut'
         self.sound: list[Caller] = []
         self.partitioned: list[Caller] = []
         self.nodes: list[Node] = []
@@ -60,7 +59,6 @@
             for domain in DOMAINS[:2]
         ]
         fleet.environment = {
-            'COWSLIPPOND_TEST_PARTITION': str(self.cut_file),
             'PYTHONPATH': str(PARTITION),
         }
         self.nodes = [await fleet.add_node(domain) for domain in DOMAINS[:2]]
@@ -70,12 +68,14 @@
         addresses = [
             f'127.0.0.1:{backend.port}' for backend in self.fleet.backends
         ]
-        draft = self.cut_file.with_suffix('.draft')
-        draft.write_text('\n'.join((mode, *addresses)))
-        draft.rename(self.cut_file)
+        for node in self.nodes:
+            draft = node.settings.with_suffix('.draft')
+            draft.write_text('\n'.join((mode, *addresses)))
+            draft.rename(node.settings.with_suffix('.cut'))
 
     def heal(self) -> None:
-        self.cut_file.unlink()
+        for node in self.nodes:
+            node.settings.with_suffix('.cut').unlink()
 
     async def send_calls(self, seconds: float) -> None:
         """Send calls of both kinds to all daemons."""
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -5,6 +5,7 @@
 
 from cowslippond_core import Millis
 from cowslippond_standins.fleet import CallResult, Run, Verdict
+from soak.faults import RATE_LIMIT
 from soak.run import Disturbance, LinkedBackend, SoakRun
 
 #: The longest time for which daemons may still send to a back end that has
@@ -15,6 +16,12 @@
 RECOVERY_BOUND: Millis = 3000
 #: The minimum ratio of answered calls once the faults are over.
 MIN_ANSWERED_RATIO = 0.98
+#: What a back end may get in a window, in seconds, while it announces a limit,
+#: from the time on when daemons know of it.
+LIMIT_WINDOW = 4
+LIMIT_MARGIN = 1.5
+LIMIT_EXTRA_CALLS = 5
+LIMIT_NOTICE: Millis = 500
 
 
 def find_breaches(run: SoakRun, fault_free: list[CallResult]) -> list[str]:
@@ -25,6 +32,7 @@
         *_false_refusals(run),
         *_unrequested_runs(run),
         *_late_sends(run),
+        *_exceeded_limits(run),
         *_cut_at_planned_stops(run),
         *_reverted_versions(run),
         *_not_recovered(fault_free),
@@ -32,6 +40,18 @@
     ]
 
 
+def _exceeded_limits(run: SoakRun) -> list[str]:
+    breaches = []
+    for linked, start, end in run.limited:
+        calls = sum(
+            start + LIMIT_NOTICE <= one.at < end for one in linked.backend.runs
+        )
+        allowed = LIMIT_MARGIN * RATE_LIMIT * LIMIT_WINDOW + LIMIT_EXTRA_CALLS
+        if calls > allowed:
+            breaches.append(f'limit exceeded at {linked.backend}: {calls}')
+    return breaches
+
+
 def _wrong_answers(run: SoakRun) -> list[str]:
     return [
         f'wrong answer: {result}'
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,6 +14,11 @@
 LATEST_START: Millis = 9000
 LONGEST_DURATION: Millis = 3500
 
+#: The rate that a limited back end announces, in requests per second.
+RATE_LIMIT = 2
+
+PARTITION_MODES = ('hang', 'reset', 'live')
+
 
 class Fault(NamedTuple):
     """One fault: its kind, its target, its start and its duration.
@@ -42,6 +47,23 @@
     ]
 
 
+def draw_announcements(seed: int, count: int) -> list[Fault]:
+    """Return announcements of back ends and partitions of daemons.
+
+    They are drawn apart, so that the other faults of a seed stay the same.
+    """
+    rng = random.Random(f'announcements {seed}')
+    return [
+        Fault(
+            rng.choice(sorted(ANNOUNCEMENT_KINDS)),
+            rng.randrange(1000),
+            rng.uniform(0, LATEST_START),
+            rng.uniform(LONGEST_DURATION / 2, LONGEST_DURATION),
+        )
+        for _ in range(count)
+    ]
+
+
 async def _inject_store_fault(run: 'SoakRun', fault: Fault, mode: str) -> None:
     run.fleet.store.faults.mode = mode
     await run.clock.sleep(fault.duration)
@@ -177,6 +199,46 @@
     run.configure()
 
 
+async def backend_limited(run: 'SoakRun', fault: Fault) -> None:
+    """A back end announces a rate limit."""
+    linked = run.pick_backend(fault)
+    linked.backend.announced.rate_limit = RATE_LIMIT
+    started_at = run.clock.now()
+    await run.clock.sleep(fault.duration)
+    linked.backend.announced.rate_limit = None
+    run.limited.append((linked, started_at, run.clock.now()))
+
+
+async def backend_paused(run: 'SoakRun', fault: Fault) -> None:
+    """A back end refuses all requests and asks for a pause."""
+    announced = run.pick_backend(fault).backend.announced
+    announced.pause = '1.5'
+    await run.clock.sleep(fault.duration)
+    announced.pause = None
+
+
+async def backend_says_it_leaves(run: 'SoakRun', fault: Fault) -> None:
+    """A back end that is replaced says so in its answers, too."""
+    linked = run.pick_backend(fault)
+    linked.backend.announced.leaving_answers = frozenset(('success', 'health'))
+    await run.replace_backend(linked)
+
+
+async def daemon_partitioned(run: 'SoakRun', fault: Fault) -> None:
+    """A daemon loses all back ends, but not callers, peers and store."""
+    node = run.pick_node(fault)
+    if node is None:
+        return
+    with run.reserve(node):
+        run.record_disturbance(node.name, fault.duration)
+        mode = PARTITION_MODES[fault.target_index % len(PARTITION_MODES)]
+        links = [str(one.link.address) for one in run.linked_backends]
+        cut_file = node.settings.with_suffix('.cut')
+        cut_file.write_text('\n'.join((mode, *links)))
+        await run.clock.sleep(fault.duration)
+        cut_file.unlink()
+
+
 FaultAction = Callable[['SoakRun', Fault], Awaitable[None]]
 
 KINDS: Mapping[str, FaultAction] = MappingProxyType(
@@ -205,3 +267,12 @@
         'configured': configured,
     }
 )
+
+ANNOUNCEMENT_KINDS: Mapping[str, FaultAction] = MappingProxyType(
+    {
+        'backend_limited': backend_limited,
+        'backend_paused': backend_paused,
+        'backend_says_it_leaves': backend_says_it_leaves,
+        'daemon_partitioned': daemon_partitioned,
+    }
+)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,6 +1,7 @@
 """A fleet under load and faults, with records of callers and back ends."""
 
 import contextlib
+import pathlib
 import random
 from collections import defaultdict
 from collections.abc import Iterator
@@ -20,7 +21,7 @@
     route,
 )
 from cowslippond_standins.harness._handles import LinkHandle
-from soak.faults import KINDS, Fault
+from soak.faults import ANNOUNCEMENT_KINDS, KINDS, Fault
 
 CALLS_PER_SECOND = 60
 LOAD_MS: Millis = 13_000
@@ -29,6 +30,8 @@
 #: How long a back end keeps serving after it announced that it leaves.
 DRAIN_MS: Millis = 2600
 SERVICES = ('catalogue', 'checkout')
+#: Lets a test cut a daemon off from its back ends.
+PARTITION = pathlib.Path(__file__).parents[1] / 'fleet' / 'partition'
 
 
 class LinkedBackend:
@@ -70,6 +73,7 @@
         self.results: list[CallResult] = []
         self.reserved: set[str] = set()
         self.disturbances: list[Disturbance] = []
+        self.limited: list[tuple[LinkedBackend, Millis, Millis]] = []
         self.store_disturbances: list[tuple[Millis, Millis]] = []
         self.versions: dict[str, list[int]] = defaultdict(list)
         self.call_count = 0
@@ -80,6 +84,7 @@
             for index in range(count):
                 await self.add_backend(service, DOMAINS[index % len(DOMAINS)])
         self.configure()
+        self.fleet.environment = {'PYTHONPATH': str(PARTITION)}
         for domain in DOMAINS:
             link = await self.fleet.proxy.open(
                 f'store-{domain}', self.fleet.store_address
@@ -216,7 +221,7 @@
     async def _inject(self, fault: Fault) -> None:
         await self.clock.sleep(fault.start)
         started_at = self.clock.now()
-        await KINDS[fault.kind](self, fault)
+        await {**KINDS, **ANNOUNCEMENT_KINDS}[fault.kind](self, fault)
         if 'store' in fault.kind or 'lapse' in fault.kind:
             self.store_disturbances.append((started_at, self.clock.now()))
 
--- a/tests/soak/test_fleet_soak.py
+++ b/tests/soak/test_fleet_soak.py
@@ -10,7 +10,7 @@
 import pytest
 from cowslippond_standins.fleet import FleetDeployment
 from soak.checks import find_breaches
-from soak.faults import draw_faults
+from soak.faults import draw_announcements, draw_faults
 from soak.run import SoakRun
 
 pytestmark = pytest.mark.anyio
@@ -19,6 +19,7 @@
 CI_SEEDS = (1, 2)
 LONG_SEEDS = range(1, 51)
 FAULTS = 9
+ANNOUNCEMENTS = 2
 
 # Seeds of past failures, each with its cause.
 REGRESSIONS: Mapping[int, str] = MappingProxyType(
@@ -40,7 +41,10 @@
     async def test_every_promise_holds(
         self, seed: int, tmp_path: pathlib.Path
     ) -> None:
-        faults = draw_faults(seed, FAULTS)
+        faults = [
+            *draw_faults(seed, FAULTS),
+            *draw_announcements(seed, ANNOUNCEMENTS),
+        ]
         async with FleetDeployment(tmp_path) as fleet:
             run = SoakRun(fleet, seed)
             await run.start_shop()
