Tell an order whose answer a peer lost as unknown

Callers saw: 504 with x-outcome: failed, which says that an upstream ran the order and said that it failed, where nobody knows. Cause: a relayed answer was passed on like an upstream's; found while reading the change. Change: the peer's outcome 'unknown' counts as a lost answer here, too. A peer whose call takes too long stays in use, as the upstream behind it may be slow; one whose connection breaks does not. Measured: the new test fails before (failed instead of unknown) and passes now, with the three cases of served callers.

--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_call_relay.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_call_relay.py
@@ -3,6 +3,7 @@
 import logging
 
 from cowslippond_core._attempt import (
+    Answered,
     AnswerLost,
     Attempt,
     AttemptResult,
@@ -10,7 +11,8 @@
 )
 from cowslippond_core._dialect import NotRunReason
 from cowslippond_core._exchange import ExchangeFault
-from cowslippond_core._headers import RELAYED
+from cowslippond_core._headers import OUTCOME, RELAYED
+from cowslippond_core._messages import Outcome
 from cowslippond_core._reasons import RefusalReason
 from cowslippond_core._upstreams import Upstream
 from cowslippond_core.dispatch._call import Call
@@ -22,6 +24,7 @@
 
 _RELAYED = RELAYED.encode()
 _DIALECT = RelayDialect()
+_UNKNOWN_OUTCOME = (OUTCOME.encode(), Outcome.UNKNOWN.encode())
 
 # A call that several peers have refused finds no free upstream anywhere.
 _MAX_RELAYS = 2
@@ -105,7 +108,7 @@
             raise
         if self.ctx.relays is not None:
             self.ctx.relays.count_relayed()
-            if _has_lost_peer(result):
+            if attempt.exchange.fault is not None or _has_lost_peer(result):
                 self.ctx.relays.discard(peer)
         _logger.info(
             'call relayed',
@@ -125,10 +128,19 @@
         if result is None:
             attempt.end()
             return AnswerLost(ExchangeFault.TIMEOUT)
+        if isinstance(result, Answered) and _is_unknown(result):
+            attempt.end()
+            return AnswerLost(ExchangeFault.CLOSED)
         return result
 
 
+def _is_unknown(answered: Answered) -> bool:
+    """Tell whether the peer has lost the upstream's answer."""
+    return _UNKNOWN_OUTCOME in answered.answer.headers
+
+
 def _has_lost_peer(result: AttemptResult) -> bool:
-    if isinstance(result, NotRun):
-        return result.reason is NotRunReason.CONNECT_FAILED
-    return isinstance(result, AnswerLost)
+    return (
+        isinstance(result, NotRun)
+        and result.reason is NotRunReason.CONNECT_FAILED
+    )
--- a/tests/fleet/test_partitioned_daemons.py
+++ b/tests/fleet/test_partitioned_daemons.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 import anyio
+import httpcore
 import pytest
 from cowslippond_standins.fleet import (
     DOMAINS,
@@ -176,3 +177,25 @@
         await shop.send_calls(2)
         results = first_tries([*shop.sound, *shop.partitioned], since)
         assert {one.verdict for one in results} == {Verdict.NOT_RUN}
+
+    async def test_order_whose_answer_a_peer_lost_is_told_as_unknown(
+        self, fleet: FleetDeployment
+    ) -> None:
+        """Its outcome was told as failed, which says that it was run."""
+        shop = Shop(fleet)
+        await shop.start()
+        shop.cut('reset')
+        await shop.send_calls(CONTACT_SECONDS)
+        for backend in fleet.backends:
+            backend.faults.lose = 1
+        address = shop.nodes[0].caller_address
+        async with httpcore.AsyncConnectionPool() as pool:
+            answer = await pool.request(
+                'POST',
+                f'http://{address}/orders/1',
+                headers={'host': 'shop.example', 'x-request-id': 'lost'},
+            )
+        runs = [run for backend in fleet.backends for run in backend.runs]
+        assert [run.request_id for run in runs].count('lost') == 1
+        assert answer.status == 504
+        assert dict(answer.headers)[b'x-outcome'] == b'unknown'
