Let the test of a leaving health answer need one

Passed before when other tests slowed it down. Change: calls of that case come 60 ms apart, so each needs a health answer; the bound is the same.

--- a/tests/fleet/test_announcements.py
+++ b/tests/fleet/test_announcements.py
@@ -19,6 +19,10 @@
 
 INTERVAL: Millis = 25
 
+# The load told in an answer is used for a shorter time, so that each call needs a
+# health answer.
+PROBING_INTERVAL: Millis = 60
+
 # What the users allow: no calls this long after an answer that said so.
 DRAIN_TIME: Millis = 2000
 
@@ -53,7 +57,9 @@
         await self.send(WARM_UP_SECONDS)
         return backends
 
-    async def send(self, seconds: float) -> list[CallResult]:
+    async def send(
+        self, seconds: float, interval: Millis = INTERVAL
+    ) -> list[CallResult]:
         """Send calls for some time and return their results."""
         caller = self.caller
         assert caller is not None
@@ -62,7 +68,7 @@
             while self.fleet.clock.now() < since + seconds * 1000:
                 name = f'p{next(self.numbers)}'
                 tasks.start_soon(caller.send_request, name, '/prints/1')
-                await anyio.sleep(seconds_of(INTERVAL))
+                await anyio.sleep(seconds_of(interval))
         return [one for one in caller.call_results if one.sent_at >= since]
 
 
@@ -72,9 +78,16 @@
 
 
 class TestLeaving:
-    @pytest.mark.parametrize('kind', ['success', 'failure', 'health'])
+    @pytest.mark.parametrize(
+        ('kind', 'interval'),
+        [
+            ('success', INTERVAL),
+            ('failure', INTERVAL),
+            ('health', PROBING_INTERVAL),
+        ],
+    )
     async def test_upstream_that_says_it_leaves_gets_no_more_calls(
-        self, fleet: FleetDeployment, kind: str
+        self, fleet: FleetDeployment, kind: str, interval: Millis
     ) -> None:
         load = Load(fleet)
         leaving = (await load.start())[0]
@@ -82,7 +95,7 @@
             leaving.faults.fail = 0.2
         leaving.announced.leaving_answers = frozenset((kind,))
         said_at = fleet.clock.now()
-        results = await load.send(4)
+        results = await load.send(4, interval)
         assert calls_since(leaving, said_at + DRAIN_TIME) == 0
         good = [one for one in results if one.verdict is Verdict.GOOD]
         assert len(good) >= 0.95 * len(results)
