Let calls wait while upstreams have no free connection, as before limits

Callers saw: a waiting call was refused as rate_limited at the moment in which no upstream had a free connection, though none announced a limit. Found by reading the change. Cause: with no eligible upstream the wait for limits was infinite, not none. Measured: the new test fails before (inf) and passes now; test_placer, test_queue, tests/dispatch, test_rate_limits and test_announcements, 81 passed.

--- a/packages/cowslippond-core/src/cowslippond_core/placing/_selector.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_selector.py
@@ -123,7 +123,8 @@
         :param excluded: the addresses that the call must not get.
         :param ahead: the number of calls that are sent before it.
         :return: a time in milliseconds, 0 if an upstream without either is
-            eligible, and infinity if this daemon has no share of any limit.
+            eligible or none is eligible at all, and infinity if this daemon
+            has no share of any limit.
         """
         if self._has_unrestricted(excluded, now):
             return 0
@@ -141,7 +142,7 @@
                 break
             later = _wait_of(upstream, sent + 1, now)
             heapq.heapreplace(waits, (later, sent + 1, index))
-        return waits[0][0] if waits else math.inf
+        return waits[0][0] if waits else 0
 
     def update_failure_baseline(self, now: Millis) -> None:
         """Set the failure baseline to the median rate of all upstreams."""
--- a/tests/placing/test_placer.py
+++ b/tests/placing/test_placer.py
@@ -135,3 +135,20 @@
         )
         assert set(first) == set(ADDRESSES)
         assert max(first.values()) < 20
+
+
+class TestRestrictedUpstreams:
+    def test_call_waits_while_upstreams_have_no_free_connection(self) -> None:
+        """It was refused at once, as if rate limits held it back for ever."""
+        assert anyio.run(wait_without_connections) == 0
+
+
+async def wait_without_connections() -> Millis:
+    """Return the wait for limits while no connection to any upstream is free."""
+    clock = VirtualClock()
+    async with anyio.create_task_group() as tasks:
+        placer = make_placer(tasks, clock)
+        placer.upstreams.limit_connections(0)
+        wait = placer.selector.acceptance_wait(frozenset(), 0, clock.now())
+        tasks.cancel_scope.cancel()
+    return wait
