--- a/tests/fleet/test_announcements.py
+++ b/tests/fleet/test_announcements.py
@@ -151,7 +151,7 @@
         paused.announced.pause = None
         await load.send(2)
         since = fleet.clock.now()
-        await load.send(1)
+        await load.send(1, PROBING_INTERVAL)
         assert calls_since(paused, since) >= 5
 
     async def test_calls_are_refused_at_once_while_all_upstreams_pause(
