Count calls in flight and settled peers when a daemon estimates its share

Cause: a daemon assumes 24 daemons for the first 2 s after its start, so one that held all four slots of its upstreams expected the next free slot after 714 ms and refused calls as queue_full. Ruled out: a longer objective or deadline in the tests, which would hide it. Change: the share of slots is at least the number of calls in flight, by Little's law, whatever the number of daemons. The assumed number ends as soon as a peer that has run for 2 s tells the size of the fleet, and a daemon whose settings name no other daemon never assumes one.

--- a/packages/cowslippond-core/src/cowslippond_core/_fleet.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_fleet.py
@@ -91,7 +91,12 @@
         self.membership = Membership(
             clock, self.tables[_DAEMONS], _own_daemon(settings), settings.seeds
         )
-        self.size = FleetSize(clock, self.membership.count)
+        own_address = settings.peer_address
+        self.size = FleetSize(
+            clock,
+            self.membership.count,
+            has_peers=any(seed != own_address for seed in settings.seeds),
+        )
         self.contact = FleetContact(settings.failure_domain, self.size)
         self.gossip = Gossip(
             settings.fleet,
--- a/packages/cowslippond-core/src/cowslippond_core/_fleet_contact.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_fleet_contact.py
@@ -14,9 +14,7 @@
 from cowslippond_core._clock import Millis
 from cowslippond_core._fleet_size import FleetSize
 from cowslippond_core._membership import Daemon
-from cowslippond_core._peer_messages import (
-    Witness,
-)
+from cowslippond_core._peer_messages import Digest, Witness
 
 #: How long the outcome of the last attempt to reach a peer counts.
 ATTEMPT_WINDOW: Millis = 60_000
@@ -69,6 +67,10 @@
                 witness.failure_domain, requested_at - witness.age
             )
 
+    def record_fleet_size(self, digest: Digest) -> None:
+        """Record how many daemons a peer knows."""
+        self.size.record_report(digest.daemons, is_settled=digest.is_settled)
+
     def record_attempt(
         self, address: str, at: Millis, is_success: bool
     ) -> None:
--- a/packages/cowslippond-core/src/cowslippond_core/_fleet_size.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_fleet_size.py
@@ -21,6 +21,12 @@
 # fleets, complete lists differ by daemons that have just started or left.
 _COMPLETE_SHARE = 0.99
 
+# Daemons that start together know the size of the fleet after this time. Until
+# then, each assumes that it is not smaller than a common deployment, unless a
+# peer that has run for longer tells the size.
+_DISCOVERY_TIME: Millis = 2000
+_ASSUMED_DAEMONS = 24
+
 
 class FleetSize:
     """The number of daemons that this daemon and its peers know.
@@ -28,22 +34,42 @@
     A peer reports the daemons in its own list, not the largest count that it
     was told, so a wrong count does not stay in the fleet.
 
-    :param clock: determines how long a peer's count is used.
+    :param clock: determines how long a peer's count is used, and how long this
+        daemon has run.
     :param count_known: returns the number of daemons in this daemon's list,
         including itself.
+    :param has_peers: whether the settings name any other daemon. The first
+        daemon of a fleet has none to discover.
     """
 
-    def __init__(self, clock: Clock, count_known: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        count_known: Callable[[], int],
+        *,
+        has_peers: bool = True,
+    ) -> None:
         self.clock = clock
         self.count_known = count_known
         self.reported = 0
         self.reported_at: Millis = -math.inf
+        self.settled_at = clock.now()
+        if has_peers:
+            self.settled_at += _DISCOVERY_TIME
+
+    def is_settled(self) -> bool:
+        """Return whether this daemon has discovered the fleet."""
+        return self.clock.now() >= self.settled_at
 
-    def record_report(self, daemons: int) -> None:
+    def record_report(self, daemons: int, *, is_settled: bool = False) -> None:
         """Record how many daemons a peer has in its list.
 
         :param daemons: 0 if the peer did not report the number.
+        :param is_settled: whether the peer has discovered the fleet; its number
+            then replaces the assumed one.
         """
+        if is_settled and daemons > 0:
+            self.settled_at = min(self.settled_at, self.clock.now())
         daemons = min(daemons, MAX_DAEMONS)
         if daemons < self._valid_report():
             return
@@ -51,8 +77,12 @@
         self.reported_at = self.clock.now()
 
     def estimate(self) -> int:
-        """Return the largest number known, including this daemon."""
-        return max(self.count_known(), self._valid_report())
+        """Return how many daemons share the fleet-wide bounds.
+
+        It is the largest number known, including this daemon.
+        """
+        daemons = max(self.count_known(), self._valid_report())
+        return daemons if self.is_settled() else max(daemons, _ASSUMED_DAEMONS)
 
     def is_incomplete(self, daemons: int) -> bool:
         """Return whether a peer's list contains many more daemons.
--- a/packages/cowslippond-core/src/cowslippond_core/_gossip.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_gossip.py
@@ -125,6 +125,7 @@
             (),
             revisions,
             request.digest.daemons,
+            request.digest.is_settled,
         )
         return request._replace(digest=digest)
 
@@ -224,7 +225,7 @@
     @answer.register
     def _answer_exchange(self, message: Exchange) -> Message:
         self.check_fleet(message)
-        self.contact.size.record_report(message.digest.daemons)
+        self.contact.record_fleet_size(message.digest)
         self.catalogue.observe_revision(message.digest.revision)
         self.merge_rows(message)
         reply_rows = min(max(message.row_limit, 0), MAX_INITIAL_ROWS)
@@ -250,6 +251,7 @@
             self.contact.witnesses(now),
             _revisions_of(self.logs),
             self.contact.size.count_known(),
+            self.contact.size.is_settled(),
         )
 
     def _next_rows(self, max_rows: int) -> tuple[TableRows, ...]:
--- a/packages/cowslippond-core/src/cowslippond_core/_json_codec.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_json_codec.py
@@ -50,9 +50,10 @@
 _PULL = 'p'
 _DOCUMENTS = 'd'
 
-# The number of daemons is sent among the revisions of the logs, since releases
-# without it ignore unknown logs but refuse a longer digest.
+# These fields are sent among the revisions of the logs, since releases without
+# them ignore unknown logs but refuse a longer digest.
 _DAEMONS = '#daemons'
+_SETTLED = '#settled'
 
 
 class JsonCodec:
@@ -147,7 +148,11 @@
             [witness.failure_domain, round_age_up(witness.age)]
             for witness in digest.witnesses
         ],
-        {**digest.logs, _DAEMONS: digest.daemons},
+        {
+            **digest.logs,
+            _DAEMONS: digest.daemons,
+            _SETTLED: int(digest.is_settled),
+        },
     ]
 
 
@@ -209,6 +214,7 @@
         for name, log_revision in dict(logs).items()
     }
     daemons = revisions.pop(_DAEMONS, 0)
+    is_settled = bool(revisions.pop(_SETTLED, 0))
     return Digest(
         read_number(revision),
         None if age is None else read_number(age),
@@ -218,6 +224,7 @@
         ),
         revisions,
         daemons,
+        is_settled,
     )
 
 
--- a/packages/cowslippond-core/src/cowslippond_core/_peer_messages.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_peer_messages.py
@@ -25,6 +25,7 @@
     newest, in milliseconds; ``None`` if it never was. ``logs`` maps the names
     of additional logs to their revisions. ``daemons`` is the number of daemons
     that the sender knows, including itself, or 0 if it does not tell.
+    ``is_settled`` tells whether it has discovered the fleet since its start.
     """
 
     revision: int
@@ -32,6 +33,7 @@
     witnesses: tuple[Witness, ...]
     logs: Mapping[str, int] = _NO_LOGS
     daemons: int = 0
+    is_settled: bool = False
 
 
 class TableRows(NamedTuple):
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
@@ -137,7 +137,10 @@
     def _update_slots(self) -> None:
         upstreams = self.upstreams.by_address.values()
         slots = sum(upstream.vm.slots or 1 for upstream in upstreams)
-        self.estimator.update_slots(slots, self.fleet.count_daemons())
+        in_flight = sum(upstream.in_flight for upstream in upstreams)
+        self.estimator.update_slots(
+            slots, self.fleet.count_daemons(), in_flight
+        )
         self.estimator.is_fully_loaded = not self.selector.is_mostly_free()
 
     async def _wait(self, call: PendingCall) -> Grant | RefusalReason:
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_service_time.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_service_time.py
@@ -49,13 +49,19 @@
         weight = max(_MIN_SAMPLE_WEIGHT, 1 / self.sample_count)
         self.service_time += weight * (clamped - self.service_time)
 
-    def update_slots(self, slots: int, daemons: int) -> None:
+    def update_slots(self, slots: int, daemons: int, in_flight: int) -> None:
         """Set this process's portion of the slots that all daemons share.
 
+        Callers are not spread evenly over the daemons, and the number of
+        daemons may be too high. A process that has calls in flight gets at
+        least as many slots as these calls take.
+
         :param slots: the number of slots of all upstreams.
         :param daemons: the number of daemons that share them.
+        :param in_flight: this process's calls at the upstreams.
         """
-        self.slots = max(slots / max(daemons, 1), 1 / max(daemons, 1))
+        equal_share = max(slots, 1) / max(daemons, 1)
+        self.slots = max(equal_share, min(in_flight, slots))
 
     def expected_wait(self, ahead: int) -> Millis:
         """Return how long a call has to wait for a slot, in milliseconds.
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -64,11 +64,6 @@
 _MILLIS_PER_SECOND = 1000
 _UPDATE_INTERVAL: Millis = 200
 
-# Daemons that start together know the size of the fleet after this time. Until
-# then, each assumes that it is not smaller than a common deployment.
-_DISCOVERY_TIME: Millis = 2000
-_ASSUMED_DAEMONS = 24
-
 # All daemons that the platform starts belong to one fleet, whichever address
 # each of them uses for the store.
 _FLEET_NAME = 'platform'
@@ -135,7 +130,6 @@
         self.metrics = Metrics('')
         self.state = DaemonState.STARTING
         self.stop_requested = anyio.Event()
-        self.started_at = self.clock.now()
         self.configuration_log = ConfigurationLog(
             self.clock, adapter.decode_configuration
         )
@@ -164,7 +158,7 @@
             self.fleet.gossip_table(RATE_LIMIT_TABLE),
             settings.peer_address,
             self.fleet.membership.serving_addresses,
-            self._count_daemons,
+            self.fleet.size.estimate,
             self.clock,
             self.rng,
         )
@@ -202,7 +196,7 @@
                 quarantine=quarantine,
                 record_rate_limit=self.rate_limits.record_answer,
             ),
-            self._count_daemons,
+            self.fleet.size.estimate,
             self.rng,
             record_duration=self.metrics.timing,
             relays=RelayPeers(
@@ -263,16 +257,6 @@
         )
         return services
 
-    def _count_daemons(self) -> int:
-        """Return how many daemons share the fleet-wide bounds.
-
-        A daemon that has just started has not discovered the others yet.
-        """
-        daemon_count = self.fleet.size.estimate()
-        if self.clock.now() - self.started_at < _DISCOVERY_TIME:
-            return max(daemon_count, _ASSUMED_DAEMONS)
-        return daemon_count
-
     def _apply_settings(
         self, services: Services, settings: NodeSettings
     ) -> None:
--- a/tests/core/test_fleet_size.py
+++ b/tests/core/test_fleet_size.py
@@ -5,10 +5,15 @@
 from fakes import FakeClock
 
 KNOWN = 20
+ASSUMED = 24
+DISCOVERY_MS = 2000
 
 
 def make_size(clock: FakeClock) -> FleetSize:
-    return FleetSize(clock, lambda: KNOWN)
+    """Return the size of a fleet whose daemons started long ago."""
+    size = FleetSize(clock, lambda: KNOWN)
+    clock.advance(DISCOVERY_MS)
+    return size
 
 
 class TestFleetSize:
@@ -31,6 +36,27 @@
         size.record_report(25)
         assert size.estimate() == 25
 
+    def test_a_starting_daemon_assumes_a_common_size(self) -> None:
+        """Daemons that start together would each take the whole of a limit."""
+        clock = FakeClock(1000)
+        size = FleetSize(clock, lambda: 1)
+        assert size.estimate() == ASSUMED
+        size.record_report(2)
+        assert size.estimate() == ASSUMED
+        clock.advance(DISCOVERY_MS)
+        assert size.estimate() == 2
+
+    def test_a_settled_peer_ends_the_assumption(self) -> None:
+        """A daemon that joined a fleet of three refused calls for 2 s."""
+        size = FleetSize(FakeClock(1000), lambda: 1)
+        size.record_report(3, is_settled=True)
+        assert size.estimate() == 3
+        assert size.is_settled()
+
+    def test_a_daemon_without_peers_assumes_none(self) -> None:
+        size = FleetSize(FakeClock(1000), lambda: 1, has_peers=False)
+        assert size.estimate() == 1
+
     @pytest.mark.parametrize('reported', [-1, 0, 10**12])
     def test_wrong_report_is_bounded(self, reported: int) -> None:
         size = make_size(FakeClock(1000))
--- a/tests/placing/test_queue.py
+++ b/tests/placing/test_queue.py
@@ -110,7 +110,7 @@
         self,
     ) -> None:
         queue = queue_of(*[call_of(str(number)) for number in range(10)])
-        queue.estimator.update_slots(26, 4)
+        queue.estimator.update_slots(26, 4, 0)
         assert queue.check_admission(call_of('one'), 0) is None
 
     def test_a_second_call_is_admitted_on_a_daemon_with_few_calls(
@@ -118,7 +118,7 @@
     ) -> None:
         """The wait was estimated from the few calls that had found a slot."""
         queue = queue_of(call_of('first'))
-        queue.estimator.update_slots(26, 18)
+        queue.estimator.update_slots(26, 18, 0)
         assert queue.check_admission(call_of('second'), 0) is None
 
     def test_a_hedge_never_waits_behind_calls(self) -> None:
--- a/tests/placing/test_service_time.py
+++ b/tests/placing/test_service_time.py
@@ -32,3 +32,19 @@
         for _ in range(30):
             estimator.record_service_time(300, 5)
         assert 59 < estimator.service_time < 61
+
+
+class TestShareOfSlots:
+    def test_calls_in_flight_count_whatever_the_number_of_daemons(self) -> None:
+        """A daemon alone refused calls, as it assumed 24 daemons at its start.
+
+        It held all four slots, but expected the next free one after 714 ms.
+        """
+        estimator = ServiceTimeEstimator(70)
+        estimator.update_slots(4, 24, 4)
+        assert estimator.expected_wait(1) < 70
+
+    def test_calls_that_wait_at_upstreams_are_no_slots(self) -> None:
+        estimator = ServiceTimeEstimator(70)
+        estimator.update_slots(4, 24, 40)
+        assert estimator.slots == 4
