Let callers of tests wait a second for a connection, as the platform's do

The caller of the tests gave up connecting after 250 ms, the time that daemons allow for an upstream, and reports that as CLOSED. If the process of the test is held up while it connects, its timer runs out before it looks at the socket. Ruled out: the daemon closing the connection; it never got the request. Change: the time for a new connection is a parameter of the pool, and the caller allows the second that the platform's callers allow.

--- a/packages/cowslippond-core/src/cowslippond_core/_connections.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_connections.py
@@ -34,15 +34,22 @@
     :param tasks: task group that runs the reading task of each connection.
     :param clock: used to measure idle times.
     :param limit: maximum number of connections that this process may open.
+    :param connect_timeout: maximum wait for a new connection, in milliseconds.
     """
 
     def __init__(
-        self, address: str, tasks: TaskGroup, clock: Clock, limit: int
+        self,
+        address: str,
+        tasks: TaskGroup,
+        clock: Clock,
+        limit: int,
+        connect_timeout: Millis = CONNECT_TIMEOUT,
     ) -> None:
         self.address = address
         self.tasks = tasks
         self.clock = clock
         self.limit = limit
+        self.connect_timeout = connect_timeout
         self.open: set[Connection] = set()
         self.idle: list[Connection] = []
         self.opening_count = 0
@@ -176,7 +183,7 @@
     async def _connect(self) -> Result[Connection, str]:
         self.opening_count += 1
         try:
-            stream = await _open_stream(self.address)
+            stream = await _open_stream(self.address, self.connect_timeout)
         except (OSError, TimeoutError) as error:
             return Error(repr(error))
         finally:
@@ -229,7 +236,7 @@
     return True
 
 
-async def _open_stream(address: str) -> SocketStream:
+async def _open_stream(address: str, timeout: Millis) -> SocketStream:
     host, _, port = address.rpartition(':')
-    with anyio.fail_after(seconds_of(CONNECT_TIMEOUT)):
+    with anyio.fail_after(seconds_of(timeout)):
         return await anyio.connect_tcp(host.strip('[]'), int(port))
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_caller.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_caller.py
@@ -16,6 +16,9 @@
 _FIRST_SUCCESS = 200
 _FIRST_FAILURE = 300
 _MAX_CONNECTIONS = 64
+
+# Callers of the platform allow this long for a new connection.
+_CONNECT_TIMEOUT: Millis = 1000
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
@@ -60,7 +63,7 @@
         self.node = node
         self.clock = clock
         self.connections = Connections(
-            str(address), tasks, clock, _MAX_CONNECTIONS
+            str(address), tasks, clock, _MAX_CONNECTIONS, _CONNECT_TIMEOUT
         )
         self.call_results: list[CallResult] = []
 
