Pass the time for a connection on in the tests that replace the connect

Cause: gave the connect function a second parameter, and the seam that cuts daemons off, and a test, replace that function: no daemon of the soak became ready. Change: both take the parameter; the cut lasts as long as before.

--- a/tests/core/test_connections.py
+++ b/tests/core/test_connections.py
@@ -19,7 +19,7 @@
         await anyio.lowlevel.checkpoint()
 
 
-async def open_reset_stream(_: str) -> ResetStream:
+async def open_reset_stream(address: str, timeout: float) -> ResetStream:
     return ResetStream()
 
 
--- a/tests/fleet/partition/sitecustomize.py
+++ b/tests/fleet/partition/sitecustomize.py
@@ -34,14 +34,14 @@
     open_stream = _connections._open_stream
     send = _connection.Connection.send
 
-    async def open_unless_cut(address: str) -> Any:
+    async def open_unless_cut(address: str, timeout: float) -> Any:
         mode = _read_mode(file, address)
         if mode == 'hang':
-            await anyio.sleep(_connections.CONNECT_TIMEOUT / 1000)
+            await anyio.sleep(timeout / 1000)
             raise TimeoutError
         if mode:
             raise ConnectionRefusedError
-        return await open_stream(address)
+        return await open_stream(address, timeout)
 
     async def send_unless_cut(connection: Any, sent: bytes) -> None:
         remote = connection.stream.extra(SocketAttribute.remote_address)
--- a/tests/standins/test_caller.py
+++ b/tests/standins/test_caller.py
@@ -16,6 +16,10 @@
 async def pause_during_connect() -> None:
     """Stop this process after the caller began to connect."""
     await anyio.lowlevel.checkpoint()
+    hold_up()
+
+
+def hold_up() -> None:
     time.sleep(PAUSE_SECONDS)
 
 
