Leave a sixth of the stop time for closing connections and the exit

Cause: with a caller that stays silent in the middle of a body, a daemon waited 5.3 s of its 6 s, then up to 0.1 s for the server's loop and 0.3 s for open connections, and began to exit some 200 ms before it is killed. On a busy machine the exit came too late: test_planned_stop_ends_despite_an_incomplete_request_body failed again, in two of eight runs at once at load 12. Ruled out: a wait for the body itself; the log shows the stop in time. Change: a sixth of the stop time is reserved, in which the platform excuses cut calls.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -75,10 +75,11 @@
 # The front balancer stops sending after two failed checks, one second apart.
 _BALANCER_LAG: Millis = 2500
 
-# The part of the shutdown time that is reserved for closing connections.
-_CLOSE_MARGIN: Millis = 700
+# The part of the shutdown time that is reserved for closing connections and for
+# the exit of the process. The platform excuses calls that are cut in this part.
+_CLOSE_SHARE = 1 / 6
 
-# Within that margin, the limit for connections whose callers do not respond.
+# Within that part, the limit for connections whose callers do not respond.
 _CLOSE_TIMEOUT: Millis = 300
 
 # Caller connections stay open for longer than callers reuse them, so that none
@@ -327,7 +328,7 @@
     async def _retire(self, edge: Edge, callers: DaemonServer) -> None:
         self.state = DaemonState.LEAVING
         self.fleet.announce_leaving()
-        limit = self.settings.stop_timeout - _CLOSE_MARGIN
+        limit = self.settings.stop_timeout * (1 - _CLOSE_SHARE)
         plan = RetirementPlan(
             self.clock,
             min(_BALANCER_LAG, limit),
--- a/tests/fleet/test_serving.py
+++ b/tests/fleet/test_serving.py
@@ -161,6 +161,8 @@
 
 # Equals ``grace_s`` in the deployment's settings.
 DRAIN_GRACE_MS = 6000
+# What a busy machine may take longer for the exit of a process.
+EXIT_SLACK_MS = 500
 
 
 class TestLeaving:
@@ -198,7 +200,10 @@
     async def test_planned_stop_ends_despite_an_incomplete_request_body(
         self, fleet: FleetDeployment
     ) -> None:
-        """A daemon waited for the rest of the body until it was killed."""
+        """A daemon waited for the rest of the body until it was killed.
+
+        Later it ended 200 ms before that, which a busy machine exceeded.
+        """
         node, _ = await start_shop(fleet, nodes=2)
         stream = await anyio.connect_tcp(*node.caller_address)
         async with stream:
@@ -208,7 +213,7 @@
             )
             await anyio.sleep(0.3)
             node.child.terminate()
-            assert await node.child.wait(DRAIN_GRACE_MS) == 0
+            assert await node.child.wait(DRAIN_GRACE_MS - EXIT_SLACK_MS) == 0
 
 
 class TestSilentStore:
