Let another daemon read within 1 s when the store refuses all readers

Seen: three readers were refused 2.50 s after the start of a fleet, and the next daemon read at 5.78 s. Cause: in a daemon's first 15 s only the seeds could be readers. Their reports of a lost store reached the others, which nevertheless waited until their copies were 4 s old. Ruled out: the delay of takeovers in a fleet that has run longer; the model shows 96 ms there (136 daemons, refused at 20 s). Change: while daemons discover each other, ranks count once all seeds that have announced themselves report the store lost. Peers relay the first report of a daemon at once. A daemon that took over and is refused too makes room for the next one, a refused reader retries every 2 s while others are served, and stale daemons retry 24 ms instead of 20 ms apart over the fleet, so that takeovers cost no further calls in an outage.

--- a/packages/cowslippond-core/src/cowslippond_core/_fleet.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_fleet.py
@@ -121,6 +121,18 @@
         """
         return self.tables[name]
 
+    def relay_at_once(self, name: str) -> None:
+        """Pass on rows of a table that peers add, without waiting for a round.
+
+        Each daemon relays a key once, as a row that replaces another of the
+        same key is left to the regular rounds.
+
+        :param name: the name of a table whose rows have few keys.
+        """
+        self.tables[name].addition_listeners.append(
+            self.peer_client.start_row_rounds
+        )
+
     def share_quarantine(self, quarantine: Quarantine) -> None:
         """Replicate the changes of a quarantine and push them at once."""
         share_quarantine(quarantine, self.tables['quarantine'])
--- a/packages/cowslippond-core/src/cowslippond_core/_gossip_table.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_gossip_table.py
@@ -85,6 +85,8 @@
         self.next_expiry: Millis = math.inf
         self.listeners: list[Callable[[GossipRow], None]] = []
         self.write_listeners: list[Callable[[], None]] = []
+        # Called after a merge that added a key, or one that had expired.
+        self.addition_listeners: list[Callable[[], None]] = []
 
     def put(self, key: str, text: str, time_to_live: Millis) -> None:
         """Write a row that is replicated to all daemons.
@@ -108,8 +110,9 @@
             return False
         if not _is_later(row, self.stored.get(row.key)):
             return False
-        lifetime = min(row.remaining, _MAX_LIFETIME)
-        expires_at = self.clock.now() + lifetime
+        now = self.clock.now()
+        is_addition = not self.is_alive(row.key, now)
+        expires_at = now + min(row.remaining, _MAX_LIFETIME)
         self.stored[row.key] = _StoredRow(row.text, row.stamp, expires_at)
         self.stored.move_to_end(row.key)
         self.next_expiry = min(self.next_expiry, expires_at)
@@ -117,6 +120,8 @@
         self._trim()
         for listener in self.listeners:
             listener(row)
+        if is_addition:
+            self._notify_addition()
         return True
 
     def text_of(self, key: str) -> str | None:
@@ -199,6 +204,10 @@
         now = self.clock.now()
         return [_as_row(key, self.stored[key], now) for key in chosen]
 
+    def _notify_addition(self) -> None:
+        for notify in self.addition_listeners:
+            notify()
+
     def _is_plausible(self, row: GossipRow) -> bool:
         if (
             row.remaining <= 0
--- a/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
@@ -45,6 +45,11 @@
 
 _INITIAL_RETRY_DELAY: Millis = 150
 _MAX_RETRY_DELAY: Millis = 1000
+
+# The same while other daemons are served, as a confirmation of at most this
+# age shows. Nothing waits for the refused daemon then.
+_MAX_CONFIRMED_RETRY_DELAY: Millis = 2000
+_FRESH_AGE: Millis = 2000
 _ROLE_CHECK_INTERVAL: Millis = 250
 
 # Minimum time from a call that returned changes to the next one. When many
@@ -54,7 +59,7 @@
 
 # Mean time between two attempts across a fleet in which no daemon confirms the
 # rows. It keeps a large fleet from overloading a store that is down.
-_RETRY_SPACING: Millis = 20
+_RETRY_SPACING: Millis = 24
 
 # How long a starting daemon waits for its peers to pass on what they have read.
 # Daemons discover each other within a few gossip rounds.
@@ -70,6 +75,10 @@
 # daemons whose copies become stale together do not all read at once.
 _MIN_TAKEOVER_JITTER: Millis = 500
 
+# The same for a daemon whose rank makes it a reader. Only few daemons rank
+# first, also while their lists of daemons are incomplete.
+_DESIGNATED_JITTER: Millis = 150
+
 
 class ReaderRole:
     """Decides whether this daemon reads the store.
@@ -95,27 +104,72 @@
 
     def is_reader(self) -> bool:
         """Return whether this daemon waits for changes in the store."""
+        return not self.is_confirmed(STALE_AGE) or self.is_designated()
+
+    def is_confirmed(self, max_age: Millis) -> bool:
+        """Return whether the versions were confirmed recently.
+
+        :param max_age: the maximum age of the confirmation, in milliseconds.
+        """
         confirmed_at = self.versions.confirmed_at
         if confirmed_at is None:
-            return True
-        if self.clock.now() - confirmed_at > STALE_AGE:
-            return True
-        return self.is_designated()
+            return False
+        return self.clock.now() - confirmed_at <= max_age
 
     def is_designated(self) -> bool:
-        """Return whether this daemon is one that reads for the others."""
+        """Return whether this daemon is one that reads for the others.
+
+        A daemon that only took over, and that the store refused as well, makes
+        room for the next one; otherwise an outage would leave more and more
+        daemons retrying.
+        """
         own = self.membership.own
         if own.is_leaving:
             return False
-        if self.clock.now() - self.started_at < _DISCOVERY_PERIOD:
+        lost = self.lost_reports.alive_keys()
+        peers = [
+            peer
+            for peer in self.membership.known_daemons()
+            if _is_eligible(peer)
+        ]
+        if self._ranks_first(peers):
+            return True
+        if own.address in lost or not self._may_take_over(peers, lost):
+            return False
+        served = [peer for peer in peers if peer.address not in lost]
+        return self._has_reader_rank(served)
+
+    def _ranks_first(self, peers: list[Daemon]) -> bool:
+        """Return whether this daemon reads while the store serves everybody."""
+        if self._is_discovering():
             return self.is_seed()
+        return self._has_reader_rank(peers)
+
+    def _may_take_over(self, peers: list[Daemon], lost: set[str]) -> bool:
+        """Return whether the ranks of daemons without a report count.
+
+        While daemons discover each other, they count only once no seed that
+        has announced itself is served, and one of the seeds has said so.
+        """
+        if not self._is_discovering():
+            return True
+        seeds = self.membership.configured_seeds
+        if lost.isdisjoint(seeds):
+            return False
+        return all(
+            peer.address in lost for peer in peers if peer.address in seeds
+        )
+
+    def _is_discovering(self) -> bool:
+        return self.clock.now() - self.started_at < _DISCOVERY_PERIOD
+
+    def _has_reader_rank(self, peers: list[Daemon]) -> bool:
+        """Return whether few enough of some peers come before this daemon."""
+        own = self.membership.own
         own_key = self._rank_key(own.address)
-        lost = self.lost_reports.alive_keys()
         domains = {own.failure_domain}
         rank = 0
-        for peer in self.membership.known_daemons():
-            if not _is_eligible(peer) or peer.address in lost:
-                continue
+        for peer in peers:
             domains.add(peer.failure_domain)
             if peer.failure_domain != own.failure_domain:
                 continue
@@ -212,7 +266,10 @@
     async def _await_role(self) -> None:
         while not self.role.is_reader():
             await self.clock.sleep(_ROLE_CHECK_INTERVAL)
-        jitter = max(_MIN_TAKEOVER_JITTER, self._retry_spacing())
+        if self.role.is_designated():
+            jitter = _DESIGNATED_JITTER
+        else:
+            jitter = max(_MIN_TAKEOVER_JITTER, self._retry_spacing())
         await self.clock.sleep(self.rng.random() * jitter)
 
     async def _read_once(self) -> None:
@@ -255,7 +312,12 @@
         self.revision = None
         self.role.report_store_lost()
         max_delay = max(self.retry_delay, self._retry_spacing())
-        self.retry_delay = min(self.retry_delay * 2, _MAX_RETRY_DELAY)
+        limit = (
+            _MAX_CONFIRMED_RETRY_DELAY
+            if self.role.is_confirmed(_FRESH_AGE)
+            else _MAX_RETRY_DELAY
+        )
+        self.retry_delay = min(self.retry_delay * 2, limit)
         await self.clock.sleep(max_delay * (1 + self.rng.random()) / 2)
 
     def _retry_spacing(self) -> Millis:
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -160,6 +160,7 @@
             (STORE_LOST_TABLE, RATE_LIMIT_TABLE),
             (FAILURE_TABLE,),
         )
+        self.fleet.relay_at_once(STORE_LOST_TABLE)
         self.rate_limits = SharedRateLimits(
             self.fleet.gossip_table(RATE_LIMIT_TABLE),
             settings.peer_address,
--- a/packages/cowslippond-standins/src/cowslippond_standins/model/__init__.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/__init__.py
@@ -13,4 +13,11 @@
 from cowslippond_standins.model._load import Load as Load
 from cowslippond_standins.model._load import Outcome as Outcome
 from cowslippond_standins.model._load import Tally as Tally
+from cowslippond_standins.model._reading import (
+    ReadingFigures as ReadingFigures,
+)
+from cowslippond_standins.model._reading import ReadingPlan as ReadingPlan
+from cowslippond_standins.model._reading import (
+    simulate_reading as simulate_reading,
+)
 from cowslippond_standins.model._simulation import simulate as simulate
--- a/packages/cowslippond-standins/src/cowslippond_standins/model/_joining.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/_joining.py
@@ -11,12 +11,7 @@
 from typing import NamedTuple
 
 import anyio
-from anyio.abc import (
-    ByteStream,
-    ObjectReceiveStream,
-    ObjectSendStream,
-    TaskGroup,
-)
+from anyio.abc import ByteStream, TaskGroup
 from cowslippond_core import (
     Configuration,
     ConfigurationLog,
@@ -30,13 +25,13 @@
 )
 from expression import Error, Result
 
+from cowslippond_standins.model._pipes import make_connection
 from cowslippond_standins.model._virtual_time import (
     VirtualClock,
     backend_options,
 )
 
 _SEED_COUNT = 3
-_STREAM_MESSAGES = 64
 _POLL_INTERVAL: Millis = 100
 _PORT = 9000
 _LAST_OCTET = 256
@@ -173,7 +168,7 @@
         fleet = self.fleets.get(f'{host}:{port}')
         if fleet is None:
             raise ConnectionRefusedError
-        near, far = _make_connection()
+        near, far = make_connection()
         tasks.start_soon(fleet.peer_server.serve, far)
         return near
 
@@ -200,39 +195,3 @@
 
 def _decode_nothing(text: str) -> Result[Configuration, str]:
     return Error('the model has no configuration')
-
-
-class _PipeEnd(ByteStream):
-    """One end of a connection in memory."""
-
-    def __init__(
-        self,
-        incoming: ObjectReceiveStream[bytes],
-        outgoing: ObjectSendStream[bytes],
-    ) -> None:
-        self.incoming = incoming
-        self.outgoing = outgoing
-
-    async def receive(self, max_bytes: int = 65_536) -> bytes:
-        """Return the bytes of the next send, whatever their number."""
-        return await self.incoming.receive()
-
-    async def send(self, item: bytes) -> None:
-        await self.outgoing.send(item)
-
-    async def send_eof(self) -> None:
-        await self.outgoing.aclose()
-
-    async def aclose(self) -> None:
-        await self.incoming.aclose()
-        await self.outgoing.aclose()
-
-
-def _make_connection() -> tuple[_PipeEnd, _PipeEnd]:
-    near_out, far_in = anyio.create_memory_object_stream[bytes](
-        _STREAM_MESSAGES
-    )
-    far_out, near_in = anyio.create_memory_object_stream[bytes](
-        _STREAM_MESSAGES
-    )
-    return _PipeEnd(near_in, near_out), _PipeEnd(far_in, far_out)
--- /dev/null
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/_reading.py
@@ -0,0 +1,249 @@
+"""Simulates which daemons read the store when it refuses its readers.
+
+The gossip, membership and reading code is the real one; the network, the store
+and the clock are simulated.
+"""
+
+import random
+from functools import partial
+from typing import NamedTuple
+
+import anyio
+from anyio.abc import ByteStream, TaskGroup
+from cowslippond_core import (
+    STORE_LOST_TABLE,
+    Configuration,
+    ConfigurationLog,
+    Fleet,
+    FleetSettings,
+    JsonCodec,
+    Metrics,
+    Millis,
+    ReaderRole,
+    StoreError,
+    StoreFault,
+    StoreRows,
+    StoreWatch,
+    seconds_of,
+)
+from expression import Error, Ok, Result
+
+from cowslippond_standins.model._pipes import make_connection
+from cowslippond_standins.model._virtual_time import (
+    VirtualClock,
+    backend_options,
+)
+
+_SEED_COUNT = 3
+_PORT = 9000
+_LAST_OCTET = 256
+_LATENCY: Millis = 2
+_TABLES = ('op', 'servers')
+
+# A daemon that called the store within this time is one of its readers.
+_READER_INTERVAL: Millis = 1500
+
+# Daemons that call within this time of the refusal count as late readers.
+_LATE_WINDOW: Millis = 2000
+
+
+class ReadingPlan(NamedTuple):
+    """A fleet whose readers the store refuses from a moment on.
+
+    All daemons start within 300 ms. ``refused_at`` and ``ends_at`` are in
+    milliseconds since then. Whoever reads at ``refused_at`` is refused;
+    ``is_down`` means that everybody is. ``refused_successors`` of the daemons
+    that call next are refused as well.
+    """
+
+    daemons: int
+    refused_at: Millis
+    ends_at: Millis
+    is_down: bool = False
+    refused_successors: int = 0
+    domains: int = 5
+    seed: int = 0
+
+
+class ReadingFigures(NamedTuple):
+    """What the store saw.
+
+    ``readers`` daemons read until the refusal. ``next_read_after`` is the time
+    from the refusal to the first call that was served, in milliseconds, or
+    ``None`` if none was. ``late_readers`` is the number of daemons that called
+    in the first two seconds of the refusal, ``calls`` the number of all calls
+    from the refusal on.
+    """
+
+    readers: int
+    next_read_after: Millis | None
+    late_readers: int
+    calls: int
+
+
+def simulate_reading(plan: ReadingPlan) -> ReadingFigures:
+    """Simulate a refusal of the daemons that read the store."""
+    return anyio.run(_ReadingFleet(plan).run, backend_options=backend_options())
+
+
+class _Call(NamedTuple):
+    at: Millis
+    caller: str
+    is_served: bool
+
+
+class _RefusingStore:
+    """Counts the calls of all daemons and refuses some daemons."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        self.clock = clock
+        self.calls: list[_Call] = []
+        self.is_down = False
+        self.refused: set[str] = set()
+        self.successors_to_refuse = 0
+        self.refusal = anyio.Event()
+
+    def refuse_readers(self, plan: ReadingPlan) -> None:
+        """Refuse the current readers, also in their open calls."""
+        since = self.clock.now() - _READER_INTERVAL
+        self.refused = {call.caller for call in self.calls if call.at > since}
+        self.is_down = plan.is_down
+        self.successors_to_refuse = plan.refused_successors
+        self.refusal.set()
+
+    async def answer(
+        self, caller: str, wait: Millis
+    ) -> Result[StoreRows, StoreError]:
+        """Return no rows after the wait, or the refusal as soon as it begins."""
+        await self.clock.sleep(_LATENCY)
+        self._refuse_successor(caller)
+        is_served = not self._is_refused(caller)
+        self.calls.append(_Call(self.clock.now(), caller, is_served))
+        if is_served and not self.refusal.is_set():
+            with anyio.move_on_after(seconds_of(wait)):
+                await self.refusal.wait()
+        elif is_served:
+            await self.clock.sleep(wait)
+        if self._is_refused(caller):
+            return Error(StoreError(StoreFault.REFUSED, 'refused'))
+        return Ok(StoreRows((), 1))
+
+    def _refuse_successor(self, caller: str) -> None:
+        if self.successors_to_refuse and caller not in self.refused:
+            self.successors_to_refuse -= 1
+            self.refused.add(caller)
+
+    def _is_refused(self, caller: str) -> bool:
+        return self.is_down or caller in self.refused
+
+
+class _CallerRows:
+    """The rows of one table, as one daemon reads them."""
+
+    def __init__(self, store: _RefusingStore, caller: str) -> None:
+        self.store = store
+        self.caller = caller
+
+    async def read(self) -> Result[StoreRows, StoreError]:
+        return await self.store.answer(self.caller, 0)
+
+    async def wait(
+        self, after: int, wait: Millis
+    ) -> Result[StoreRows, StoreError]:
+        return await self.store.answer(self.caller, wait)
+
+
+class _ReadingFleet:
+    """The daemons of one simulation, their network and their store."""
+
+    def __init__(self, plan: ReadingPlan) -> None:
+        self.plan = plan
+        self.rng = random.Random(plan.seed)
+        self.clock = VirtualClock()
+        self.addresses = [_address_of(index) for index in range(plan.daemons)]
+        self.fleets: dict[str, Fleet] = {}
+
+    async def run(self) -> ReadingFigures:
+        plan = self.plan
+        self.store = _RefusingStore(self.clock)
+        async with anyio.create_task_group() as tasks:
+            for address in self.addresses:
+                self._start_daemon(tasks, address)
+            await self.clock.sleep(plan.refused_at)
+            self.store.refuse_readers(plan)
+            readers = set(self.store.refused)
+            await self.clock.sleep(plan.ends_at - plan.refused_at)
+            tasks.cancel_scope.cancel()
+        return self._figures(len(readers))
+
+    def _figures(self, readers: int) -> ReadingFigures:
+        refused_at = self.plan.refused_at
+        calls = [call for call in self.store.calls if call.at > refused_at]
+        served = [call.at - refused_at for call in calls if call.is_served]
+        callers = {
+            call.caller for call in calls if call.at < refused_at + _LATE_WINDOW
+        }
+        return ReadingFigures(
+            readers, min(served, default=None), len(callers), len(calls)
+        )
+
+    def _start_daemon(self, tasks: TaskGroup, address: str) -> None:
+        index = len(self.fleets)
+        log = ConfigurationLog(self.clock, _decode_nothing)
+        log.advance(1)
+        rng = random.Random(self.rng.random())
+        fleet = Fleet(
+            FleetSettings(
+                fleet='model',
+                peer_address=address,
+                admin_address='',
+                failure_domain=str(index % self.plan.domains),
+                incarnation=str(index),
+                seeds=tuple(self.addresses[:_SEED_COUNT]),
+                codec=JsonCodec(),
+            ),
+            self.clock,
+            log,
+            Metrics(''),
+            rng,
+            tables=(STORE_LOST_TABLE,),
+        )
+        fleet.relay_at_once(STORE_LOST_TABLE)
+        fleet.peer_client.connect = partial(self._connect, tasks)
+        self.fleets[address] = fleet
+        role = ReaderRole(
+            fleet.membership,
+            log,
+            fleet.gossip_table(STORE_LOST_TABLE),
+            self.clock,
+        )
+        tasks.start_soon(fleet.peer_client.run)
+        tasks.start_soon(fleet.send_heartbeats)
+        for table in _TABLES:
+            watch = StoreWatch(
+                table,
+                _CallerRows(self.store, address),
+                role,
+                log.apply_rows,
+                self.clock,
+                rng,
+            )
+            tasks.start_soon(watch.run)
+
+    async def _connect(
+        self, tasks: TaskGroup, host: str, port: int
+    ) -> ByteStream:
+        await self.clock.sleep(_LATENCY)
+        near, far = make_connection()
+        fleet = self.fleets[f'{host}:{port}']
+        tasks.start_soon(fleet.peer_server.serve, far)
+        return near
+
+
+def _address_of(index: int) -> str:
+    high, low = divmod(index, _LAST_OCTET)
+    return f'10.{high}.{low}.1:{_PORT}'
+
+
+def _decode_nothing(text: str) -> Result[Configuration, str]:
+    return Error('the model has no configuration')
