Require workspace keys for calls on routes that are not public

Cause: tenants of a configuration were ignored, so callers were not authenticated and upstreams got their headers as sent. Ruled out: a check in the sending path only, since a bad key has to be refused before the body is read; keys in the configuration text, since peers pass it on. Change: keys are replaced by digests before a configuration is stored; callers are authenticated before the body is read, while they wait, and before each send; upstreams get the workspace and not the key. Trailers are no longer taken for headers of a call. The stand-ins send keys and record headers.

--- a/packages/cowslippond-core/src/cowslippond_core/_attempt.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_attempt.py
@@ -252,16 +252,24 @@
         # The process may have been suspended since the call was admitted or
         # claimed. Other processes rely on the deadline, so the call must not
         # be sent after it.
-        if self.clock.now() >= self.request.deadline:
+        obstacle = self._find_obstacle()
+        if obstacle is not None:
             connection.close()
             self.end()
-            return NotRun(NotRunReason.DEADLINE)
+            return NotRun(obstacle)
         self.connection = connection
         self.is_reused = connection.calls > 0
         connection.begin_call(self.exchange)
         await self._send(connection)
         return None
 
+    def _find_obstacle(self) -> NotRunReason | None:
+        if self.clock.now() >= self.request.deadline:
+            return NotRunReason.DEADLINE
+        if self.request.is_revoked():
+            return NotRunReason.KEY_REVOKED
+        return None
+
     async def _send(self, connection: Connection) -> None:
         request = self.request
         self.sent_at = self.clock.now()
--- a/packages/cowslippond-core/src/cowslippond_core/_dialect.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_dialect.py
@@ -29,6 +29,7 @@
     SHED = NOT_RUN_SHED
     DRAINING = NOT_RUN_DRAINING
     OTHER_VM = 'other_vm'
+    KEY_REVOKED = 'key_revoked'
 
 
 class LoadReport(NamedTuple):
@@ -89,12 +90,15 @@
     """The headers that this process exchanges with its upstreams.
 
     ``reserved_headers`` are names in lower case that callers cannot set.
+    ``workspace_headers`` are those that the upstream does not get from a caller
+    that authenticated for a workspace.
     ``allows_close_delimited`` tells whether an orderly close of the connection
     may end an answer that has no length. ``echoes_request_id`` tells whether
     upstreams repeat the ID of a call in its answer.
     """
 
     reserved_headers: frozenset[bytes]
+    workspace_headers: frozenset[bytes]
     allows_close_delimited: bool
     echoes_request_id: bool
 
@@ -112,6 +116,7 @@
     """The default dialect: deadline, attempt number and not-run promise."""
 
     reserved_headers = frozenset((_DEADLINE, _ATTEMPT, RELAYED.encode()))
+    workspace_headers: frozenset[bytes] = frozenset()
     allows_close_delimited = False
     echoes_request_id = False
 
--- a/packages/cowslippond-core/src/cowslippond_core/_framing.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_framing.py
@@ -69,8 +69,11 @@
     :param dialect: the names and format of the headers that carry them.
     """
     lines = [b'%b %b HTTP/1.1\r\n' % (request.method, request.target)]
+    dropped = dialect.reserved_headers
+    if request.workspace is not None:
+        dropped |= dialect.workspace_headers
     for name, text in end_to_end_headers(request.headers):
-        if name != _CONTENT_LENGTH and name not in dialect.reserved_headers:
+        if name != _CONTENT_LENGTH and name not in dropped:
             lines.append(b'%b: %b\r\n' % (name, text))
     for name, text in dialect.request_headers(metadata):
         lines.append(b'%b: %b\r\n' % (name, text))
--- a/packages/cowslippond-core/src/cowslippond_core/_messages.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_messages.py
@@ -6,6 +6,7 @@
 
 from cowslippond_core._clock import Millis
 from cowslippond_core._reasons import RefusalReason
+from cowslippond_core.workspaces import CallAccess
 
 HeaderList: TypeAlias = tuple[tuple[bytes, bytes], ...]
 
@@ -42,7 +43,8 @@
     once. ``deadline`` is a clock time in milliseconds. ``attempt`` is the
     number of earlier sends of this call at outer levels of the call chain.
     ``fingerprint`` is equal for calls that would do the same work. ``workspace``
-    is the name of the workspace whose key the caller sent, or ``None``.
+    is the name of the workspace whose key the caller sent, and ``access`` tells
+    whether that key is still valid; both are ``None`` if the call needs no key.
     """
 
     request_id: str
@@ -56,6 +58,11 @@
     attempt: int
     fingerprint: str
     workspace: str | None = None
+    access: CallAccess | None = None
+
+    def is_revoked(self) -> bool:
+        """Tell whether the caller's key was revoked after the call arrived."""
+        return self.access is not None and self.access.is_revoked()
 
 
 class CallAnswer(NamedTuple):
--- a/packages/cowslippond-core/src/cowslippond_core/_reasons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reasons.py
@@ -15,6 +15,8 @@
     NO_UPSTREAM = 'no_upstream'
     UPSTREAMS_FULL = 'upstreams_full'
     RATE_LIMITED = 'rate_limited'
+    UNAUTHENTICATED = 'unauthenticated'
+    KEY_REVOKED = 'key_revoked'
     OUT_OF_REACH = 'out_of_reach'
     CONNECT_FAILED = 'connect_failed'
     ANSWER_LOST = 'answer_lost'
--- a/packages/cowslippond-core/src/cowslippond_core/_refusals.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_refusals.py
@@ -18,6 +18,7 @@
         NotRunReason.DEADLINE: RefusalReason.DEADLINE,
         NotRunReason.SHED: RefusalReason.UPSTREAMS_FULL,
         NotRunReason.DRAINING: RefusalReason.NO_UPSTREAM,
+        NotRunReason.KEY_REVOKED: RefusalReason.KEY_REVOKED,
     }
 )
 
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_call.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_call.py
@@ -6,6 +6,9 @@
 from cowslippond_core._configuration import Route
 from cowslippond_core._messages import CallRequest
 
+# Bounds a route's priority, so that both priorities fit into one number.
+_MAX_ROUTE_PRIORITY = 0xFFFFFFFF
+
 
 class Call(NamedTuple):
     """A caller's request with its route.
@@ -24,8 +27,15 @@
 
     @property
     def priority(self) -> int:
-        """The rank among waiting calls; 0 is the most urgent."""
-        return self.route.priority
+        """The rank among waiting calls; 0 is the most urgent.
+
+        The workspace's priority takes precedence over the route's. For a call
+        without a workspace, the route's priority stands for both.
+        """
+        access = self.request.access
+        route_priority = min(self.route.priority, _MAX_ROUTE_PRIORITY)
+        outer = route_priority if access is None else access.workspace.priority
+        return outer * (_MAX_ROUTE_PRIORITY + 1) + route_priority
 
     @property
     def objective_at(self) -> Millis:
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -90,15 +90,13 @@
         The reason only applies if :attr:`best_result` is unset.
         """
         while True:
-            check = self.ctx.hooks.quarantine.check(
-                self.call.request.fingerprint
-            )
-            if check is not None:
-                return check.reason
+            refusal = _find_obstacle(self.ctx, self.call)
+            if refusal is not None:
+                return refusal
             relayed = await self.relay.run()
             if relayed is not None:
                 self._keep_result(relayed)
-                return RefusalReason.OUT_OF_REACH
+                return _relay_refusal_reason(relayed)
             grant = await self.service.placer.acquire(self._pending_call())
             if isinstance(grant, RefusalReason):
                 if self.relay.is_next_after(grant):
@@ -137,6 +135,7 @@
 
     def _pending_call(self, *, is_hedge: bool = False) -> PendingCall:
         call = self.call
+        access = call.request.access
         return PendingCall(
             request_id=call.request.request_id,
             arrived_at=call.arrived_at,
@@ -145,6 +144,7 @@
             priority=call.priority,
             excluded=self._excluded(),
             is_hedge=is_hedge,
+            is_revoked=access.is_revoked if access else None,
         )
 
     def _excluded(self) -> set[str]:
@@ -311,6 +311,20 @@
         return CallRefusal(outcome, reason, delay)
 
 
+def _find_obstacle(ctx: DispatchContext, call: Call) -> RefusalReason | None:
+    """Return why a call must not be sent, or not sent again."""
+    if call.request.is_revoked():
+        return RefusalReason.KEY_REVOKED
+    check = ctx.hooks.quarantine.check(call.request.fingerprint)
+    return None if check is None else check.reason
+
+
+def _relay_refusal_reason(result: AttemptResult) -> RefusalReason:
+    if _refusal_reason(result) is RefusalReason.KEY_REVOKED:
+        return RefusalReason.KEY_REVOKED
+    return RefusalReason.OUT_OF_REACH
+
+
 def _refusal_reason(result: AttemptResult) -> RefusalReason:
     if not isinstance(result, NotRun):
         return RefusalReason.ANSWER_LOST
@@ -318,4 +332,6 @@
         return RefusalReason.CONNECT_FAILED
     if result.reason is NotRunReason.DEADLINE:
         return RefusalReason.DEADLINE
+    if result.reason is NotRunReason.KEY_REVOKED:
+        return RefusalReason.KEY_REVOKED
     return RefusalReason.UPSTREAMS_FULL
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_relay_dialect.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_relay_dialect.py
@@ -18,10 +18,12 @@
 class RelayDialect:
     """Encodes calls to a peer's caller address and decodes its answers.
 
-    The peer has checked that an answer is the upstream's own.
+    The peer has checked that an answer is the upstream's own. It gets the
+    caller's key, since it authenticates the call itself.
     """
 
     reserved_headers = frozenset((_DEADLINE, _RELAYED))
+    workspace_headers: frozenset[bytes] = frozenset()
     allows_close_delimited = False
     echoes_request_id = True
 
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
@@ -23,6 +23,9 @@
 
 _FIRST_ERROR_STATUS = 500
 
+# Why a call was not sent, for reasons that say nothing about the upstream.
+_UNSENT_REASONS = frozenset((NotRunReason.DEADLINE, NotRunReason.KEY_REVOKED))
+
 # A send that was cancelled or timed out counts as failed only if it had already
 # taken this many times the expected service time.
 _UNRESPONSIVE_FACTOR = 3
@@ -162,7 +165,7 @@
                 has_open_connections=bool(upstream.connections.open),
             )
             return
-        if result.reason is NotRunReason.DEADLINE:
+        if result.reason in _UNSENT_REASONS:
             return
     upstream.reach.record_answer(is_new_connection=not attempt.is_reused)
 
@@ -187,7 +190,7 @@
 def _record_not_run(
     ctx: DispatchContext, upstream: Upstream, refused: NotRun, now: Millis
 ) -> None:
-    if refused.reason is NotRunReason.DEADLINE:
+    if refused.reason in _UNSENT_REASONS:
         return
     if refused.reason in {NotRunReason.DRAINING, NotRunReason.OTHER_VM}:
         ctx.hooks.mark_leaving(upstream.address, 'answer')
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_retries.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_retries.py
@@ -62,6 +62,8 @@
         """Tell whether a hedge may be sent now."""
         if self.runs >= self.call.route.max_sends:
             return False
+        if self.call.request.is_revoked():
+            return False
         if (
             self.ctx.clock.now() >= self.call.effective_deadline
             or self.is_suspect()
@@ -80,7 +82,7 @@
         self.ctx.hooks.count_retry(reason)
 
     def _can_resend(self, reason: NotRunReason) -> bool:
-        if reason is NotRunReason.DEADLINE or self.call.request.rest:
+        if reason not in _RETRY_REASONS or self.call.request.rest:
             return False
         if reason is NotRunReason.CONNECT_FAILED:
             # Nothing reached the upstream, so the budget is not charged.
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_pending_call.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_pending_call.py
@@ -1,6 +1,6 @@
 """A call that needs an upstream, and the upstream granted to it."""
 
-from collections.abc import Container
+from collections.abc import Callable, Container
 from typing import NamedTuple
 
 from cowslippond_core._clock import Millis
@@ -14,7 +14,8 @@
     milliseconds. Calls with a lower ``priority`` value are served first.
     ``excluded`` holds the addresses that must not be granted to the call.
     ``is_hedge`` marks a second send of a call whose first send is still in
-    flight: it gets a free upstream immediately or none at all.
+    flight: it gets a free upstream immediately or none at all. ``is_revoked``
+    tells whether the caller's key was revoked, in which case the call is refused.
     """
 
     request_id: str
@@ -24,6 +25,7 @@
     priority: int
     excluded: Container[str]
     is_hedge: bool = False
+    is_revoked: Callable[[], bool] | None = None
 
 
 class Grant(NamedTuple):
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
@@ -189,6 +189,8 @@
         if self.is_bypassed():
             for call in tuple(self.queue.pending):
                 self._settle(call, RefusalReason.OUT_OF_REACH)
+        for revoked in self.queue.revoked():
+            self._settle(revoked, RefusalReason.KEY_REVOKED)
         for limited in self.limited_waits.refused_calls(now):
             self._settle(limited, RefusalReason.RATE_LIMITED)
         for call in self.queue.expired(now):
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_queue.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_queue.py
@@ -131,6 +131,14 @@
             if self._is_expired(call, has_timely, now)
         ]
 
+    def revoked(self) -> list[PendingCall]:
+        """Return the calls whose callers' keys were revoked."""
+        return [
+            call
+            for call in self.pending
+            if call.is_revoked is not None and call.is_revoked()
+        ]
+
     def retry_after(self) -> Millis:
         """Return when a refused call can expect a slot, in milliseconds."""
         return self.estimator.expected_wait(len(self.pending) + 1)
--- a/packages/cowslippond-core/src/cowslippond_core/workspaces/_workspace.py
+++ b/packages/cowslippond-core/src/cowslippond_core/workspaces/_workspace.py
@@ -17,3 +17,7 @@
     rate: float = 0
     burst: float = 0
     key_digests: frozenset[bytes] = frozenset()
+
+    def __repr__(self) -> str:
+        """Return a description without the digests, which must not be logged."""
+        return f'Workspace({self.name!r})'
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
@@ -35,6 +35,8 @@
 _REASON = header_names.REASON.encode()
 _RETRY_AFTER = header_names.RETRY_AFTER.encode()
 _REQUEST_ID = header_names.REQUEST_ID.encode()
+# Callers authenticate with the header ``Authorization: Token KEY``.
+_CHALLENGE = (b'www-authenticate', b'Token')
 _MAX_BUFFERED_BODY_BYTES = 65536
 _MILLIS_PER_SECOND = 1000
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -53,6 +55,8 @@
         RefusalReason.NO_SERVICE: http.HTTPStatus.NOT_FOUND,
         RefusalReason.BAD_REQUEST: http.HTTPStatus.BAD_REQUEST,
         RefusalReason.NO_CALLER: http.HTTPStatus.BAD_REQUEST,
+        RefusalReason.UNAUTHENTICATED: http.HTTPStatus.UNAUTHORIZED,
+        RefusalReason.KEY_REVOKED: http.HTTPStatus.UNAUTHORIZED,
         RefusalReason.KEY_REUSED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
         RefusalReason.KEY_IN_PROGRESS: http.HTTPStatus.CONFLICT,
     }
@@ -119,6 +123,8 @@
         open, advertised to callers.
     :param encode_retry_after: encodes the delay after which a caller may
         retry; whole seconds unless the callers accept fractions.
+    :param check_call: returns a refusal for a call whose body is not to be
+        read; it is called with a call that has no body yet.
     """
 
     def __init__(
@@ -126,8 +132,10 @@
         router: CallHandler,
         keep_alive_seconds: int,
         encode_retry_after: Callable[[Millis], bytes] = encode_whole_seconds,
+        check_call: Callable[[IncomingCall], CallRefusal | None] | None = None,
     ) -> None:
         self.router = router
+        self.check_call = check_call
         self.encode_retry_after = encode_retry_after
         self.is_leaving = False
         self.refuses_calls = False
@@ -156,7 +164,14 @@
         self, scope: Message, receive: Receive, send: Send
     ) -> None:
         reader = _BodyReader(receive)
-        call = await _read_call(scope, reader)
+        head = _read_head(scope)
+        refusal = self.check_call(head) if self.check_call else None
+        if refusal is not None:
+            if _may_be_long(head):
+                head = head._replace(rest=reader.rest(b''))
+            await self._send_refusal(head, refusal, send)
+            return
+        call = await _read_call(head, reader)
         if call is None:
             return
         watch = _DisconnectWatch(receive)
@@ -222,13 +237,15 @@
         status = _STATUS_OF_REASON.get(
             refusal.reason, _STATUS_OF_OUTCOME[refusal.outcome]
         )
-        headers = (
+        headers: HeaderList = (
             (b'content-type', b'text/plain'),
             (b'content-length', b'%d' % len(text)),
             (_OUTCOME, refusal.outcome.encode()),
             (_REASON, refusal.reason.encode()),
             (_RETRY_AFTER, self.encode_retry_after(refusal.retry_after_ms)),
         )
+        if status == http.HTTPStatus.UNAUTHORIZED:
+            headers = (*headers, _CHALLENGE)
         await send(
             {
                 'type': 'http.response.start',
@@ -288,8 +305,41 @@
             yield await self.read()
 
 
+def _read_head(scope: Message) -> IncomingCall:
+    target: bytes = scope['raw_path']
+    if scope['query_string']:
+        target = b'%b?%b' % (target, scope['query_string'])
+    head = IncomingCall(
+        request_id='',
+        method=scope['method'],
+        path=scope['path'],
+        target=target,
+        headers=tuple(scope['headers']),
+        body=b'',
+        rest=None,
+    )
+    supplied_id = head.get_header(_REQUEST_ID)
+    request_id = (
+        supplied_id.decode('latin-1') if supplied_id else uuid.uuid4().hex
+    )
+    return head._replace(request_id=request_id)
+
+
+def _may_be_long(head: IncomingCall) -> bool:
+    """Tell whether the unread body is too long to let it arrive.
+
+    A shorter body is discarded as it arrives, and the connection stays open. The
+    caller may also be waiting for leave to send the body; whether it sends it
+    after a refusal cannot be known, so that connection is closed as well.
+    """
+    if head.get_header(b'transfer-encoding') or head.get_header(b'expect'):
+        return True
+    length = int(head.get_header(b'content-length') or 0)
+    return length > _MAX_BUFFERED_BODY_BYTES
+
+
 async def _read_call(
-    scope: Message, reader: _BodyReader
+    head: IncomingCall, reader: _BodyReader
 ) -> IncomingCall | None:
     buffer = bytearray()
     try:
@@ -302,24 +352,10 @@
     # Always split the body at the same offset, whatever the chunk sizes, so
     # that repeats of a call have the same fingerprint.
     remainder = bytes(buffer[_MAX_BUFFERED_BODY_BYTES:])
-    headers: HeaderList = tuple(scope['headers'])
-    target: bytes = scope['raw_path']
-    if scope['query_string']:
-        target = b'%b?%b' % (target, scope['query_string'])
-    call = IncomingCall(
-        request_id='',
-        method=scope['method'],
-        path=scope['path'],
-        target=target,
-        headers=headers,
+    return head._replace(
         body=bytes(buffer[:_MAX_BUFFERED_BODY_BYTES]),
         rest=reader.rest(remainder) if remainder else None,
     )
-    supplied_id = call.get_header(_REQUEST_ID)
-    request_id = (
-        supplied_id.decode('latin-1') if supplied_id else uuid.uuid4().hex
-    )
-    return call._replace(request_id=request_id)
 
 
 def _set_outcome_header(status: int, headers: HeaderList) -> HeaderList:
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_calls.py
@@ -2,13 +2,14 @@
 
 import logging
 import math
+from typing import NamedTuple
 
 from cowslippond_core import (
     Call,
     CallAnswer,
     CallRefusal,
     CallRequest,
-    Clock,
+    Configuration,
     ConfigurationLog,
     Dispatch,
     DispatchContext,
@@ -23,7 +24,9 @@
     fingerprint_request,
 )
 from cowslippond_core import _headers as header_names
+from cowslippond_core.workspaces import CallAccess, KeyFault
 
+from cowslippond_daemon._call_keys import CallKeys
 from cowslippond_daemon._edge import IncomingCall
 
 _logger = logging.getLogger(__name__)
@@ -39,6 +42,18 @@
 _DEFAULT_DEADLINE: Millis = 30_000
 
 
+class _Admission(NamedTuple):
+    """The route of a call, and the access that its key gives, if it needs one."""
+
+    configuration: Configuration
+    route: Route
+    access: CallAccess | None
+
+    @property
+    def workspace(self) -> str | None:
+        return None if self.access is None else self.access.workspace.name
+
+
 class FleetRouter:
     """Finds the route of a call and dispatches it.
 
@@ -46,6 +61,7 @@
     :param services: the state of each service.
     :param ctx: the context that all calls share.
     :param metrics: counts calls and refusals and records call times.
+    :param keys: authenticates the callers of workspaces.
     """
 
     def __init__(
@@ -54,18 +70,51 @@
         services: Services,
         ctx: DispatchContext,
         metrics: Metrics,
+        keys: CallKeys,
     ) -> None:
         self.log = log
         self.services = services
         self.ctx = ctx
         self.metrics = metrics
+        self.keys = keys
         self.round_robin = WeightedRoundRobin(ctx.rng)
         log.listeners.append(self._retain_splits)
 
+    def check_call(self, call: IncomingCall) -> CallRefusal | None:
+        """Refuse a call without a valid key, before its body is read.
+
+        :param call: a call without its body.
+        """
+        if self.log.keys.by_digest is None:
+            return None
+        arrived_at = self.ctx.clock.now()
+        admission = self._admit(call)
+        if not isinstance(admission, CallRefusal):
+            return None
+        if admission.reason is not RefusalReason.UNAUTHENTICATED:
+            return None
+        self._record_reply(call, admission, arrived_at, None)
+        return admission
+
     async def serve_call(self, call: IncomingCall) -> CallAnswer | CallRefusal:
         """Return the response of an upstream, or a refusal."""
         arrived_at = self.ctx.clock.now()
-        reply = await self._route_call(call, arrived_at)
+        # The key may have been revoked while the body was read.
+        admission = self._admit(call)
+        if isinstance(admission, CallRefusal):
+            self._record_reply(call, admission, arrived_at, None)
+            return admission
+        reply = await self._dispatch(call, admission, arrived_at)
+        self._record_reply(call, reply, arrived_at, admission.workspace)
+        return reply
+
+    def _record_reply(
+        self,
+        call: IncomingCall,
+        reply: CallAnswer | CallRefusal,
+        arrived_at: Millis,
+        workspace: str | None,
+    ) -> None:
         if isinstance(reply, CallRefusal):
             self.metrics.count_refusal(reply.reason)
         elapsed = self.ctx.clock.now() - arrived_at
@@ -78,14 +127,12 @@
                 'request_id': call.request_id,
                 'configuration': version,
                 'took_ms': round(elapsed, 1),
+                **({} if workspace is None else {'workspace': workspace}),
                 **_outcome_fields(reply),
             },
         )
-        return reply
 
-    async def _route_call(
-        self, call: IncomingCall, arrived_at: Millis
-    ) -> CallAnswer | CallRefusal:
+    def _admit(self, call: IncomingCall) -> _Admission | CallRefusal:
         configuration = self.log.current
         if configuration is None:
             return self._refuse(RefusalReason.NOT_READY)
@@ -93,11 +140,25 @@
         route = self.log.routes.find(host, call.target.decode('latin-1'))
         if route is None:
             return self._refuse(RefusalReason.NO_SERVICE)
+        access = self.keys.authenticate(call, route)
+        if isinstance(access, KeyFault):
+            return self._refuse(RefusalReason.UNAUTHENTICATED)
+        return _Admission(configuration, route, access)
+
+    async def _dispatch(
+        self, call: IncomingCall, admission: _Admission, arrived_at: Millis
+    ) -> CallAnswer | CallRefusal:
+        configuration, route, access = admission
         entry = configuration.services[self.round_robin.next_service(route)]
         service = self.services.get(entry, route.objective)
-        request = _make_request(call, route, self.ctx.clock, arrived_at)
+        request = _make_request(
+            call._replace(headers=self.keys.forwarded_headers(call, access)),
+            admission,
+            arrived_at,
+        )
         if request.deadline <= arrived_at:
             return self._refuse(RefusalReason.DEADLINE)
+        # The quota of ``admission.workspace`` is to be charged here.
         dispatch = Dispatch(self.ctx, service, Call(request, route, arrived_at))
         return await dispatch.run()
 
@@ -111,8 +172,9 @@
 
 
 def _make_request(
-    call: IncomingCall, route: Route, clock: Clock, arrived_at: Millis
+    call: IncomingCall, admission: _Admission, arrived_at: Millis
 ) -> CallRequest:
+    route = admission.route
     method = call.method.encode()
     return CallRequest(
         request_id=call.request_id,
@@ -125,6 +187,8 @@
         deadline=arrived_at + _time_left(call, route.timeout),
         attempt=0,
         fingerprint=fingerprint_request(method, call.target, '', call.body),
+        workspace=admission.workspace,
+        access=admission.access,
     )
 
 
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -45,9 +45,11 @@
     SharedFailures,
     SharedRateLimits,
 )
+from cowslippond_core.workspaces import CredentialFormat
 from expression import Result
 
 from cowslippond_daemon._admin import Admin
+from cowslippond_daemon._call_keys import CallKeys
 from cowslippond_daemon._edge import Edge
 from cowslippond_daemon._fleet_calls import FleetRouter
 from cowslippond_daemon._node_settings import NodeSettings
@@ -103,7 +105,9 @@
     """The formats of the platform: decoders, encoders and paths."""
 
     dialect: Dialect
+    credentials: CredentialFormat
     decode_configuration: Callable[[str], Result[Configuration, str]]
+    replace_keys: Callable[[str], Result[str, str]]
     decode_upstream: Callable[[str, str], Vm | None]
     encode_retry_after: Callable[[Millis], bytes]
     ready_path: str
@@ -137,7 +141,7 @@
         self.stop_requested = anyio.Event()
         self.started_at = self.clock.now()
         self.configuration_log = ConfigurationLog(
-            self.clock, adapter.decode_configuration
+            self.clock, adapter.decode_configuration, adapter.replace_keys
         )
         self.upstream_registry = UpstreamRegistry(
             self.clock, adapter.decode_upstream
@@ -295,10 +299,17 @@
     async def _serve(self, tasks: TaskGroup, services: Services) -> None:
         settings = self.settings
         router = FleetRouter(
-            self.configuration_log, services, services.ctx, self.metrics
+            self.configuration_log,
+            services,
+            services.ctx,
+            self.metrics,
+            CallKeys(self.configuration_log.keys, self.adapter.credentials),
         )
         edge = Edge(
-            router, _INITIAL_IDLE_SECONDS, self.adapter.encode_retry_after
+            router,
+            _INITIAL_IDLE_SECONDS,
+            self.adapter.encode_retry_after,
+            router.check_call,
         )
         callers = make_server(
             edge,
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_servers.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_servers.py
@@ -12,6 +12,19 @@
 _BACKLOG = 4096
 
 
+class _CallerProtocol(HttpToolsProtocol):
+    """Reads calls from a connection and ignores trailers.
+
+    The base class adds trailers to the headers of a call if they arrive before
+    the call is read, although they may not replace headers such as credentials.
+    """
+
+    def on_headers_complete(self) -> None:
+        """Collect the trailers apart from the headers."""
+        super().on_headers_complete()
+        self.headers = []
+
+
 class DaemonServer(uvicorn.Server):
     """A server that leaves signal handling to the daemon.
 
@@ -59,7 +72,7 @@
         app,
         host=host,
         port=int(port),
-        http='httptools',
+        http=_CallerProtocol,
         ws='none',
         lifespan='off',
         access_log=False,
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/__init__.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/__init__.py
@@ -3,6 +3,9 @@
 from cowslippond_daemon.platform._configuration import (
     decode_configuration as decode_configuration,
 )
+from cowslippond_daemon.platform._credentials import (
+    PlatformCredentials as PlatformCredentials,
+)
 from cowslippond_daemon.platform._dialect import (
     PlatformDialect as PlatformDialect,
 )
@@ -13,3 +16,6 @@
 )
 from cowslippond_daemon.platform._store import Store as Store
 from cowslippond_daemon.platform._store import TableReader as TableReader
+from cowslippond_daemon.platform._workspaces import (
+    replace_keys as replace_keys,
+)
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/__main__.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/__main__.py
@@ -20,12 +20,14 @@
 from cowslippond_daemon._node_settings import NodeSettings
 from cowslippond_daemon.platform import (
     READY_PATH,
+    PlatformCredentials,
     PlatformDialect,
     Store,
     TableReader,
     decode_configuration,
     decode_entry,
     read_node_settings,
+    replace_keys,
 )
 
 _EXIT_BAD_SETTINGS = 2
@@ -53,7 +55,9 @@
         _StoreOpener(settings.store_address),
         PlatformAdapter(
             dialect=dialect,
+            credentials=PlatformCredentials(),
             decode_configuration=decode_configuration,
+            replace_keys=replace_keys,
             decode_upstream=decode_entry,
             encode_retry_after=dialect.encode_retry_after,
             ready_path=READY_PATH,
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_configuration.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_configuration.py
@@ -15,6 +15,10 @@
 from expression import Error, Ok, Result
 
 from cowslippond_daemon.platform._table_reader import FieldReader
+from cowslippond_daemon.platform._workspaces import (
+    decode_workspaces,
+    digest_keys,
+)
 
 _logger = logging.getLogger(__name__)
 
@@ -58,12 +62,15 @@
     """Decode a configuration, or return an error with all findings.
 
     Unknown fields of routes are logged and otherwise ignored. Calls of a route
-    of an unknown kind are never repeated.
+    of an unknown kind are never repeated. Keys of workspaces may be replaced by
+    digests already; no finding contains a key.
     """
     try:
         table = orjson.loads(text)
     except ValueError as error:
         return Error(f'not valid JSON: {error}')
+    if isinstance(table, dict):
+        digest_keys(table)
     findings: list[str] = []
     configuration = _decode(FieldReader(table, '', findings))
     if findings:
@@ -97,6 +104,7 @@
         limits=_decode_limits(
             FieldReader(reader.table.get('limits') or {}, 'limits', findings)
         ),
+        workspaces=decode_workspaces(reader),
     )
 
 
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
@@ -14,6 +14,11 @@
 )
 from cowslippond_core._headers import RELAYED
 
+from cowslippond_daemon.platform._credentials import (
+    KEY_HEADER,
+    WORKSPACE_HEADER,
+)
+
 _REQUEST_ID = b'x-request-id'
 _DEADLINE = b'x-deadline-ms'
 _TARGET_VM = b'x-target-instance'
@@ -42,15 +47,19 @@
     """Encodes request headers for upstreams and decodes their responses."""
 
     reserved_headers = frozenset((_DEADLINE, _TARGET_VM, RELAYED.encode()))
+    workspace_headers = frozenset((KEY_HEADER, WORKSPACE_HEADER))
     allows_close_delimited = True
     echoes_request_id = True
 
     def request_headers(self, metadata: SendMetadata) -> HeaderList:
-        """Return headers with the remaining time and the target VM."""
-        return (
+        """Return the remaining time, the target VM and the workspace."""
+        headers = (
             (_DEADLINE, b'%d' % max(metadata.remaining, 0)),
             (_TARGET_VM, metadata.vm.encode()),
         )
+        if metadata.workspace is None:
+            return headers
+        return (*headers, (WORKSPACE_HEADER, metadata.workspace.encode()))
 
     def read_answer(self, status: int, headers: HeaderList) -> AnswerMetadata:
         """Decode the headers of a response."""
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/__init__.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/__init__.py
@@ -16,4 +16,5 @@
 )
 from cowslippond_standins.fleet._deployment import Node as Node
 from cowslippond_standins.fleet._deployment import route as route
+from cowslippond_standins.fleet._deployment import workspace as workspace
 from cowslippond_standins.fleet._store_app import StoreApp as StoreApp
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_backend.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_backend.py
@@ -26,13 +26,24 @@
 
 
 class Run(NamedTuple):
-    """A request that the back end has started to process."""
+    """A request that the back end has started to process.
+
+    ``headers`` are all headers that it came with, trailers included.
+    """
 
     request_id: str
     method: str
     path: str
     backend: str
     at: Millis
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def header_values(self, name: str) -> list[str]:
+        """Return all values of a header.
+
+        :param name: in lower case.
+        """
+        return [text for known, text in self.headers if known.lower() == name]
 
 
 class Faults:
@@ -74,6 +85,7 @@
     def __init__(self) -> None:
         self.path = ''
         self.headers: dict[str, str] = {}
+        self.received: list[tuple[str, str]] = []
         self.body = b''
         self.is_complete = False
         self.parser = httptools.HttpRequestParser(self)
@@ -82,7 +94,9 @@
         self.path += url.decode('latin-1')
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        self.headers[name.decode().lower()] = text.decode('latin-1')
+        header = name.decode('latin-1'), text.decode('latin-1')
+        self.received.append(header)
+        self.headers[header[0].lower()] = header[1]
 
     def on_body(self, body: bytes) -> None:
         self.body += body
@@ -207,6 +221,7 @@
                 request.path,
                 self.name,
                 self.clock.now(),
+                tuple(request.received),
             )
         )
         await self.clock.sleep(
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_caller.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_caller.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import enum
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import anyio
@@ -52,12 +53,19 @@
 
     :param node: name of the daemon.
     :param address: address on which the daemon accepts callers.
+    :param key: key of a workspace that is sent with each request.
     """
 
     def __init__(
-        self, node: str, address: Address, tasks: TaskGroup, clock: Clock
+        self,
+        node: str,
+        address: Address,
+        tasks: TaskGroup,
+        clock: Clock,
+        key: str | None = None,
     ) -> None:
         self.node = node
+        self.key = key
         self.clock = clock
         self.connections = Connections(
             str(address), tasks, clock, _MAX_CONNECTIONS
@@ -73,12 +81,18 @@
         host: str = 'shop.example',
         deadline: Millis = 2000,
         is_fresh: bool = False,
+        headers: Sequence[str] = (),
     ) -> CallResult:
         """Send a request and record its result.
 
         :param deadline: duration after which the request is given up.
         :param is_fresh: whether to use a new connection.
+        :param headers: lines to add to the request, besides that of the key.
         """
+        lines = list(headers)
+        if self.key is not None:
+            lines.append(f'authorization: Token {self.key}')
+        extra = ''.join(f'{line}\r\n' for line in lines)
         sent_at = self.clock.now()
         exchange = Exchange(is_head=False)
         body = b''
@@ -88,7 +102,7 @@
                 (
                     f'{method} {path} HTTP/1.1\r\nhost: {host}\r\n'
                     f'x-request-id: {request_id}\r\n'
-                    f'x-deadline-ms: {int(deadline)}\r\n'
+                    f'x-deadline-ms: {int(deadline)}\r\n{extra}'
                     'content-length: 0\r\n\r\n'
                 ).encode(),
                 is_fresh=is_fresh,
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
@@ -141,8 +141,16 @@
         """Remove the store entry of a back end."""
         self.store.write('servers', backend.name, None)
 
-    def configure(self, routes: Mapping[str, Mapping[str, Any]]) -> int:
-        """Write a configuration with these routes and return its version."""
+    def configure(
+        self,
+        routes: Mapping[str, Mapping[str, Any]],
+        workspaces: Mapping[str, Mapping[str, Any]] | None = None,
+    ) -> int:
+        """Write a configuration with these routes and return its version.
+
+        :param workspaces: the workspaces by name; ``None`` if callers need no
+            keys.
+        """
         self.version += 1
         services = {
             name for route in routes.values() for name in _services_of(route)
@@ -156,6 +164,7 @@
                 'services': {name: _SERVICE for name in services},
                 'limits': _LIMITS,
                 'base_version': _format_version(self.version - 1),
+                **({} if workspaces is None else {'tenants': dict(workspaces)}),
             },
         )
         return self.version
@@ -239,6 +248,8 @@
     is_idempotent: bool = True,
     timeout: Millis = 2000,
     split: Sequence[tuple[str, float]] = (),
+    is_public: bool = False,
+    objective: Millis = 200,
 ) -> dict[str, Any]:
     """Return a route in the format of the configuration document."""
     entry: dict[str, Any] = {
@@ -246,7 +257,7 @@
         'path_prefix': prefix,
         'kind': 'idempotent' if is_idempotent else 'non_idempotent',
         'timeout_ms': timeout,
-        'target_latency_ms': 200,
+        'target_latency_ms': objective,
         'priority': 1,
         'max_attempts': 3,
     }
@@ -256,9 +267,23 @@
         ]
     else:
         entry['service'] = service
+    if is_public:
+        entry['public'] = True
     return entry
 
 
+def workspace(
+    *keys: str, priority: int = 1, rate: float = 0, burst: float = 0
+) -> dict[str, Any]:
+    """Return a workspace in the format of the configuration document."""
+    return {
+        'api_keys': list(keys),
+        'priority': priority,
+        'rate_per_s': rate,
+        'burst': burst,
+    }
+
+
 def _format_version(version: int) -> str:
     return format(version, '08x')
 
--- /dev/null
+++ b/tests/fleet/test_workspace_keys.py
@@ -0,0 +1,401 @@
+"""Real daemons serve only callers with the key of a workspace."""
+
+import pathlib
+from collections.abc import Sequence
+from functools import partial
+from types import MappingProxyType
+
+import anyio
+import httpcore
+import orjson
+import pytest
+from cowslippond_core.workspaces import digest_key
+from cowslippond_ctl._story import show_story
+from cowslippond_standins.fleet import (
+    DOMAINS,
+    Caller,
+    CallResult,
+    FleetDeployment,
+    Node,
+    Run,
+    Verdict,
+    route,
+    workspace,
+)
+
+pytestmark = pytest.mark.anyio
+
+# Equals ``config_apply_ms``: a new version is in force everywhere in this time.
+APPLY_MS = 2500
+
+FIRST_KEY = 'first-4f1c9a7d2be8'
+SECOND_KEY = 'second-90ab77e0c3d1'
+OTHER_KEY = 'other-5d20ee81f6aa'
+KEYS = (FIRST_KEY, SECOND_KEY, OTHER_KEY)
+ROUTES = MappingProxyType(
+    {
+        'prints': route('catalogue', prefix='/prints/'),
+        'open': route('catalogue', prefix='/open/', is_public=True),
+        'slow': route('slow', prefix='/slow/', timeout=20_000, objective=8000),
+    }
+)
+PARTITION = pathlib.Path(__file__).with_name('partition')
+
+
+def configure(
+    fleet: FleetDeployment, first: Sequence[str] = (FIRST_KEY, SECOND_KEY)
+) -> None:
+    """Write a configuration in which a workspace has the given keys."""
+    fleet.configure(
+        ROUTES, {'first': workspace(*first), 'other': workspace(OTHER_KEY)}
+    )
+
+
+async def start(fleet: FleetDeployment, nodes: int = 1) -> list[Node]:
+    for domain in DOMAINS:
+        await fleet.add_backend('catalogue', domain=domain)
+    configure(fleet)
+    return await fleet.add_nodes(DOMAINS[:nodes])
+
+
+def caller_of(
+    fleet: FleetDeployment, node: Node, key: str | None = FIRST_KEY
+) -> Caller:
+    return Caller(node.name, node.caller_address, fleet.tasks, fleet.clock, key)
+
+
+def all_runs(fleet: FleetDeployment) -> list[Run]:
+    return [run for backend in fleet.backends for run in backend.runs]
+
+
+async def wait_refused(caller: Caller, fleet: FleetDeployment) -> float:
+    """Send calls until one gets a 401; return how long that took."""
+    started_at = fleet.clock.now()
+    with anyio.fail_after(10):
+        while (await caller.send_request('w', '/prints/1')).status != 401:
+            await anyio.sleep(0.02)
+    return fleet.clock.now() - started_at
+
+
+def check_headers(runs: Sequence[Run], names: list[str]) -> None:
+    """Check that upstreams got the workspace's name once, and no key."""
+    assert runs
+    for run in runs:
+        assert run.header_values('x-tenant-id') == names
+        assert not run.header_values('x_tenant_id')
+        assert not run.header_values('authorization')
+        assert not any(key in str(run) for key in KEYS)
+
+
+class TestAuthentication:
+    async def test_upstream_gets_the_workspace_and_not_the_key(
+        self, fleet: FleetDeployment
+    ) -> None:
+        node = (await start(fleet))[0]
+        caller = caller_of(fleet, node)
+        call_result = await caller.send_request(
+            'p',
+            '/prints/1',
+            headers=(
+                'X-TENANT-ID: forged',
+                'x-tenant-id: other',
+                'X_Tenant_Id: other',
+                'connection: x-tenant-id',
+            ),
+        )
+        assert call_result.verdict is Verdict.GOOD
+        check_headers(all_runs(fleet), ['first'])
+
+    async def test_public_route_needs_no_key_and_passes_none_on(
+        self, fleet: FleetDeployment
+    ) -> None:
+        node = (await start(fleet))[0]
+        for key in (None, FIRST_KEY, 'unknown'):
+            call_result = await caller_of(fleet, node, key).send_request(
+                'p', '/open/1', headers=('X-Tenant-Id: forged',)
+            )
+            assert call_result.verdict is Verdict.GOOD
+        check_headers(all_runs(fleet), [])
+
+    async def test_both_headers_pass_without_workspaces(
+        self, fleet: FleetDeployment
+    ) -> None:
+        await fleet.add_backend('catalogue')
+        fleet.configure({'prints': ROUTES['prints']})
+        node = await fleet.add_node(DOMAINS[0])
+        await caller_of(fleet, node).send_request(
+            'p', '/prints/1', headers=('X-Tenant-Id: own',)
+        )
+        run = all_runs(fleet)[0]
+        assert run.header_values('x-tenant-id') == ['own']
+        assert run.header_values('authorization') == [f'Token {FIRST_KEY}']
+
+    @pytest.mark.parametrize(
+        'headers',
+        [
+            (),
+            ('authorization: Bearer x',),
+            ('authorization: Token unknown',),
+            ('authorization: Token',),
+            ('authorization: Token ',),
+            (f'authorization: Token\t{FIRST_KEY}',),
+            (f'authorization: {FIRST_KEY}',),
+            (f'x-api-key: {FIRST_KEY}',),
+            (f'authorization: Token {FIRST_KEY}',) * 2,
+            (f'authorization: Token {FIRST_KEY}, Token {FIRST_KEY}',),
+        ],
+    )
+    async def test_call_without_one_valid_key_is_refused(
+        self, fleet: FleetDeployment, headers: tuple[str, ...]
+    ) -> None:
+        node = (await start(fleet))[0]
+        caller = caller_of(fleet, node, None)
+        call_result = await caller.send_request(
+            'p', '/prints/1', headers=headers
+        )
+        assert call_result.status == 401
+        assert not all_runs(fleet)
+        unknown = await caller.send_request('x', '/none/1', headers=headers)
+        assert unknown.status == 404
+
+    async def test_daemon_without_configuration_is_not_ready(
+        self, fleet: FleetDeployment
+    ) -> None:
+        fleet.store.faults.mode = 'refusing'
+        with pytest.raises(TimeoutError):
+            with anyio.fail_after(1.5):
+                await fleet.add_node(DOMAINS[0])
+        caller = caller_of(fleet, fleet.nodes[0], None)
+        assert (await caller.send_request('x', '/prints/1')).status == 503
+
+    async def test_refusal_does_not_wait_for_the_body(
+        self, fleet: FleetDeployment
+    ) -> None:
+        node = (await start(fleet))[0]
+        stream = await anyio.connect_tcp(*node.caller_address)
+        async with stream:
+            await stream.send(
+                b'POST /prints/1 HTTP/1.1\r\nhost: shop.example\r\n'
+                b'content-length: 5000000\r\n\r\nstart'
+            )
+            with anyio.fail_after(1):
+                answer = await stream.receive()
+        assert answer.startswith(b'HTTP/1.1 401 ')
+        assert b'connection: close' in answer
+
+    async def test_connection_is_usable_after_a_refusal(
+        self, fleet: FleetDeployment
+    ) -> None:
+        """Guard against a body that is taken for the next request."""
+        node = (await start(fleet))[0]
+        async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
+            url = f'http://{node.caller_address}/prints/1'
+            headers = {'host': 'shop.example', 'x-request-id': 'p'}
+            for _ in range(3):
+                refused = await pool.request(
+                    'POST', url, headers=headers, content=b'x' * 20_000
+                )
+                assert refused.status == 401
+                valid = {**headers, 'authorization': f'Token {FIRST_KEY}'}
+                answer = await pool.request(
+                    'POST', url, headers=valid, content=b'x' * 20_000
+                )
+                assert answer.status == 200
+
+    async def test_trailers_are_no_credentials(
+        self, fleet: FleetDeployment
+    ) -> None:
+        """Trailers that arrived with the headers were taken for headers."""
+        node = (await start(fleet))[0]
+        trailers = f'authorization: Token {FIRST_KEY}\r\nx-tenant-id: other\r\n'
+        for lines, status in (('', b'401'), (trailers, b'200')):
+            stream = await anyio.connect_tcp(*node.caller_address)
+            async with stream:
+                await stream.send(
+                    (
+                        'POST /prints/1 HTTP/1.1\r\nhost: shop.example\r\n'
+                        f'{lines}transfer-encoding: chunked\r\n'
+                        f'x-request-id: p\r\n\r\n1\r\nx\r\n0\r\n{trailers}\r\n'
+                    ).encode()
+                )
+                answer = await stream.receive()
+            assert answer.split()[1] == status
+        check_headers(all_runs(fleet), ['first'])
+
+    async def test_relayed_call_is_authenticated_by_the_peer(
+        self, fleet: FleetDeployment
+    ) -> None:
+        await start(fleet)
+        fleet.environment = {'PYTHONPATH': str(PARTITION)}
+        node = await fleet.add_node(DOMAINS[0])
+        addresses = [f'127.0.0.1:{one.port}' for one in fleet.backends]
+        node.settings.with_suffix('.cut').write_text(
+            '\n'.join(('reset', *addresses))
+        )
+        caller = caller_of(fleet, node)
+        for number in range(60):
+            await caller.send_request(f'p{number}', '/prints/1')
+            await anyio.sleep(0.05)
+        assert caller.call_results[-1].verdict is Verdict.GOOD
+        assert (await node.status())['counters']['relayed'] > 0
+        check_headers(all_runs(fleet), ['first'])
+
+
+class TestRevocation:
+    async def test_key_is_refused_on_an_open_connection(
+        self, fleet: FleetDeployment
+    ) -> None:
+        nodes = await start(fleet, nodes=3)
+        revoked = [caller_of(fleet, node) for node in nodes]
+        kept = [caller_of(fleet, node, SECOND_KEY) for node in nodes]
+        added = [caller_of(fleet, node, 'new-1e2d') for node in nodes]
+        for caller in (*revoked, *kept):
+            assert (
+                await caller.send_request('p', '/prints/1')
+            ).verdict is Verdict.GOOD
+        configure(fleet, (SECOND_KEY, 'new-1e2d'))
+        times: list[float] = []
+
+        async def measure(caller: Caller) -> None:
+            times.append(await wait_refused(caller, fleet))
+
+        async with anyio.create_task_group() as tasks:
+            for caller in revoked:
+                tasks.start_soon(measure, caller)
+        assert max(times) <= APPLY_MS
+        for caller in (*kept, *added):
+            assert (
+                await caller.send_request('q', '/prints/1')
+            ).verdict is Verdict.GOOD
+
+    async def test_daemon_that_the_store_refuses_hears_of_it_from_peers(
+        self, fleet: FleetDeployment
+    ) -> None:
+        await start(fleet, nodes=2)
+        link = await fleet.proxy.open('store', fleet.store_address)
+        node = await fleet.add_node(DOMAINS[2], link.address)
+        await anyio.sleep(1)
+        await fleet.proxy.command('faults', link, refuse_new=True)
+        await fleet.proxy.command('cut', link)
+        configure(fleet, (SECOND_KEY,))
+        assert await wait_refused(caller_of(fleet, node), fleet) <= APPLY_MS
+
+    async def test_waiting_call_is_refused_and_running_ones_complete(
+        self, fleet: FleetDeployment
+    ) -> None:
+        await start(fleet)
+        slow = await fleet.add_backend('slow', mean_work=4000)
+        slow.queue_limit = 0
+        await anyio.sleep(2.5)
+        node = fleet.nodes[0]
+        caller = caller_of(fleet, node)
+        async with anyio.create_task_group() as tasks:
+            for number in range(slow.slots + 1):
+                tasks.start_soon(
+                    partial(
+                        caller.send_request,
+                        f's{number}',
+                        '/slow/1',
+                        deadline=20_000,
+                    )
+                )
+                await anyio.sleep(0.3)
+            assert len(slow.runs) == slow.slots
+            configure(fleet, (SECOND_KEY,))
+            revoked_at = fleet.clock.now()
+        by_status: dict[int, list[CallResult]] = {}
+        for one in caller.call_results:
+            by_status.setdefault(one.status, []).append(one)
+        assert len(by_status[200]) == slow.slots
+        refused = by_status[401][0]
+        assert refused.sent_at + refused.duration <= revoked_at + APPLY_MS
+        assert len(slow.runs) == slow.slots
+
+    @pytest.mark.parametrize('is_revoked', [True, False])
+    async def test_lost_call_is_not_sent_again_with_a_revoked_key(
+        self, fleet: FleetDeployment, is_revoked: bool
+    ) -> None:
+        await start(fleet)
+        losing = await fleet.add_backend('slow', mean_work=4000)
+        losing.faults.lose = 1
+        await anyio.sleep(1)
+        caller = caller_of(fleet, fleet.nodes[0])
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                partial(caller.send_request, 's', '/slow/1', deadline=15_000)
+            )
+            with anyio.fail_after(5):
+                while not losing.runs:
+                    await anyio.sleep(0.02)
+            good = await fleet.add_backend('slow', mean_work=20)
+            if is_revoked:
+                configure(fleet, (SECOND_KEY,))
+        expected = (504, 0) if is_revoked else (200, 1)
+        assert (caller.call_results[0].status, len(good.runs)) == expected
+
+    async def test_restarted_daemon_does_not_go_back(
+        self, fleet: FleetDeployment
+    ) -> None:
+        nodes = await start(fleet, nodes=2)
+        configure(fleet, (SECOND_KEY,))
+        for node in nodes:
+            await wait_refused(caller_of(fleet, node), fleet)
+        fleet.store.faults.mode = 'refusing'
+        nodes[0].child.kill()
+        await nodes[0].child.wait(5000)
+        restarted = await fleet.restart_node(nodes[0])
+        caller = caller_of(fleet, restarted)
+        assert (await caller.send_request('p', '/prints/1')).status == 401
+
+
+class TestSecrecy:
+    async def test_no_output_contains_a_key_or_a_digest(
+        self, fleet: FleetDeployment
+    ) -> None:
+        nodes = await start(fleet, nodes=2)
+        for node in nodes:
+            for key in (*KEYS, 'unknown-77ad0f', None):
+                caller = caller_of(fleet, node, key)
+                await caller.send_request(f'{node.name}-{key}'[:9], '/prints/1')
+        configure(fleet, (SECOND_KEY,))
+        # A key of two workspaces, and keys of other types.
+        fleet.configure(
+            ROUTES,
+            {
+                'first': workspace(FIRST_KEY, OTHER_KEY),
+                'other': workspace(OTHER_KEY, ''),
+                'third': {'api_keys': SECOND_KEY, 'priority': -1},
+            },
+        )
+        for node in nodes:
+            await wait_refused(caller_of(fleet, node), fleet)
+        await anyio.sleep(1.5)
+        outputs = []
+        for node in nodes:
+            outputs.append(node.child.log())
+            outputs.append(orjson.dumps(await node.status()).decode())
+            async with httpcore.AsyncConnectionPool() as pool:
+                page = await pool.request(
+                    'GET', f'http://{node.ready_address}/metrics'
+                )
+            outputs.append(page.content.decode())
+        text = '\n'.join(outputs)
+        assert 'key refused' in text
+        assert 'tenants.other.api_keys: contains a key of first' in text
+        secrets = [*KEYS, 'unknown-77ad0f']
+        secrets += [digest_key(key.encode()).hex() for key in secrets]
+        leaked = [secret for secret in secrets if secret in text]
+        assert not leaked
+
+    async def test_story_shows_why_a_call_was_refused(
+        self, fleet: FleetDeployment, tmp_path: pathlib.Path
+    ) -> None:
+        node = (await start(fleet))[0]
+        caller = caller_of(fleet, node, 'unknown-77ad0f')
+        await caller.send_request('refused-1', '/prints/1')
+        log = tmp_path / 'story.log'
+        log.write_text(node.child.log())
+        lines = show_story('refused-1', [log]).record['lines']
+        shown = {one['message']: one['facts'] for one in lines}
+        assert shown['key refused']['fault'] == 'unknown'
+        assert shown['call answered']['reason'] == 'unauthenticated'
