Wait for a confirmed configuration after a start, and test keys without a network

Cause: a daemon that restarts could serve by the version of a lagging peer, and accept keys that were revoked since. Ruled out: waiting for the store alone, which may refuse this daemon. Change: with workspaces, a daemon serves once its version is confirmed or 2 s after its start; the number of workspaces is in /metrics and /status.

--- a/packages/cowslippond-core/src/cowslippond_core/_configuration_log.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_configuration_log.py
@@ -17,6 +17,13 @@
 #: The key under which the configuration is stored and sent to peers.
 CONFIGURATION_KEY = 'configuration'
 
+# After a start, how long to wait for a confirmation that the version that a peer
+# offered is the newest, and how old that confirmation may be. In this time the
+# store or another peer answers, if any does; a daemon is in contact with them if
+# they answered within the latter.
+_START_CHECK_TIME: Millis = 2000
+_MAX_CONFIRMED_AGE: Millis = 3000
+
 
 class ConfigurationLog(Versions):
     """The newest configuration that could be decoded.
@@ -38,6 +45,8 @@
         self.decode = decode
         self.replace_keys = replace_keys
         self.keys = KeyRegistry()
+        self.created_at = clock.now()
+        self.is_checked = False
         self.current: Configuration | None = None
         self.routes = RouteTable(())
         self.last_decoded: tuple[str, Result[Configuration, str]] | None = None
@@ -63,6 +72,30 @@
                 self._accept(row, row.text)
         self.confirm(requested_at, self.revision)
 
+    def may_serve(self) -> bool:
+        """Tell whether calls may be served by the configuration in force.
+
+        After a start, the first version may come from a peer that lacks the
+        newest one, and may contain keys that were revoked since. It is used once
+        it is confirmed, or if nobody has offered a newer one for a while.
+        """
+        if self.current is None:
+            return False
+        if self.is_checked or self.current.workspaces is None:
+            return True
+        now = self.clock.now()
+        is_confirmed = (
+            self.confirmed_at is not None
+            and now - self.confirmed_at <= _MAX_CONFIRMED_AGE
+        )
+        if is_confirmed or now - self.created_at >= _START_CHECK_TIME:
+            self.is_checked = True
+        return self.is_checked
+
+    def count_workspaces(self) -> int:
+        """Return the number of workspaces of the configuration in force."""
+        return 0 if self.current is None else len(self.current.workspaces or ())
+
     def offer_all(self, batch: Iterable[AcceptedDocument]) -> None:
         """Put the newest version that a peer sent in force.
 
@@ -88,7 +121,7 @@
                 'version': accepted.version,
                 'routes': len(decoded.ok.routes),
                 'services': len(decoded.ok.services),
-                'workspaces': len(decoded.ok.workspaces or ()),
+                'workspaces': self.count_workspaces(),
             },
         )
         return True
--- a/packages/cowslippond-core/src/cowslippond_core/_metrics.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_metrics.py
@@ -47,6 +47,7 @@
     READING_AGE_MS = 'reading_age_ms'
     CONFIGURATION = 'configuration.version'
     UPSTREAMS_KNOWN = 'upstreams.known'
+    WORKSPACES_KNOWN = 'workspaces.known'
     UPSTREAMS_RATE_LIMITED = 'upstreams.rate_limited'
 
 
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_calls.py
@@ -134,7 +134,7 @@
 
     def _admit(self, call: IncomingCall) -> _Admission | CallRefusal:
         configuration = self.log.current
-        if configuration is None:
+        if configuration is None or not self.log.may_serve():
             return self._refuse(RefusalReason.NOT_READY)
         host = (call.get_header(b'host') or b'').decode('latin-1')
         route = self.log.routes.find(host, call.target.decode('latin-1'))
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -375,7 +375,7 @@
     def _is_ready(self) -> bool:
         if self.state is not DaemonState.SERVING:
             return False
-        return self.configuration_log.current is not None and bool(
+        return self.configuration_log.may_serve() and bool(
             self.upstream_registry.by_key
         )
 
@@ -383,6 +383,9 @@
         self.metrics.gauge(
             Metric.CONFIGURATION, self.configuration_log.revision
         )
+        self.metrics.gauge(
+            Metric.WORKSPACES_KNOWN, self.configuration_log.count_workspaces()
+        )
         self.metrics.gauge(
             Metric.UPSTREAMS_KNOWN, len(self.upstream_registry.by_key)
         )
@@ -403,6 +406,7 @@
             'callers': self.settings.caller_address,
             'out_of_reach': services.out_of_reach(),
             'configuration': self.configuration_log.revision,
+            'workspaces': self.configuration_log.count_workspaces(),
             'confirmed_age': None
             if confirmed_at is None
             else now - confirmed_at,
--- a/tests/fleet/test_workspace_keys.py
+++ b/tests/fleet/test_workspace_keys.py
@@ -1,6 +1,7 @@
 """Real daemons serve only callers with the key of a workspace."""
 
 import pathlib
+import signal
 from collections.abc import Sequence
 from functools import partial
 from types import MappingProxyType
@@ -280,6 +281,17 @@
         configure(fleet, (SECOND_KEY,))
         assert await wait_refused(caller_of(fleet, node), fleet) <= APPLY_MS
 
+    async def test_paused_daemon_refuses_the_key_soon_after_it_resumes(
+        self, fleet: FleetDeployment
+    ) -> None:
+        node = (await start(fleet, nodes=3))[2]
+        await anyio.sleep(1)
+        node.child.popen.send_signal(signal.SIGSTOP)
+        configure(fleet, (SECOND_KEY,))
+        await anyio.sleep(4)
+        node.child.popen.send_signal(signal.SIGCONT)
+        assert await wait_refused(caller_of(fleet, node), fleet) <= APPLY_MS
+
     async def test_waiting_call_is_refused_and_running_ones_complete(
         self, fleet: FleetDeployment
     ) -> None:
