--- a/tests/fleet/test_workspace_keys.py
+++ b/tests/fleet/test_workspace_keys.py
@@ -296,7 +296,8 @@
         self, fleet: FleetDeployment
     ) -> None:
         await start(fleet)
-        slow = await fleet.add_backend('slow', mean_work=4000)
+        # No slot becomes free within the time that the refusal may take.
+        slow = await fleet.add_backend('slow', mean_work=7000)
         slow.queue_limit = 0
         await anyio.sleep(2.5)
         node = fleet.nodes[0]
--- a/tests/workspaces/test_call_access.py
+++ b/tests/workspaces/test_call_access.py
@@ -17,7 +17,10 @@
     ConfigurationLog,
     Connections,
     DefaultDialect,
+    Dispatch,
     Metrics,
+    Outcome,
+    Quarantine,
     RefusalReason,
     Route,
     RouteMatch,
@@ -243,6 +246,31 @@
             tasks.cancel_scope.cancel()
         assert not received
 
+    async def test_call_does_not_enter_the_queue(self) -> None:
+        """A retry with a revoked key would wait for a slot in vain."""
+        registry = make_registry()
+        hooks = SimpleNamespace(quarantine=Quarantine(FakeClock(0)))
+        ctx = SimpleNamespace(
+            clock=FakeClock(0), hooks=hooks, rng=random.Random(1), relays=None
+        )
+        # The placer has no means to grant an upstream.
+        placer = SimpleNamespace(
+            limited_waits=SimpleNamespace(retry_after=lambda _: 50),
+            queue=SimpleNamespace(pending=()),
+        )
+        service = SimpleNamespace(
+            budget=SimpleNamespace(record_call=lambda: None),
+            estimator=SimpleNamespace(service_time=60),
+            upstreams=SimpleNamespace(by_address={}),
+            placer=placer,
+        )
+        call = Call(make_request(make_access(registry)), ROUTE, 0)
+        registry.update({})
+        refusal = await Dispatch(ctx, service, call).run()
+        assert isinstance(refusal, CallRefusal)
+        assert refusal.reason is RefusalReason.KEY_REVOKED
+        assert refusal.outcome is Outcome.NOT_RUN
+
     def test_no_hedge_and_no_retry_follow(self) -> None:
         registry = make_registry()
         hooks = SimpleNamespace(
