Build a call's head once in the edge

Ruled out: reading the headers twice. Change: the request id is found before the call is built, and a call without a body is not copied.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
@@ -97,10 +97,14 @@
 
         :param name: in lower case.
         """
-        for present, text in self.headers:
-            if present == name:
-                return text
-        return None
+        return _find_header(self.headers, name)
+
+
+def _find_header(headers: HeaderList, name: bytes) -> bytes | None:
+    for present, text in headers:
+        if present == name:
+            return text
+    return None
 
 
 def encode_whole_seconds(delay: Millis) -> bytes:
@@ -309,20 +313,19 @@
     target: bytes = scope['raw_path']
     if scope['query_string']:
         target = b'%b?%b' % (target, scope['query_string'])
-    head = IncomingCall(
-        request_id='',
+    headers: HeaderList = tuple(scope['headers'])
+    supplied_id = _find_header(headers, _REQUEST_ID)
+    return IncomingCall(
+        request_id=supplied_id.decode('latin-1')
+        if supplied_id
+        else uuid.uuid4().hex,
         method=scope['method'],
         path=scope['path'],
         target=target,
-        headers=tuple(scope['headers']),
+        headers=headers,
         body=b'',
         rest=None,
     )
-    supplied_id = head.get_header(_REQUEST_ID)
-    request_id = (
-        supplied_id.decode('latin-1') if supplied_id else uuid.uuid4().hex
-    )
-    return head._replace(request_id=request_id)
 
 
 def _may_be_long(head: IncomingCall) -> bool:
@@ -352,6 +355,8 @@
     # Always split the body at the same offset, whatever the chunk sizes, so
     # that repeats of a call have the same fingerprint.
     remainder = bytes(buffer[_MAX_BUFFERED_BODY_BYTES:])
+    if not buffer:
+        return head
     return head._replace(
         body=bytes(buffer[:_MAX_BUFFERED_BODY_BYTES]),
         rest=reader.rest(remainder) if remainder else None,
