--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -45,9 +45,11 @@
     SharedFailures,
     SharedRateLimits,
 )
+from cowslippond_core.workspaces import CredentialFormat
 from expression import Result
 
 from cowslippond_daemon._admin import Admin
+from cowslippond_daemon._call_keys import CallKeys
 from cowslippond_daemon._edge import Edge
 from cowslippond_daemon._fleet_calls import FleetRouter
 from cowslippond_daemon._node_settings import NodeSettings
@@ -99,7 +101,9 @@
     """The formats of the platform: decoders, encoders and paths."""
 
     dialect: Dialect
+    credentials: CredentialFormat
     decode_configuration: Callable[[str], Result[Configuration, str]]
+    replace_keys: Callable[[str], Result[str, str]]
     decode_upstream: Callable[[str, str], Vm | None]
     encode_retry_after: Callable[[Millis], bytes]
     ready_path: str
@@ -132,7 +136,7 @@
         self.state = DaemonState.STARTING
         self.stop_requested = anyio.Event()
         self.configuration_log = ConfigurationLog(
-            self.clock, adapter.decode_configuration
+            self.clock, adapter.decode_configuration, adapter.replace_keys
         )
         self.upstream_registry = UpstreamRegistry(
             self.clock, adapter.decode_upstream
@@ -208,6 +212,7 @@
                 tasks,
                 self.clock,
                 self.rng,
+                self.configuration_log.keys.is_required,
             ),
         )
         services = Services(
@@ -281,10 +286,17 @@
     async def _serve(self, tasks: TaskGroup, services: Services) -> None:
         settings = self.settings
         router = FleetRouter(
-            self.configuration_log, services, services.ctx, self.metrics
+            self.configuration_log,
+            services,
+            services.ctx,
+            self.metrics,
+            CallKeys(self.configuration_log.keys, self.adapter.credentials),
         )
         edge = Edge(
-            router, _INITIAL_IDLE_SECONDS, self.adapter.encode_retry_after
+            router,
+            _INITIAL_IDLE_SECONDS,
+            self.adapter.encode_retry_after,
+            router.check_call,
         )
         callers = make_server(
             edge,
@@ -350,7 +362,7 @@
     def _is_ready(self) -> bool:
         if self.state is not DaemonState.SERVING:
             return False
-        return self.configuration_log.current is not None and bool(
+        return self.configuration_log.may_serve() and bool(
             self.upstream_registry.by_key
         )
 
@@ -358,6 +370,10 @@
         self.metrics.gauge(
             Metric.CONFIGURATION, self.configuration_log.revision
         )
+        self.metrics.gauge(
+            Metric.WORKSPACES_KNOWN,
+            self.configuration_log.count_workspaces() or 0,
+        )
         self.metrics.gauge(
             Metric.UPSTREAMS_KNOWN, len(self.upstream_registry.by_key)
         )
@@ -378,6 +394,7 @@
             'callers': self.settings.caller_address,
             'out_of_reach': services.out_of_reach(),
             'configuration': self.configuration_log.revision,
+            'workspaces': self.configuration_log.count_workspaces(),
             'confirmed_age': None
             if confirmed_at is None
             else now - confirmed_at,
