Apply the quotas of workspaces over all daemons together

Cause: rate and burst of a workspace were decoded and not applied; a daemon sees three calls a second, so equal shares would refuse most of a quota. Ruled out: one owner for each workspace with a successor, since a successor cannot tell a dead owner from a partitioned one and both would grant the whole rate; admitting the first call without a token, since 136 daemons may do so at once. Change: three to nine owners hold equal shares and grant tokens on request by UDP. An owner is replaced only when the list of daemons changes. Calls beyond the quota get 429.

--- a/packages/cowslippond-core/src/cowslippond_core/_metrics.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_metrics.py
@@ -48,6 +48,13 @@
     CONFIGURATION = 'configuration.version'
     UPSTREAMS_KNOWN = 'upstreams.known'
     UPSTREAMS_RATE_LIMITED = 'upstreams.rate_limited'
+    QUOTA_ADMITTED = 'quota.admitted'
+    QUOTA_FALLBACK = 'quota.fallback'
+    QUOTA_RETURNED = 'quota.returned'
+    QUOTA_REQUESTS = 'quota.requests'
+    QUOTA_TIMEOUTS = 'quota.timeouts'
+    QUOTA_BYTES_SENT = 'quota.bytes_sent'
+    QUOTA_BYTES_RECEIVED = 'quota.bytes_received'
 
 
 def refusal_name(reason: RefusalReason) -> str:
--- a/packages/cowslippond-core/src/cowslippond_core/_reasons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reasons.py
@@ -25,6 +25,7 @@
     KEY_OUTCOME_LOST = 'key_outcome_lost'
     ANSWER_NOT_KEPT = 'answer_not_kept'
     QUARANTINED = 'quarantined'
+    OVER_QUOTA = 'over_quota'
 
 
 class RetryReason(enum.StrEnum):
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
@@ -55,6 +55,7 @@
         RefusalReason.NO_CALLER: http.HTTPStatus.BAD_REQUEST,
         RefusalReason.KEY_REUSED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
         RefusalReason.KEY_IN_PROGRESS: http.HTTPStatus.CONFLICT,
+        RefusalReason.OVER_QUOTA: http.HTTPStatus.TOO_MANY_REQUESTS,
     }
 )
 _STATUS_OF_OUTCOME = MappingProxyType(
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_calls.py
@@ -23,6 +23,7 @@
     fingerprint_request,
 )
 from cowslippond_core import _headers as header_names
+from cowslippond_core.quotas import QuotaGate
 
 from cowslippond_daemon._edge import IncomingCall
 
@@ -46,6 +47,7 @@
     :param services: the state of each service.
     :param ctx: the context that all calls share.
     :param metrics: counts calls and refusals and records call times.
+    :param quotas: lets calls pass that are within their workspace's quota.
     """
 
     def __init__(
@@ -54,7 +56,9 @@
         services: Services,
         ctx: DispatchContext,
         metrics: Metrics,
+        quotas: QuotaGate,
     ) -> None:
+        self.quotas = quotas
         self.log = log
         self.services = services
         self.ctx = ctx
@@ -99,7 +103,7 @@
         if request.deadline <= arrived_at:
             return self._refuse(RefusalReason.DEADLINE)
         dispatch = Dispatch(self.ctx, service, Call(request, route, arrived_at))
-        return await dispatch.run()
+        return await self.quotas.run(dispatch)
 
     def _retain_splits(self) -> None:
         if self.log.current is not None:
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -45,12 +45,14 @@
     SharedFailures,
     SharedRateLimits,
 )
+from cowslippond_core.quotas import QUOTA_TABLE
 from expression import Result
 
 from cowslippond_daemon._admin import Admin
 from cowslippond_daemon._edge import Edge
 from cowslippond_daemon._fleet_calls import FleetRouter
 from cowslippond_daemon._node_settings import NodeSettings
+from cowslippond_daemon._quotas import DaemonQuotas
 from cowslippond_daemon._reload import SettingsReloader
 from cowslippond_daemon._retirement import (
     DaemonState,
@@ -158,7 +160,7 @@
             self.rng,
             {UPSTREAM_LOG: self.upstream_registry},
             (STORE_LOST_TABLE, RATE_LIMIT_TABLE),
-            (FAILURE_TABLE,),
+            (FAILURE_TABLE, QUOTA_TABLE),
         )
         self.rate_limits = SharedRateLimits(
             self.fleet.gossip_table(RATE_LIMIT_TABLE),
@@ -169,6 +171,16 @@
             self.rng,
         )
 
+        self.quotas = DaemonQuotas(
+            settings,
+            self.configuration_log,
+            self.fleet,
+            self._count_daemons,
+            self.clock,
+            self.rng,
+            self.metrics,
+        )
+
     async def run(self) -> None:
         """Serve until a graceful shutdown is complete."""
         async with anyio.create_task_group() as tasks:
@@ -261,6 +273,7 @@
         tasks.start_soon(
             run_restarting, self.clock, self.rate_limits.run, services.upstreams
         )
+        tasks.start_soon(run_restarting, self.clock, self.quotas.run)
         return services
 
     def _count_daemons(self) -> int:
@@ -280,6 +293,7 @@
         self.settings = settings
         self.fleet.membership.seeds = settings.seeds
         services.update_bounds(_make_bounds(settings))
+        self.quotas.apply_settings(settings)
 
     def _update_upstreams(self, services: Services) -> None:
         vms = self.upstream_registry.vms()
@@ -295,7 +309,11 @@
     async def _serve(self, tasks: TaskGroup, services: Services) -> None:
         settings = self.settings
         router = FleetRouter(
-            self.configuration_log, services, services.ctx, self.metrics
+            self.configuration_log,
+            services,
+            services.ctx,
+            self.metrics,
+            self.quotas.gate,
         )
         edge = Edge(
             router, _INITIAL_IDLE_SECONDS, self.adapter.encode_retry_after
@@ -379,6 +397,7 @@
             Metric.UPSTREAMS_RATE_LIMITED, self.rate_limits.count()
         )
         self.metrics.gauge(Metric.DAEMONS_KNOWN, self.fleet.membership.count())
+        self.quotas.update_gauges()
         return self.metrics.render()
 
     def _status(self, edge: Edge, services: Services) -> Mapping[str, Any]:
@@ -397,6 +416,7 @@
             else now - confirmed_at,
             'daemons': self.fleet.membership.count(),
             'upstreams': len(self.upstream_registry.by_key),
+            'quotas': self.quotas.status(),
             # The names are enumeration members, which the encoder refuses.
             'counters': {
                 str(name): total for name, total in self.metrics.totals.items()
