--- a/packages/cowslippond-standins/src/cowslippond_standins/call_cost.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/call_cost.py
@@ -47,6 +47,8 @@
 from rich.console import Console
 from rich.table import Table
 
+from cowslippond_standins._quota_cost import measure_quota_cost
+
 _HOST = '127.0.0.1'
 _ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-type: text/plain\r\n\r\nok'
 _CALL = (
@@ -187,6 +189,14 @@
         uvloop.run(_measure(upstream_port, edge_port, calls // rounds, rounds))
 
 
+def quota(*, calls: int = 4000) -> None:
+    """Print the time that the decision about a quota adds to a call.
+
+    :param calls: the number of calls of each kind.
+    """
+    measure_quota_cost(calls, (_free_port(), _free_port()))
+
+
 async def _serve_upstream(port: int) -> None:
     loop = asyncio.get_running_loop()
     server = await loop.create_server(_TrivialUpstream, _HOST, port)
@@ -310,4 +320,4 @@
 
 
 if __name__ == '__main__':
-    defopt.run([measure, serve_upstream, serve_edge])
+    defopt.run([measure, quota, serve_upstream, serve_edge])
--- a/tests/quotas/test_quota_faults.py
+++ b/tests/quotas/test_quota_faults.py
@@ -199,6 +199,8 @@
             async with anyio.create_task_group() as tasks:
                 await scenario.start(tasks, FLOOD, 14)
                 scenario.fleet.is_cut = lambda sender, to: True
+                # Each daemon gets calls of the small workspace.
+                tasks.start_soon(scenario.fleet.send_calls, 'small', 100, 10)
             scenario.fleet.assert_bounds()
 
         run_virtual(run)
