Count replaced daemons in the supposed size of the fleet

Cause: after a rolling replacement with new addresses, the daemons that had left were subtracted from the largest size for 15 minutes, so half of a partitioned fleet took itself for the whole and granted the whole quota. Ruled out: forgetting departures sooner, which keeps the fault for a while. Change: a departure lowers the largest size once, and a newcomer raises it.

--- a/packages/cowslippond-core/src/cowslippond_core/quotas/_owners.py
+++ b/packages/cowslippond-core/src/cowslippond_core/quotas/_owners.py
@@ -103,8 +103,8 @@
         self.assumed_size = 1
         # Owners need not settle in a fleet that has never served before.
         self.is_first_until: Millis = now
-        # Daemons that announced that they leave, and until when that is kept.
-        self.departed: dict[str, Millis] = {}
+        # Known daemons that announced that they leave.
+        self.leaving: frozenset[str] = frozenset()
 
     @property
     def daemons(self) -> DaemonList:
@@ -125,7 +125,7 @@
             which the list may lack some; leaving ones included.
         :param leaving: the addresses of daemons that announced that they leave.
         """
-        self._update_size(domains, fleet_size, leaving, now)
+        self._update_size(len(domains), fleet_size, frozenset(leaving), now)
         if domains != self.daemons.domains:
             self.periods.append(_Period(now, DaemonList(domains)))
         while (
@@ -136,11 +136,7 @@
 
     def supposed_size(self) -> int:
         """Return the size of the fleet, partitioned daemons included."""
-        return max(
-            self.peak_size - len(self.departed),
-            len(self.daemons.domains),
-            self.assumed_size,
-        )
+        return max(self.peak_size, len(self.daemons.domains), self.assumed_size)
 
     def completeness(self) -> float:
         """Return the part of the fleet that the list contains."""
@@ -163,20 +159,18 @@
 
     def _update_size(
         self,
-        domains: Mapping[str, str],
+        listed: int,
         fleet_size: int,
-        leaving: Iterable[str],
+        leaving: frozenset[str],
         now: Millis,
     ) -> None:
-        size = max(fleet_size, len(domains))
+        """Remember the largest size, less the daemons that have left since."""
+        self.peak_size -= len(leaving - self.leaving)
+        self.leaving = leaving
+        size = max(fleet_size - len(leaving), listed)
         if size >= self.peak_size or now >= self.peak_until:
             self.peak_size = size
             self.peak_until = now + _PEAK_TIME
-        for address in leaving:
-            self.departed[address] = now + _PEAK_TIME
-        for address, until in tuple(self.departed.items()):
-            if address in domains or until <= now:
-                self.departed.pop(address)
 
 
 def is_chosen(workspace: str, address: str, share: float) -> bool:
--- a/tests/quotas/test_share_ledger.py
+++ b/tests/quotas/test_share_ledger.py
@@ -60,6 +60,23 @@
         ledger.ownership.update({OWN: 'a'}, 2, (other,), 1000)
         assert take_all(ledger, 60_000) == 10
 
+    def test_daemons_that_were_replaced_still_count_in_a_partition(
+        self,
+    ) -> None:
+        """A rolling replacement made a fleet look as small as its half."""
+        fleet = {f'10.0.1.{number}:7000': 'a' for number in range(4)}
+        ledger = make_ledger({OWN: 'a', **fleet}, 5)
+        ownership = ledger.ownership
+        for number in range(4):
+            old = f'10.0.1.{number}:7000'
+            fleet.pop(old)
+            fleet[f'10.0.2.{number}:7000'] = 'a'
+            ownership.update({OWN: 'a', **fleet}, 6, (old,), 1000)
+            ownership.update({OWN: 'a', **fleet}, 5, (), 2000)
+        assert ownership.supposed_size() == 5
+        ownership.update({OWN: 'a'}, 1, (), 3000)
+        assert ownership.completeness() == pytest.approx(1 / 5)
+
     def test_lowered_limit_applies_at_once(self) -> None:
         ledger = make_ledger()
         now = SETTLE_TIME + 9000
