Take the token of a call anew after a wait in the queue

Cause: a call took its token on arrival and ran when an upstream was free. Calls that had waited while upstreams stood still would run in one window with those that arrived then, beyond the bound. Ruled out: a shorter wait for all calls with a quota, which would refuse calls within it. Change: before the first send, a call that has waited for more than 300 ms returns its token and takes another, or is refused. A dispatch can be given such a check; it is not made for retries and hedges.

--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -1,6 +1,7 @@
 """Dispatches one call: placement, sending, retries, hedging and the answer."""
 
 import logging
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import TypeAlias
 
@@ -42,6 +43,7 @@
 _MAX_RETRY_AFTER: Millis = 3000
 
 Reply: TypeAlias = CallAnswer | CallRefusal
+FirstSendCheck: TypeAlias = Callable[[], Awaitable[RefusalReason | None]]
 
 
 class Dispatch:
@@ -65,6 +67,8 @@
         self.relay = CallRelay(ctx, service, call)
         self.grants: dict[Attempt, Grant] = {}
         self.best_result: Answered | AnswerLost | None = None
+        # Decides whether a call that had to wait may still be sent.
+        self.check_first_send: FirstSendCheck | None = None
 
     async def run(self) -> Reply:
         """Send the call, with retries, and return the answer or a refusal.
@@ -100,6 +104,7 @@
                 self._keep_result(relayed)
                 return RefusalReason.OUT_OF_REACH
             grant = await self.service.placer.acquire(self._pending_call())
+            grant = await _check_first_send(self, grant)
             if isinstance(grant, RefusalReason):
                 if self.relay.is_next_after(grant):
                     continue
@@ -311,6 +316,22 @@
         return CallRefusal(outcome, reason, delay)
 
 
+async def _check_first_send(
+    dispatch: Dispatch, grant: Grant | RefusalReason
+) -> Grant | RefusalReason:
+    """Return the grant, or a refusal if the call may no longer be sent."""
+    check = dispatch.check_first_send
+    if isinstance(grant, RefusalReason) or check is None:
+        return grant
+    if dispatch.send_count > 0:
+        return grant
+    refusal = await check()
+    if refusal is None:
+        return grant
+    dispatch.service.placer.notify_capacity_change()
+    return refusal
+
+
 def _refusal_reason(result: AttemptResult) -> RefusalReason:
     if not isinstance(result, NotRun):
         return RefusalReason.ANSWER_LOST
--- a/packages/cowslippond-core/src/cowslippond_core/quotas/_gate.py
+++ b/packages/cowslippond-core/src/cowslippond_core/quotas/_gate.py
@@ -3,6 +3,7 @@
 import logging
 import random
 
+from cowslippond_core._clock import Millis
 from cowslippond_core._messages import CallAnswer, CallRefusal, Outcome
 from cowslippond_core._reasons import RefusalReason
 from cowslippond_core.dispatch import Dispatch
@@ -12,7 +13,10 @@
 # Refused callers return at random times between the expected one and half as
 # much later, so that they do not all return at the same moment.
 _JITTER = 0.5
-_MIN_RETRY_AFTER = 50
+_MIN_RETRY_AFTER: Millis = 50
+
+# The slack of the bound covers tokens that are used this much later.
+_MAX_QUEUE_TIME: Millis = 300
 
 _logger = logging.getLogger(__name__)
 
@@ -42,40 +46,81 @@
             return await dispatch.run()
         if isinstance(decision, QuotaRefusal):
             return self._refuse(dispatch, workspace, decision)
-        return await self._run_counted(dispatch, decision)
+        admission = _Admission(self.limiter, dispatch, decision)
+        dispatch.check_first_send = admission.renew
+        return await admission.run()
+
+    def _refuse(
+        self, dispatch: Dispatch, workspace: str, refusal: QuotaRefusal
+    ) -> CallRefusal:
+        jitter = 1 + self.rng.random() * _JITTER
+        wait = max(refusal.wait, _MIN_RETRY_AFTER) * jitter
+        _log_refusal(dispatch, workspace, refusal)
+        return CallRefusal(Outcome.NOT_RUN, RefusalReason.OVER_QUOTA, wait)
+
+
+class _Admission:
+    """A call that has a token."""
+
+    def __init__(
+        self, limiter: QuotaLimiter, dispatch: Dispatch, token: Token
+    ) -> None:
+        self.limiter = limiter
+        self.dispatch = dispatch
+        self.token: Token | None = token
+        self.workspace = token.workspace
+        self.taken_at = limiter.clock.now()
 
-    async def _run_counted(
-        self, dispatch: Dispatch, token: Token
-    ) -> CallAnswer | CallRefusal:
+    async def run(self) -> CallAnswer | CallRefusal:
+        """Dispatch the call; return its token if it did not run."""
         has_run = False
         try:
-            reply = await dispatch.run()
+            reply = await self.dispatch.run()
         except BaseException:
-            has_run = dispatch.send_count > 0
+            has_run = self.dispatch.send_count > 0
             raise
         else:
-            has_run = dispatch.send_count > 0 and not _is_not_run(reply)
+            has_run = self.dispatch.send_count > 0 and not _is_not_run(reply)
         finally:
             if not has_run:
-                self.limiter.give_back(token)
+                self._give_back()
         return reply
 
-    def _refuse(
-        self, dispatch: Dispatch, workspace: str, refusal: QuotaRefusal
-    ) -> CallRefusal:
-        jitter = 1 + self.rng.random() * _JITTER
-        wait = max(refusal.wait, _MIN_RETRY_AFTER) * jitter
-        _logger.info(
-            'call refused by the quota of its workspace',
-            extra={
-                'request_id': dispatch.call.request.request_id,
-                'workspace': workspace,
-                'retry_after_ms': round(wait),
-                'owners_asked': refusal.asked,
-                'owners_unreached': refusal.unreached,
-            },
-        )
-        return CallRefusal(Outcome.NOT_RUN, RefusalReason.OVER_QUOTA, wait)
+    async def renew(self) -> RefusalReason | None:
+        """Exchange the token of a call that has waited long in the queue.
+
+        Calls that waited together while upstreams stood still would otherwise
+        run in one window, in addition to those that arrive then.
+        """
+        if self.limiter.clock.now() - self.taken_at <= _MAX_QUEUE_TIME:
+            return None
+        self._give_back()
+        decision = await self.limiter.take(self.workspace)
+        if isinstance(decision, QuotaRefusal):
+            _log_refusal(self.dispatch, self.workspace, decision)
+            return RefusalReason.OVER_QUOTA
+        self.token = decision
+        return None
+
+    def _give_back(self) -> None:
+        if self.token is not None:
+            self.limiter.give_back(self.token)
+            self.token = None
+
+
+def _log_refusal(
+    dispatch: Dispatch, workspace: str, refusal: QuotaRefusal
+) -> None:
+    _logger.info(
+        'call refused by the quota of its workspace',
+        extra={
+            'request_id': dispatch.call.request.request_id,
+            'workspace': workspace,
+            'expected_wait_ms': round(refusal.wait),
+            'owners_asked': refusal.asked,
+            'owners_unreached': refusal.unreached,
+        },
+    )
 
 
 def _is_not_run(reply: CallAnswer | CallRefusal) -> bool:
--- a/tests/dispatch/test_dispatch.py
+++ b/tests/dispatch/test_dispatch.py
@@ -10,10 +10,12 @@
     AnswerLost,
     AnswerMetadata,
     Call,
+    CallRefusal,
     CallRequest,
     DefaultDialect,
     Dispatch,
     DispatchContext,
+    Outcome,
     Quarantine,
     RefusalReason,
     Route,
@@ -126,3 +128,18 @@
             tasks.cancel_scope.cancel()
         assert reply.reason is RefusalReason.ANSWER_LOST
         assert checked == ['10.0.0.1:80']
+
+
+class TestFirstSendCheck:
+    async def test_call_that_may_no_longer_be_sent_is_refused(self) -> None:
+        async def refuse() -> RefusalReason:
+            return RefusalReason.OVER_QUOTA
+
+        async with anyio.create_task_group() as tasks:
+            dispatch = make_dispatch(tasks)
+            dispatch.check_first_send = refuse
+            reply = await dispatch.run()
+        assert isinstance(reply, CallRefusal)
+        assert reply.outcome is Outcome.NOT_RUN
+        assert reply.reason is RefusalReason.OVER_QUOTA
+        assert dispatch.send_count == 0
--- a/tests/quotas/test_gate.py
+++ b/tests/quotas/test_gate.py
@@ -1,6 +1,8 @@
 """Which calls keep their tokens."""
 
 import random
+from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import cast
 
 import anyio
@@ -19,6 +21,7 @@
     QuotaRefusal,
     Token,
 )
+from fakes import FakeClock
 
 pytestmark = pytest.mark.anyio
 
@@ -31,6 +34,7 @@
 class FakeLimiter:
     def __init__(self, decision: Token | QuotaRefusal | None) -> None:
         self.decision = decision
+        self.clock = FakeClock()
         self.taken: list[str] = []
         self.given_back: list[Token] = []
 
@@ -63,10 +67,19 @@
         self.sends = sends
         self.send_count = 0
         self.has_started = False
+        self.wait_in_queue: Callable[[], object] = int
+        self.check_first_send: (
+            Callable[[], Awaitable[RefusalReason | None]] | None
+        ) = None
 
     async def run(self) -> CallAnswer | CallRefusal:
         self.has_started = True
         await anyio.lowlevel.checkpoint()
+        self.wait_in_queue()
+        if self.check_first_send is not None:
+            refusal = await self.check_first_send()
+            if refusal is not None:
+                return CallRefusal(Outcome.NOT_RUN, refusal, 100)
         self.send_count = self.sends
         if isinstance(self.reply, type):
             raise self.reply
@@ -137,6 +150,32 @@
         assert min(waits) >= 200
         assert max(waits) <= 300
 
+    async def test_call_that_waited_long_takes_its_token_anew(self) -> None:
+        """Calls that had waited together ran in one window with later ones."""
+        limiter = FakeLimiter(TOKEN)
+        dispatch = FakeDispatch(ANSWER, 1)
+        dispatch.wait_in_queue = partial(limiter.clock.advance, 2000)
+        assert await run(limiter, dispatch) == ANSWER
+        assert limiter.taken == ['shop', 'shop']
+        assert limiter.given_back == [TOKEN]
+
+    async def test_call_that_waited_long_is_refused_beyond_the_quota(
+        self,
+    ) -> None:
+        limiter = FakeLimiter(TOKEN)
+        dispatch = FakeDispatch(ANSWER, 1)
+
+        def wait() -> None:
+            limiter.clock.advance(2000)
+            limiter.decision = QuotaRefusal(200, 1, 0)
+
+        dispatch.wait_in_queue = wait
+        reply = await run(limiter, dispatch)
+        assert isinstance(reply, CallRefusal)
+        assert reply.reason is RefusalReason.OVER_QUOTA
+        assert dispatch.send_count == 0
+        assert limiter.given_back == [TOKEN]
+
     async def test_calls_without_a_workspace_take_no_token(self) -> None:
         limiter = FakeLimiter(TOKEN)
         dispatch = FakeDispatch(ANSWER, 1, workspace=None)
