--- a/packages/cowslippond-core/src/cowslippond_core/_fleet_size.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_fleet_size.py
@@ -79,11 +79,16 @@
     def estimate(self) -> int:
         """Return how many daemons share the fleet-wide bounds.
 
-        It is the largest number known, including this daemon.
+        It is the largest number known, or a common one while this daemon
+        discovers the fleet.
         """
-        daemons = max(self.count_known(), self._valid_report())
+        daemons = self.largest_known()
         return daemons if self.is_settled() else max(daemons, _ASSUMED_DAEMONS)
 
+    def largest_known(self) -> int:
+        """Return the largest number that this daemon or a peer knows."""
+        return max(self.count_known(), self._valid_report())
+
     def is_incomplete(self, daemons: int) -> bool:
         """Return whether a peer's list contains many more daemons.
 
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
@@ -59,6 +59,7 @@
         RefusalReason.KEY_REVOKED: http.HTTPStatus.UNAUTHORIZED,
         RefusalReason.KEY_REUSED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
         RefusalReason.KEY_IN_PROGRESS: http.HTTPStatus.CONFLICT,
+        RefusalReason.OVER_QUOTA: http.HTTPStatus.TOO_MANY_REQUESTS,
     }
 )
 _STATUS_OF_OUTCOME = MappingProxyType(
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_calls.py
@@ -24,6 +24,7 @@
     fingerprint_request,
 )
 from cowslippond_core import _headers as header_names
+from cowslippond_core.quotas import QuotaGate
 from cowslippond_core.workspaces import CallAccess, KeyFault
 
 from cowslippond_daemon._call_keys import CallKeys
@@ -62,6 +63,7 @@
     :param ctx: the context that all calls share.
     :param metrics: counts calls and refusals and records call times.
     :param keys: authenticates the callers of workspaces.
+    :param quotas: lets calls pass that are within their workspace's quota.
     """
 
     def __init__(
@@ -71,12 +73,14 @@
         ctx: DispatchContext,
         metrics: Metrics,
         keys: CallKeys,
+        quotas: QuotaGate,
     ) -> None:
         self.log = log
         self.services = services
         self.ctx = ctx
         self.metrics = metrics
         self.keys = keys
+        self.quotas = quotas
         self.round_robin = WeightedRoundRobin(ctx.rng)
         log.listeners.append(self._retain_splits)
 
@@ -158,9 +162,8 @@
         )
         if request.deadline <= arrived_at:
             return self._refuse(RefusalReason.DEADLINE)
-        # The quota of ``admission.workspace`` is to be charged here.
         dispatch = Dispatch(self.ctx, service, Call(request, route, arrived_at))
-        return await dispatch.run()
+        return await self.quotas.run(dispatch)
 
     def _retain_splits(self) -> None:
         if self.log.current is not None:
