Test quotas with workspaces of the configuration instead of a seam

Change: the tests write workspaces with keys and limits into the configuration and send keys; the seam is removed. Bounds, rates and checks are the same.

--- a/tests/fleet/test_quotas.py
+++ b/tests/fleet/test_quotas.py
@@ -1,8 +1,8 @@
 """Quotas of workspaces over several real daemons."""
 
 import itertools
-import json
 import pathlib
+from functools import partial
 
 import anyio
 import httpcore
@@ -19,7 +19,7 @@
 
 pytestmark = pytest.mark.anyio
 
-SEAM = pathlib.Path(__file__).with_name('quotas')
+KEYS = {'limited': 'key-of-limited', 'other': 'key-of-other'}
 RATE = 40
 BURST = 40
 WINDOW = 5000
@@ -42,13 +42,19 @@
 
     async def start(self) -> None:
         fleet = self.fleet
-        fleet.environment = {
-            'PYTHONPATH': str(SEAM),
-            'QUOTA_TEST_LIMITS': json.dumps({'limited': [RATE, BURST]}),
-        }
         for domain in DOMAINS:
             await fleet.add_backend('catalogue', domain=domain)
-        fleet.configure({'prints': route('catalogue')})
+        fleet.configure(
+            {'prints': route('catalogue')},
+            {
+                'limited': {
+                    'api_keys': [KEYS['limited']],
+                    'rate_per_s': RATE,
+                    'burst': BURST,
+                },
+                'other': {'api_keys': [KEYS['other']]},
+            },
+        )
         self.nodes = [
             await fleet.add_node(domain) for domain in (*DOMAINS, DOMAINS[0])
         ]
@@ -67,7 +73,14 @@
                 itertools.cycle(callers), range(int(rate * seconds))
             ):
                 call_id = f'{name}-{next(self.numbers)}'
-                tasks.start_soon(caller.send_request, call_id, f'/{name}/1')
+                tasks.start_soon(
+                    partial(
+                        caller.send_request,
+                        call_id,
+                        f'/{name}/1',
+                        headers=(f'authorization: Token {KEYS[name]}',),
+                    )
+                )
                 await anyio.sleep(1 / rate)
 
     def busiest_window(self, name: str) -> int:
@@ -162,6 +175,7 @@
                     headers={
                         'host': 'shop.example',
                         'x-request-id': request_id,
+                        'authorization': f'Token {KEYS["limited"]}',
                         # Does not exempt from the quota if it is forged.
                         'x-relayed': '1',
                     },
--- a/tests/workspaces/test_authentication.py
+++ b/tests/workspaces/test_authentication.py
@@ -61,7 +61,9 @@
     log.confirm(0, 1)
     ctx = SimpleNamespace(clock=clock, rng=random.Random(1))
     keys = CallKeys(log.keys, PlatformCredentials())
-    return FleetRouter(log, SimpleNamespace(), ctx, Metrics(''), keys)
+    # No call of these tests gets as far as the services and the quotas.
+    unused = SimpleNamespace()
+    return FleetRouter(log, unused, ctx, Metrics(''), keys, unused)
 
 
 def make_call(*keys: bytes, path: bytes = b'/x') -> IncomingCall:
