--- a/packages/cowslippond-core/src/cowslippond_core/__init__.pyi
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.pyi
@@ -171,3 +171,9 @@
 from .dispatch import Services as Services
 from .dispatch import SharedFailures as SharedFailures
 from .dispatch import SharedRateLimits as SharedRateLimits
+from .dispatch import WarmUpBounds as WarmUpBounds
+from .dispatch import WarmUps as WarmUps
+from .evacuations import EVACUATION_LOG as EVACUATION_LOG
+from .evacuations import EVACUATION_PREFIX as EVACUATION_PREFIX
+from .evacuations import EvacuationLog as EvacuationLog
+from .evacuations import OperatorRows as OperatorRows
--- a/packages/cowslippond-core/src/cowslippond_core/_metrics.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_metrics.py
@@ -48,6 +48,8 @@
     CONFIGURATION = 'configuration.version'
     UPSTREAMS_KNOWN = 'upstreams.known'
     UPSTREAMS_RATE_LIMITED = 'upstreams.rate_limited'
+    UPSTREAMS_COLD = 'upstreams.cold'
+    DOMAINS_EVACUATED = 'domains.evacuated'
 
 
 def refusal_name(reason: RefusalReason) -> str:
--- a/packages/cowslippond-core/src/cowslippond_core/_rate_limit.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_rate_limit.py
@@ -19,14 +19,21 @@
     :param share: the calls per second that this daemon may send.
     :param now: the clock time, in milliseconds.
     :param expires_at: when the limit is forgotten unless it is heard of again.
+    :param opens_at: no call is allowed before this time.
     """
 
     def __init__(
-        self, rate: float, share: float, now: Millis, expires_at: Millis
+        self,
+        rate: float,
+        share: float,
+        now: Millis,
+        expires_at: Millis,
+        opens_at: Millis = -math.inf,
     ) -> None:
         self.rate = rate
         self.share = share
         self.expires_at = expires_at
+        self.opens_at = opens_at
         self.tokens: float = 0
         self.refilled_at = now
 
@@ -44,6 +51,8 @@
     def available(self, now: Millis) -> float:
         """Return how many calls may be sent now, possibly a fraction."""
         self._refill(now)
+        if now < self.opens_at:
+            return min(self.tokens, 0)
         return self.tokens
 
     def take(self, now: Millis) -> None:
@@ -62,7 +71,8 @@
             return 0
         if self.share <= 0:
             return math.inf
-        return missing / self.share * _MILLIS_PER_SECOND
+        refill_time = missing / self.share * _MILLIS_PER_SECOND
+        return max(refill_time, self.opens_at - now)
 
     def _refill(self, now: Millis) -> None:
         gained = seconds_of(max(now - self.refilled_at, 0)) * self.share
--- a/packages/cowslippond-core/src/cowslippond_core/_reasons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reasons.py
@@ -15,6 +15,7 @@
     NO_UPSTREAM = 'no_upstream'
     UPSTREAMS_FULL = 'upstreams_full'
     RATE_LIMITED = 'rate_limited'
+    EVACUATED = 'evacuated'
     OUT_OF_REACH = 'out_of_reach'
     CONNECT_FAILED = 'connect_failed'
     ANSWER_LOST = 'answer_lost'
--- a/packages/cowslippond-core/src/cowslippond_core/_upstream_registry.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstream_registry.py
@@ -105,6 +105,9 @@
         """Put a newer entry of an upstream in force."""
         key = accepted.service
         vm = self.decode(key, accepted.text) if accepted.text else None
+        if vm is not None and vm.warm_up:
+            # An upstream that turns cold again repeats its entry.
+            vm = vm._replace(listed_at=self.clock.now())
         previous = self.by_key.get(key)
         if previous == vm:
             return True
--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -13,6 +13,7 @@
 from cowslippond_core._rate_limit import RateLimit
 from cowslippond_core._reach import ServiceReach
 from cowslippond_core._vm import Vm, VmState
+from cowslippond_core._warm_up import WarmUp, WarmUpPolicy
 
 _LATENCY_WEIGHT = 0.2
 
@@ -67,6 +68,7 @@
     probe takes. ``grant_times`` are the times at which this daemon placed calls
     on the upstream, in milliseconds. ``rate_limit`` is set while the upstream
     announces a limit. It wants no calls before ``paused_until``, in milliseconds.
+    ``warm_up`` is ``None`` if the service does not limit calls to cold upstreams.
     """
 
     def __init__(self) -> None:
@@ -75,6 +77,39 @@
         self.grant_times: deque[Millis] = deque(maxlen=_MAX_GRANTS)
         self.rate_limit: RateLimit | None = None
         self.paused_until: Millis = 0
+        self.warm_up: WarmUp | None = None
+
+    def has_limit(self) -> bool:
+        """Tell whether a rate limit or a warm-up restricts the calls."""
+        if self.rate_limit is not None:
+            return True
+        warm_up = self.warm_up
+        return (
+            warm_up is not None
+            and warm_up.limit is not None
+            and not warm_up.is_presumed
+        )
+
+    def wait(self, ahead: int, now: Millis) -> Millis:
+        """Return how long pause, limit and warm-up delay a call.
+
+        :param ahead: the number of calls that are sent before it.
+        :return: in milliseconds; infinity if this daemon has no share.
+        """
+        wait = max(self.paused_until - now, 0)
+        if self.rate_limit is not None:
+            wait = max(wait, self.rate_limit.wait(ahead, now))
+        if self.warm_up is not None:
+            wait = max(wait, self.warm_up.wait(ahead, now))
+        return wait
+
+    def record_grant(self, now: Millis) -> None:
+        """Count a call that this daemon placed on the upstream."""
+        self.grant_times.append(now)
+        if self.rate_limit is not None:
+            self.rate_limit.take(now)
+        if self.warm_up is not None and self.warm_up.limit is not None:
+            self.warm_up.limit.take(now)
 
 
 class Upstream:
@@ -112,6 +147,11 @@
         self.failures = FailureRate()
         self.warmed_up_at: Millis = connections.clock.now() + vm.warm_up
 
+    def update_entry(self, vm: Vm) -> None:
+        """Apply a new entry of the same incarnation, which may be cold again."""
+        if self.load_state.warm_up is not None:
+            self.vm = vm
+
     def record_latency(self, latency: Millis) -> None:
         """Add the latency of a successful call to the moving average."""
         self.answer_count += 1
@@ -141,6 +181,7 @@
         self.clock = clock
         self.connection_limit = connection_limit
         self.by_address: dict[str, Upstream] = {}
+        self.warm_up_policy: WarmUpPolicy | None = None
         self.reach = ServiceReach(self._list_addresses, service)
 
     def update(self, vms: Iterable[Vm]) -> None:
@@ -157,6 +198,7 @@
                 continue
             upstream = previous.pop(vm.address, None)
             if upstream and upstream.vm.incarnation == vm.incarnation:
+                upstream.update_entry(vm)
                 self.by_address[vm.address] = upstream
                 continue
             if upstream is not None:
@@ -171,11 +213,29 @@
         for upstream in self.by_address.values():
             upstream.connections.limit = limit
 
+    def set_warm_up(self, policy: WarmUpPolicy | None) -> None:
+        """Change how the upstreams warm up.
+
+        :param policy: ``None`` if calls to cold ones are not limited.
+        """
+        self.warm_up_policy = policy
+        for upstream in self.by_address.values():
+            state = upstream.load_state
+            if policy is None:
+                state.warm_up = None
+            elif state.warm_up is None:
+                state.warm_up = WarmUp(policy)
+            else:
+                state.warm_up.policy = policy
+
     def _make(self, vm: Vm) -> Upstream:
         connections = Connections(
             vm.address, self.tasks, self.clock, self.connection_limit
         )
-        return Upstream(vm, connections, self.reach)
+        upstream = Upstream(vm, connections, self.reach)
+        if self.warm_up_policy is not None:
+            upstream.load_state.warm_up = WarmUp(self.warm_up_policy)
+        return upstream
 
     def _list_addresses(self) -> Collection[str]:
         return self.by_address.keys()
--- a/packages/cowslippond-core/src/cowslippond_core/_vm.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_vm.py
@@ -24,7 +24,8 @@
     the address for peers, and ``admin_address`` is set. ``slots`` is the
     number of calls that the VM runs concurrently, 0 if the list does not give
     it. ``warm_up`` is the remaining time for which the VM responds slowly
-    after its start, in milliseconds.
+    after its start, in milliseconds, counted from ``listed_at``, the time on the
+    clock at which its entry was received; only entries of cold VMs have it.
     """
 
     name: str
@@ -36,3 +37,4 @@
     admin_address: str = ''
     slots: int = 0
     warm_up: Millis = 0
+    listed_at: Millis = 0
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/__init__.py
@@ -22,3 +22,5 @@
 from cowslippond_core.dispatch._shared_rate_limits import (
     SharedRateLimits as SharedRateLimits,
 )
+from cowslippond_core.dispatch._warm_ups import WarmUpBounds as WarmUpBounds
+from cowslippond_core.dispatch._warm_ups import WarmUps as WarmUps
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_context.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_context.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from collections.abc import Set as AbstractSet
 from typing import Any, NamedTuple
 
 from cowslippond_core._attempt import Attempt
@@ -21,7 +22,8 @@
     ``count_daemons`` returns the number of running daemons, including this
     one. ``make_attempt`` creates the attempts; simulations replace it.
     ``record_duration`` adds a duration to the histogram of the given name.
-    ``relays`` are the daemons that calls can be sent through.
+    ``relays`` are the daemons that calls can be sent through. ``evacuated`` are
+    the failure domains whose upstreams get no calls.
     """
 
     clock: Clock
@@ -32,3 +34,4 @@
     make_attempt: Callable[..., Any] = Attempt
     record_duration: Callable[[str, Millis], None] = discard_duration
     relays: RelayPeers | None = None
+    evacuated: AbstractSet[str] = frozenset()
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_load_prober.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_load_prober.py
@@ -120,10 +120,12 @@
         await exchange.wait_buffered()
 
     def _store_announcements(
-        self, upstream: Upstream, metadata: AnswerMetadata
+        self, upstream: Upstream, metadata: AnswerMetadata, sent_at: Millis
     ) -> None:
         if self.hooks is None:
             return
+        if upstream.load_state.warm_up is not None:
+            self.hooks.record_warm_up(upstream, metadata.warm_up, sent_at)
         if metadata.rate_limit is not None:
             self.hooks.record_rate_limit(upstream, metadata.rate_limit)
         if metadata.is_leaving and not upstream.is_removed:
@@ -148,7 +150,7 @@
                 extra={'upstream': upstream.vm.name, 'answered': metadata.vm},
             )
             return False
-        self._store_announcements(upstream, metadata)
+        self._store_announcements(upstream, metadata, sent_at)
         if metadata.idle_timeout is not None:
             upstream.connections.update_idle_timeout(metadata.idle_timeout)
         now = self.clock.now()
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
@@ -52,7 +52,7 @@
     now = ctx.clock.now()
     took = now - attempt.sent_at
     _store_load(attempt, now)
-    _store_rate_limit(ctx, attempt, result)
+    _store_limits(ctx, attempt, result)
     _store_reach(attempt, result)
     _store_leaving(ctx, attempt)
     _store_pause(ctx, attempt, now)
@@ -112,17 +112,21 @@
     store_reading(attempt.upstream, report, now, now, is_healthy=is_healthy)
 
 
-def _store_rate_limit(
+def _store_limits(
     ctx: DispatchContext, attempt: Attempt, result: AttemptResult
 ) -> None:
     is_own_answer = isinstance(result, Answered) or (
         isinstance(result, NotRun)
         and result.reason in {NotRunReason.SHED, NotRunReason.DRAINING}
     )
-    if is_own_answer:
-        ctx.hooks.record_rate_limit(
-            attempt.upstream, attempt.answer_metadata.rate_limit
-        )
+    if not is_own_answer:
+        return
+    warm_up = attempt.answer_metadata.warm_up
+    if warm_up is not None:
+        ctx.hooks.record_warm_up(attempt.upstream, warm_up, attempt.sent_at)
+    ctx.hooks.record_rate_limit(
+        attempt.upstream, attempt.answer_metadata.rate_limit
+    )
 
 
 def _store_leaving(ctx: DispatchContext, attempt: Attempt) -> None:
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_services.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_services.py
@@ -1,6 +1,6 @@
 """The services in use, kept up to date with configuration and VM list."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from functools import partial
 
 from anyio.abc import TaskGroup
@@ -10,6 +10,7 @@
 from cowslippond_core._reach import ServiceReach
 from cowslippond_core._upstreams import Upstream, UpstreamSet
 from cowslippond_core._vm import Vm
+from cowslippond_core._warm_up import WarmUpPolicy
 from cowslippond_core.dispatch._budget import FleetRetryBudget
 from cowslippond_core.dispatch._context import DispatchContext
 from cowslippond_core.dispatch._load_prober import LoadProber
@@ -74,6 +75,7 @@
         elif service.entry != entry:
             service.entry = entry
             service.prober.path = entry.health_path
+            service.upstreams.set_warm_up(_warm_up_policy(entry))
         return service
 
     def upstreams(self) -> Iterator[Upstream]:
@@ -81,6 +83,17 @@
         for service in self.by_name.values():
             yield from service.upstreams.by_address.values()
 
+    def upstreams_in(self, domains: Collection[str]) -> list[Upstream]:
+        """Return the upstreams in some failure domains."""
+        return [
+            one for one in self.upstreams() if one.failure_domain in domains
+        ]
+
+    def notify_capacity_change(self) -> None:
+        """Let waiting calls consider the upstreams again."""
+        for service in self.by_name.values():
+            service.placer.notify_capacity_change()
+
     def out_of_reach(self) -> list[str]:
         """Return the services of which no upstream is within reach."""
         if self.reach_watch is None:
@@ -122,6 +135,7 @@
         daemons = ctx.count_daemons()
         limit = max(entry.max_connections // daemons, _MIN_CONNECTIONS)
         upstreams = UpstreamSet(self.tasks, ctx.clock, limit, entry.name)
+        upstreams.set_warm_up(_warm_up_policy(entry))
         prober = LoadProber(
             ctx.clock,
             ctx.dialect,
@@ -136,7 +150,10 @@
             estimator,
             ProbeLimiter(bounds.probe_rate),
             FleetView(
-                self.failure_domain, ctx.count_daemons, ctx.hooks.is_leaving
+                self.failure_domain,
+                ctx.count_daemons,
+                ctx.hooks.is_leaving,
+                ctx.evacuated,
             ),
             ctx.clock,
             self.tasks,
@@ -161,3 +178,9 @@
         if relays is None or not reach.is_cut(needs_connection=False):
             return False
         return relays.choose(name, set()) is not None
+
+
+def _warm_up_policy(entry: ServiceEntry) -> WarmUpPolicy | None:
+    if entry.warm_up_rate <= 0:
+        return None
+    return WarmUpPolicy(entry.warm_up_rate, entry.warm_up_time)
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_shared_rate_limits.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_shared_rate_limits.py
@@ -9,6 +9,7 @@
 from cowslippond_core._gossip_table import GossipRow, GossipTable
 from cowslippond_core._rate_limit import RateLimit
 from cowslippond_core._upstreams import Upstream
+from cowslippond_core.dispatch._warm_ups import WarmUps, key_of
 from cowslippond_core.placing import LimitDivision
 
 _logger = logging.getLogger(__name__)
@@ -35,6 +36,8 @@
 class SharedRateLimits:
     """Applies the rate limits that upstreams announce to any daemon.
 
+    Cold upstreams are limited in the same way, see :class:`WarmUps`.
+
     :param table: the gossip table that distributes the limits.
     :param own_address: the address by which the other daemons know this one.
     :param list_daemons: returns the addresses of the other daemons.
@@ -59,6 +62,7 @@
         self.clock = clock
         self.rng = rng
         self.by_key: dict[str, Upstream] = {}
+        self.warm_ups = WarmUps(table, self.division, clock)
         table.listeners.append(self.receive)
 
     async def run(
@@ -75,7 +79,7 @@
     def update(self, upstreams: Iterable[Upstream]) -> None:
         """Apply changes of the daemons and upstreams, and forget old limits."""
         now = self.clock.now()
-        self.by_key = {_key_of(one): one for one in upstreams}
+        self.by_key = {key_of(one): one for one in upstreams}
         self.division.update(self.list_daemons(), self.count_daemons())
         for row in self.table.rows():
             upstream = self.by_key.get(row.key)
@@ -90,6 +94,7 @@
                 continue
             share = self.division.share_of(key, limit.rate)
             limit.update(limit.rate, share, now)
+        self.warm_ups.update(self.by_key)
 
     def count(self) -> int:
         """Return the number of upstreams with a limit."""
@@ -98,13 +103,17 @@
             for one in self.by_key.values()
         )
 
+    def cold_upstreams(self) -> list[str]:
+        """Return the names of the upstreams that are cold or may be."""
+        return self.warm_ups.names(self.by_key.values())
+
     def record_answer(self, upstream: Upstream, rate: float | None) -> None:
         """Apply what an upstream announces in an answer to a call.
 
         :param rate: the calls per second that it accepts from all daemons, or
             ``None`` if it announces no limit.
         """
-        key = _key_of(upstream)
+        key = key_of(upstream)
         if rate is None:
             if upstream.load_state.rate_limit is not None:
                 self._lift(upstream, 'answer')
@@ -120,6 +129,8 @@
 
     def receive(self, row: GossipRow) -> None:
         """Apply a limit that another daemon has heard of."""
+        if self.warm_ups.receive(row, self.by_key):
+            return
         upstream = self.by_key.get(row.key)
         if upstream is None:
             return
@@ -138,7 +149,7 @@
 
     def _apply(self, upstream: Upstream, rate: float, source: str) -> None:
         now = self.clock.now()
-        share = self.division.share_of(_key_of(upstream), rate)
+        share = self.division.share_of(key_of(upstream), rate)
         expires_at = now + _LIMIT_LIFE + self._forget_delay(rate)
         limit = upstream.load_state.rate_limit
         if limit is not None and limit.rate == rate:
@@ -177,8 +188,3 @@
     except ValueError:
         return None
     return rate if math.isfinite(rate) and rate >= 0 else None
-
-
-def _key_of(upstream: Upstream) -> str:
-    incarnation = upstream.vm.incarnation
-    return f'{upstream.address} {incarnation}'
--- /dev/null
+++ b/packages/cowslippond-core/src/cowslippond_core/evacuations/_evacuation_log.py
@@ -0,0 +1,192 @@
+"""The evacuated failure domains, replicated from the store and from peers."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._document import AcceptedDocument
+from cowslippond_core._platform_store import StoreRows
+from cowslippond_core._versions import Versions
+
+_logger = logging.getLogger(__name__)
+
+#: The name of the log through which daemons exchange evacuations.
+EVACUATION_LOG = 'evacuations'
+
+#: Keys of rows that evacuate a failure domain; its name follows.
+EVACUATION_PREFIX = 'evacuation/'
+
+# Operators repeat within this time what the store has lost in an outage.
+_GRACE_PERIOD: Millis = 2300
+
+# The text of an evacuation. What the operator wrote is not passed on, as it has
+# no meaning, may be long and must not be taken for the mark of a removal.
+_EVACUATED = 'evacuated'
+
+# Tombstones keep a lagging peer from restoring evacuations that have ended.
+_MAX_TOMBSTONES = 256
+
+
+class EvacuationLog(Versions):
+    """The evacuations by failure domain, versioned by the store's revision.
+
+    The one with the higher revision wins. An empty text marks the end of an
+    evacuation. ``domains`` are the evacuated failure domains; the set stays the
+    same object. ``watchers`` are called with the domains whose evacuation began
+    and those whose evacuation ended.
+
+    :param clock: the clock of the grace period.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__()
+        self.clock = clock
+        self.domains: set[str] = set()
+        self.watchers: list[
+            Callable[[frozenset[str], frozenset[str]], None]
+        ] = []
+        self.notified: frozenset[str] = frozenset()
+        self.pending_removals: dict[str, int] = {}
+        self.store_back_at: Millis | None = None
+        self.newest_revision = 0
+        self.whole_revision = 0
+        self.whole_domains: frozenset[str] = frozenset()
+
+    def apply_rows(
+        self,
+        rows: StoreRows,
+        is_whole: bool,
+        was_lost: bool,
+        requested_at: Millis,
+    ) -> None:
+        """Apply rows of the store, some of which may be evacuations.
+
+        After an outage of the store, the end of an evacuation whose row is
+        missing is deferred, as the operator may write it again.
+
+        :param rows: the rows.
+        :param is_whole: whether a missing row means that it has been removed.
+        :param was_lost: whether the store could not be read before.
+        :param requested_at: unused.
+        """
+        if was_lost:
+            self.store_back_at = self.clock.now()
+        present = set()
+        entries = []
+        for row in rows.rows:
+            domain = row.key.removeprefix(EVACUATION_PREFIX)
+            if domain == row.key:
+                continue
+            present.add(domain)
+            self.pending_removals.pop(domain, None)
+            text = '' if row.text is None else _EVACUATED
+            entries.append(self._make_entry(domain, text, row.revision))
+        if is_whole:
+            self.whole_revision = rows.revision
+            self.whole_domains = frozenset(present)
+            missing = dict.fromkeys(self.domains - present, rows.revision)
+            self.pending_removals.update(missing)
+        self._put_all(entries)
+        self.apply_pending_removals()
+
+    def apply_pending_removals(self) -> None:
+        """End the evacuations whose rows are missing, after the grace period."""
+        if not self.pending_removals or self._is_in_grace_period():
+            return
+        removals = self.pending_removals
+        self.pending_removals = {}
+        self._put_all(
+            [
+                self._make_entry(domain, '', revision)
+                for domain, revision in removals.items()
+            ]
+        )
+
+    def put_in_force(self, accepted: AcceptedDocument) -> bool:
+        """Begin or end an evacuation."""
+        domain = accepted.service
+        if not accepted.text:
+            self.domains.discard(domain)
+            self._trim_tombstones()
+            return True
+        self.domains.add(domain)
+        return True
+
+    def _is_newer(self, accepted: AcceptedDocument) -> bool:
+        """Return whether a version replaces the stored one.
+
+        A peer may offer an evacuation that had ended before this daemon read
+        the whole table, so that it knows no tombstone. It then makes one, from
+        which the peer learns of the end.
+        """
+        is_newer = super()._is_newer(accepted)
+        if is_newer and self._has_ended(accepted):
+            domain = accepted.service
+            self.latest[domain] = self._make_entry(
+                domain, '', self.whole_revision
+            )
+            return False
+        return is_newer
+
+    def _has_ended(self, accepted: AcceptedDocument) -> bool:
+        """Return whether the last read of the whole table lacked an entry."""
+        domain = accepted.service
+        if not accepted.text or domain in self.pending_removals:
+            return False
+        is_covered = accepted.revision <= self.whole_revision
+        return is_covered and domain not in self.whole_domains
+
+    def _put_all(self, entries: Iterable[AcceptedDocument]) -> None:
+        """Apply entries of the store.
+
+        The revision only advances to that of an entry, since other changes of
+        the store concern no peer, and not beyond the first pending removal.
+        """
+        batch = tuple(entries)
+        self.offer_all(batch)
+        revisions = (entry.revision for entry in batch)
+        self.newest_revision = max(self.newest_revision, *revisions, 0)
+        first_pending = min(
+            self.pending_removals.values(), default=self.newest_revision + 1
+        )
+        self.advance(min(self.newest_revision, first_pending - 1))
+
+    def _notify(self) -> None:
+        """Call the watchers once for all changes since the last call."""
+        current = frozenset(self.domains)
+        begun = current - self.notified
+        ended = self.notified - current
+        self.notified = current
+        for domain in sorted(begun | ended):
+            _logger.warning(
+                'evacuation of a failure domain has begun'
+                if domain in begun
+                else 'evacuation of a failure domain has ended',
+                extra={
+                    'domain': domain,
+                    'revision': self.latest[domain].revision
+                    if domain in self.latest
+                    else self.revision,
+                },
+            )
+        if begun or ended:
+            for watcher in self.watchers:
+                watcher(begun, ended)
+        super()._notify()
+
+    def _is_in_grace_period(self) -> bool:
+        if self.store_back_at is None:
+            return False
+        return self.clock.now() < self.store_back_at + _GRACE_PERIOD
+
+    def _make_entry(
+        self, domain: str, text: str, revision: int
+    ) -> AcceptedDocument:
+        at = self.clock.wall()
+        return AcceptedDocument(domain, revision, revision, text, '', at)
+
+    def _trim_tombstones(self) -> None:
+        tombstones = [entry for entry in self.latest.values() if not entry.text]
+        if len(tombstones) > _MAX_TOMBSTONES:
+            oldest = min(tombstones, key=lambda one: one.revision)
+            self.latest.pop(oldest.service)
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_limit_division.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_limit_division.py
@@ -15,6 +15,8 @@
 # ahead of its share, so more would exceed the limit in bursts.
 _MIN_HOLDERS = 2
 
+_HASH_BITS = 64
+
 
 class _RingPosition(NamedTuple):
     position: int
@@ -34,6 +36,7 @@
         self.own = own
         self.members: frozenset[str] = frozenset()
         self.ring: list[_RingPosition] = []
+        self.own_index = 0
         self.daemon_count = 1
         self.update((), 1)
 
@@ -52,6 +55,8 @@
         self.ring = sorted(
             _RingPosition(_hash(member), member) for member in members
         )
+        own_position = _RingPosition(_hash(self.own), self.own)
+        self.own_index = self.ring.index(own_position)
 
     def share_of(self, upstream: str, rate: float) -> float:
         """Return the calls per second that this daemon may send.
@@ -63,15 +68,34 @@
         :param rate: the calls per second that it accepts from all daemons.
         """
         count = min(int(rate) + _MIN_HOLDERS, len(self.ring))
-        start = bisect.bisect(self.ring, _RingPosition(_hash(upstream), ''))
-        holders = {
-            self.ring[(start + offset) % len(self.ring)].daemon
-            for offset in range(count)
-        }
-        if self.own not in holders:
+        if self._rank_for(upstream) >= count:
             return 0
-        completeness = min(len(self.ring) / max(self.daemon_count, 1), 1)
-        return rate / count * completeness
+        return rate / count * self._completeness()
+
+    def is_holder(self, upstream: str, holders: float) -> bool:
+        """Tell whether this daemon is one of the holders of a limit.
+
+        While the list of daemons is incomplete, more daemons rank among the
+        first. Each then believes itself a holder with a lower probability, so
+        that about as many do as with complete lists.
+
+        :param upstream: identifies the upstream on all daemons.
+        :param holders: how many daemons hold a part of the limit.
+        """
+        expected = holders * self._completeness()
+        chance = expected - self._rank_for(upstream)
+        if 0 < chance < 1:
+            draw = _hash(f'{self.own} {upstream}') / 2**_HASH_BITS
+            return bool(draw < chance)
+        return chance >= 1
+
+    def _rank_for(self, upstream: str) -> int:
+        """Return how many daemons come before this one for an upstream."""
+        start = bisect.bisect(self.ring, _RingPosition(_hash(upstream), ''))
+        return (self.own_index - start) % len(self.ring)
+
+    def _completeness(self) -> float:
+        return min(len(self.ring) / max(self.daemon_count, 1), 1)
 
 
 def _hash(text: str) -> int:
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
@@ -1,6 +1,7 @@
 """Finds an upstream for each call, probing upstreams on demand."""
 
 import contextlib
+import math
 import random
 from collections.abc import Callable
 from itertools import repeat
@@ -13,6 +14,10 @@
 from cowslippond_core._isolation import run_contained, run_restarting
 from cowslippond_core._reasons import RefusalReason
 from cowslippond_core._upstreams import Upstream, UpstreamSet
+from cowslippond_core._warm_up import (
+    UNPROBED_WARMTH_MAX_AGE,
+    WARMTH_MAX_AGE,
+)
 from cowslippond_core.placing._limited_waits import LimitedWaits
 from cowslippond_core.placing._pending_call import Grant, PendingCall
 from cowslippond_core.placing._probe_limiter import ProbeLimiter
@@ -20,7 +25,8 @@
 from cowslippond_core.placing._selector import (
     FleetView,
     UpstreamSelector,
-    accepts_calls,
+    are_evacuated,
+    may_get_call,
 )
 from cowslippond_core.placing._service_time import ServiceTimeEstimator
 from cowslippond_core.placing._slowdown import expected_slowdown
@@ -114,6 +120,8 @@
         """Wait for an upstream and return it, or why the call gets none."""
         now = self.clock.now()
         if not self.selector.eligible(call.excluded):
+            if are_evacuated(self.upstreams, self.fleet):
+                return RefusalReason.EVACUATED
             return RefusalReason.NO_UPSTREAM
         self.selector.update_failure_baseline(now)
         self._update_slots()
@@ -189,6 +197,9 @@
         if self.is_bypassed():
             for call in tuple(self.queue.pending):
                 self._settle(call, RefusalReason.OUT_OF_REACH)
+        if are_evacuated(self.upstreams, self.fleet):
+            for waiting in tuple(self.queue.pending):
+                self._settle(waiting, RefusalReason.EVACUATED)
         for limited in self.limited_waits.refused_calls(now):
             self._settle(limited, RefusalReason.RATE_LIMITED)
         for call in self.queue.expired(now):
@@ -246,9 +257,7 @@
 
     def _offer(self, upstream: Upstream, now: Millis) -> None:
         slowdown = expected_slowdown(upstream, now)
-        if slowdown is None or self.fleet.is_leaving(upstream.address):
-            return
-        if not accepts_calls(upstream, now):
+        if slowdown is None or not may_get_call(upstream, self.fleet, now):
             return
         call = self.queue.match(upstream.address, slowdown, now)
         if call is not None:
@@ -272,7 +281,14 @@
             return best
         if self._needs_reading(now):
             return None
-        return self.selector.least_recent_idle(call, now)
+        # Upstreams that report no load are not probed, so nothing confirms that
+        # they are warm.
+        max_age = (
+            UNPROBED_WARMTH_MAX_AGE if self.is_out_of_probes else WARMTH_MAX_AGE
+        )
+        if not self.load_source.reports_load:
+            max_age = math.inf
+        return self.selector.least_recent_idle(call, now, max_age)
 
     def _needs_reading(self, now: Millis) -> bool:
         """Tell whether to wait for a reading, as a full upstream drops calls.
@@ -288,10 +304,8 @@
         return not self.selector.lacks_readings(now)
 
     def _record_grant(self, grant: Grant, now: Millis) -> Grant:
-        grant.upstream.load_state.grant_times.append(now)
+        grant.upstream.load_state.record_grant(now)
         grant.upstream.chosen_at = now
-        if grant.upstream.load_state.rate_limit is not None:
-            grant.upstream.load_state.rate_limit.take(now)
         return grant
 
 
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_selector.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_selector.py
@@ -5,12 +5,14 @@
 import random
 import statistics
 from collections.abc import Callable, Container
+from collections.abc import Set as AbstractSet
 from typing import NamedTuple
 
 import xxhash
 
 from cowslippond_core._clock import Millis
 from cowslippond_core._upstreams import Upstream, UpstreamSet
+from cowslippond_core._warm_up import WARMTH_MAX_AGE
 from cowslippond_core.placing._pending_call import Grant, PendingCall
 from cowslippond_core.placing._slowdown import (
     GRANT_LAG,
@@ -64,12 +66,14 @@
 
     ``failure_domain`` is that of this daemon. ``count_daemons`` returns how
     many daemons share the upstreams. ``is_leaving`` tells whether the upstream
-    at an address is leaving and must not get new calls.
+    at an address is leaving and must not get new calls. ``evacuated`` are the
+    failure domains whose upstreams must not get any.
     """
 
     failure_domain: str
     count_daemons: Callable[[], int]
     is_leaving: Callable[[str], bool]
+    evacuated: AbstractSet[str] = frozenset()
 
 
 class _ProbeFailures(NamedTuple):
@@ -131,16 +135,16 @@
         upstreams = self.eligible(excluded)
         # The waits until each upstream accepts its next call, shortest first.
         waits = [
-            (_wait_of(upstream, 0, now), 0, index)
+            (upstream.load_state.wait(0, now), 0, index)
             for index, upstream in enumerate(upstreams)
         ]
         heapq.heapify(waits)
         for _ in range(ahead if waits else 0):
             _, sent, index = waits[0]
             upstream = upstreams[index]
-            if upstream.load_state.rate_limit is None:
+            if not upstream.load_state.has_limit():
                 break
-            later = _wait_of(upstream, sent + 1, now)
+            later = upstream.load_state.wait(sent + 1, now)
             heapq.heapreplace(waits, (later, sent + 1, index))
         return waits[0][0] if waits else 0
 
@@ -165,7 +169,7 @@
         """
         best: Grant | None = None
         least = math.inf
-        for upstream in self._available(call, now):
+        for upstream in self._available(call, now, WARMTH_MAX_AGE):
             slowdown = expected_slowdown(upstream, now)
             reading = upstream.load_state.reading
             if slowdown is None or reading is None:
@@ -199,15 +203,20 @@
         """Tell whether nearly all recent readings showed a free slot."""
         return self.free_ratio >= _MIN_FREE_RATIO
 
-    def least_recent_idle(self, call: PendingCall, now: Millis) -> Grant | None:
+    def least_recent_idle(
+        self, call: PendingCall, now: Millis, warmth_max_age: Millis
+    ) -> Grant | None:
         """Return the idle upstream that was chosen least recently.
 
         Idle means that no call of this daemon is in flight there, or about to
         be sent; the load is not known. Failing upstreams come last.
+
+        :param warmth_max_age: for how long what a warm upstream has said is
+            valid.
         """
         idle = [
             upstream
-            for upstream in self._available(call, now)
+            for upstream in self._available(call, now, warmth_max_age)
             if upstream.in_flight == 0
             and now - upstream.chosen_at > GRANT_LAG
             and not self._is_backing_off(upstream, now)
@@ -296,7 +305,7 @@
         """
         for upstream in self.upstreams.by_address.values():
             state = upstream.load_state
-            if state.rate_limit is not None or state.paused_until > now:
+            if state.paused_until > now or state.has_limit():
                 continue
             if upstream.address not in excluded and _is_usable(
                 upstream, self.fleet
@@ -304,12 +313,15 @@
                 return True
         return False
 
-    def _available(self, call: PendingCall, now: Millis) -> list[Upstream]:
+    def _available(
+        self, call: PendingCall, now: Millis, warmth_max_age: Millis
+    ) -> list[Upstream]:
         """Return the eligible upstreams that accept a call now."""
         return [
             upstream
             for upstream in self.eligible(call.excluded)
             if accepts_calls(upstream, now)
+            and _is_admitted(upstream, now, warmth_max_age)
         ]
 
     def _is_backing_off(self, upstream: Upstream, now: Millis) -> bool:
@@ -320,22 +332,42 @@
 
 
 def _is_usable(upstream: Upstream, fleet: FleetView) -> bool:
+    if upstream.failure_domain in fleet.evacuated:
+        return False
     is_leaving = fleet.is_leaving(upstream.address)
     return not is_leaving and upstream.connections.has_room()
 
 
 def accepts_calls(upstream: Upstream, now: Millis) -> bool:
-    """Tell whether the upstream's pause and rate limit allow a call now."""
-    return _wait_of(upstream, 0, now) <= 0
+    """Tell whether the upstream's pause and limits allow a call now."""
+    return upstream.load_state.wait(0, now) <= 0
+
+
+def may_get_call(upstream: Upstream, fleet: FleetView, now: Millis) -> bool:
+    """Tell whether an upstream that was just probed may get a call."""
+    if upstream.failure_domain in fleet.evacuated:
+        return False
+    if fleet.is_leaving(upstream.address):
+        return False
+    return accepts_calls(upstream, now) and _is_admitted(
+        upstream, now, WARMTH_MAX_AGE
+    )
+
+
+def are_evacuated(upstreams: UpstreamSet, fleet: FleetView) -> bool:
+    """Tell whether all upstreams are in evacuated failure domains."""
+    if not fleet.evacuated or not upstreams.by_address:
+        return False
+    return all(
+        upstream.failure_domain in fleet.evacuated
+        for upstream in upstreams.by_address.values()
+    )
 
 
-def _wait_of(upstream: Upstream, ahead: int, now: Millis) -> Millis:
-    """Return the time until an upstream accepts a call, in milliseconds."""
-    state = upstream.load_state
-    pause = max(state.paused_until - now, 0)
-    if state.rate_limit is None:
-        return pause
-    return max(pause, state.rate_limit.wait(ahead, now))
+def _is_admitted(upstream: Upstream, now: Millis, max_age: Millis) -> bool:
+    """Tell whether the warm-up of an upstream, if it has any, allows a call."""
+    warm_up = upstream.load_state.warm_up
+    return warm_up is None or warm_up.admits(now, max_age)
 
 
 def _expected_load(upstream: Upstream, now: Millis) -> float:
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -11,6 +11,7 @@
 import anyio
 from anyio.abc import TaskGroup
 from cowslippond_core import (
+    EVACUATION_LOG,
     STORE_LOST_TABLE,
     UPSTREAM_LOG,
     Clock,
@@ -18,20 +19,19 @@
     ConfigurationLog,
     Dialect,
     DispatchContext,
+    EvacuationLog,
     Fleet,
-    FleetBounds,
     FleetSettings,
     JsonCodec,
     LeavingSource,
     Metric,
     Metrics,
     Millis,
+    OperatorRows,
     Quarantine,
     ReaderRole,
-    RowSource,
     SendingHooks,
     Services,
-    StoreWatch,
     UpstreamRegistry,
     Vm,
     run_restarting,
@@ -49,7 +49,13 @@
 
 from cowslippond_daemon._admin import Admin
 from cowslippond_daemon._edge import Edge
+from cowslippond_daemon._evacuation_effects import EvacuationEffects
+from cowslippond_daemon._fleet_bounds import (
+    apply_warm_up_settings,
+    make_bounds,
+)
 from cowslippond_daemon._fleet_calls import FleetRouter
+from cowslippond_daemon._fleet_status import FleetParts
 from cowslippond_daemon._node_settings import NodeSettings
 from cowslippond_daemon._reload import SettingsReloader
 from cowslippond_daemon._retirement import (
@@ -58,6 +64,11 @@
     wait_for_stop,
 )
 from cowslippond_daemon._servers import DaemonServer, make_server
+from cowslippond_daemon._store_watches import (
+    StoreSources,
+    WatchedTable,
+    start_watches,
+)
 
 _logger = logging.getLogger(__name__)
 
@@ -92,13 +103,6 @@
 _INITIAL_IDLE_SECONDS = 30
 
 
-class StoreSources(NamedTuple):
-    """The tables of the store that the daemons read."""
-
-    configuration: RowSource
-    upstreams: RowSource
-
-
 class PlatformAdapter(NamedTuple):
     """The formats of the platform: decoders, encoders and paths."""
 
@@ -142,6 +146,7 @@
         self.upstream_registry = UpstreamRegistry(
             self.clock, adapter.decode_upstream
         )
+        self.evacuations = EvacuationLog(self.clock)
         self.fleet = Fleet(
             FleetSettings(
                 fleet=_FLEET_NAME,
@@ -156,7 +161,10 @@
             self.configuration_log,
             self.metrics,
             self.rng,
-            {UPSTREAM_LOG: self.upstream_registry},
+            {
+                UPSTREAM_LOG: self.upstream_registry,
+                EVACUATION_LOG: self.evacuations,
+            },
             (STORE_LOST_TABLE, RATE_LIMIT_TABLE),
             (FAILURE_TABLE,),
         )
@@ -168,6 +176,16 @@
             self.clock,
             self.rng,
         )
+        apply_warm_up_settings(self.rate_limits.warm_ups, settings)
+        self.parts = FleetParts(
+            self.configuration_log,
+            self.upstream_registry,
+            self.evacuations,
+            self.rate_limits,
+            self.fleet,
+            self.metrics,
+            self.clock,
+        )
 
     async def run(self) -> None:
         """Serve until a graceful shutdown is complete."""
@@ -201,6 +219,7 @@
                 count_retry=self.metrics.count_retry,
                 quarantine=quarantine,
                 record_rate_limit=self.rate_limits.record_answer,
+                record_warm_up=self.rate_limits.warm_ups.record_reading,
             ),
             self._count_daemons,
             self.rng,
@@ -213,16 +232,18 @@
                 self.clock,
                 self.rng,
             ),
+            evacuated=self.evacuations.domains,
         )
         services = Services(
             ctx,
-            _make_bounds(self.settings),
+            make_bounds(self.settings),
             self.settings.failure_domain,
             tasks,
         )
         self.upstream_registry.watchers.append(
             partial(self._update_upstreams, services)
         )
+        EvacuationEffects(self.evacuations, services, self.rate_limits)
         sources = self.open_sources(tasks, self.clock)
         role = ReaderRole(
             self.fleet.membership,
@@ -230,24 +251,25 @@
             self.fleet.gossip_table(STORE_LOST_TABLE),
             self.clock,
         )
-        for name, source, apply_changes in (
+        operator_rows = OperatorRows(
+            self.evacuations.apply_rows, self.configuration_log.apply_rows
+        )
+        registry = self.upstream_registry
+        start_watches(
+            tasks,
             (
-                'configuration',
-                sources.configuration,
-                self.configuration_log.apply_rows,
+                WatchedTable(
+                    'operators', sources.operators, operator_rows.apply
+                ),
+                WatchedTable(
+                    'upstreams', sources.upstreams, registry.apply_rows
+                ),
             ),
-            ('upstreams', sources.upstreams, self.upstream_registry.apply_rows),
-        ):
-            watch = StoreWatch(
-                name,
-                source,
-                role,
-                apply_changes,
-                self.clock,
-                self.rng,
-                is_first_start=self.settings.is_first_start,
-            )
-            tasks.start_soon(run_restarting, self.clock, watch.run)
+            role,
+            self.clock,
+            self.rng,
+            is_first_start=self.settings.is_first_start,
+        )
         tasks.start_soon(
             run_restarting, self.clock, self._update_periodically, services
         )
@@ -279,7 +301,8 @@
         """Apply changed settings; addresses take effect on the next start."""
         self.settings = settings
         self.fleet.membership.seeds = settings.seeds
-        services.update_bounds(_make_bounds(settings))
+        services.update_bounds(make_bounds(settings))
+        apply_warm_up_settings(self.rate_limits.warm_ups, settings)
 
     def _update_upstreams(self, services: Services) -> None:
         vms = self.upstream_registry.vms()
@@ -290,6 +313,7 @@
         while True:
             await self.clock.sleep(_UPDATE_INTERVAL)
             self.upstream_registry.apply_pending_removals()
+            self.evacuations.apply_pending_removals()
             services.update_daemons()
 
     async def _serve(self, tasks: TaskGroup, services: Services) -> None:
@@ -312,7 +336,7 @@
             self._is_ready,
             partial(self._status, edge, services),
             self.adapter.ready_path,
-            self._render_metrics,
+            self.parts.render_metrics,
         )
         for address in (settings.ready_address, settings.metrics_address):
             if address:
@@ -362,55 +386,12 @@
         )
 
     def _is_ready(self) -> bool:
-        if self.state is not DaemonState.SERVING:
-            return False
-        return self.configuration_log.current is not None and bool(
-            self.upstream_registry.by_key
-        )
-
-    def _render_metrics(self) -> str:
-        self.metrics.gauge(
-            Metric.CONFIGURATION, self.configuration_log.revision
-        )
-        self.metrics.gauge(
-            Metric.UPSTREAMS_KNOWN, len(self.upstream_registry.by_key)
-        )
-        self.metrics.gauge(
-            Metric.UPSTREAMS_RATE_LIMITED, self.rate_limits.count()
-        )
-        self.metrics.gauge(Metric.DAEMONS_KNOWN, self.fleet.membership.count())
-        return self.metrics.render()
+        return self.parts.is_ready(self.state)
 
     def _status(self, edge: Edge, services: Services) -> Mapping[str, Any]:
-        now = self.clock.now()
-        confirmed_at = self.configuration_log.confirmed_at
-        return {
-            'vm': self.settings.vm,
-            'state': self.state,
-            'ready': self._is_ready(),
-            'running_calls': edge.active_calls,
-            'callers': self.settings.caller_address,
-            'out_of_reach': services.out_of_reach(),
-            'configuration': self.configuration_log.revision,
-            'confirmed_age': None
-            if confirmed_at is None
-            else now - confirmed_at,
-            'daemons': self.fleet.membership.count(),
-            'upstreams': len(self.upstream_registry.by_key),
-            # The names are enumeration members, which the encoder refuses.
-            'counters': {
-                str(name): total for name, total in self.metrics.totals.items()
-            },
-        }
-
-
-def _make_bounds(settings: NodeSettings) -> FleetBounds:
-    return FleetBounds(
-        settings.retry_ratio,
-        settings.min_retries,
-        settings.retry_window,
-        settings.probe_rate,
-    )
+        return self.parts.build_status(
+            self.settings, self.state, edge, services
+        )
 
 
 def _has_no_pending_work() -> bool:
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/__init__.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/__init__.py
@@ -7,6 +7,9 @@
     PlatformDialect as PlatformDialect,
 )
 from cowslippond_daemon.platform._entries import decode_entry as decode_entry
+from cowslippond_daemon.platform._operator_keys import (
+    operator_key as operator_key,
+)
 from cowslippond_daemon.platform._settings import READY_PATH as READY_PATH
 from cowslippond_daemon.platform._settings import (
     read_node_settings as read_node_settings,
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/__main__.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/__main__.py
@@ -9,15 +9,15 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from cowslippond_core import CONFIGURATION_KEY, Clock
+from cowslippond_core import Clock
 
 from cowslippond_daemon._fleet_daemon import (
     FleetDaemon,
     PlatformAdapter,
-    StoreSources,
 )
 from cowslippond_daemon._logs import configure_bounded_logs
 from cowslippond_daemon._node_settings import NodeSettings
+from cowslippond_daemon._store_watches import StoreSources
 from cowslippond_daemon.platform import (
     READY_PATH,
     PlatformDialect,
@@ -25,6 +25,7 @@
     TableReader,
     decode_configuration,
     decode_entry,
+    operator_key,
     read_node_settings,
 )
 
@@ -40,7 +41,7 @@
     def __call__(self, tasks: TaskGroup, clock: Clock) -> StoreSources:
         store = Store(self.address, tasks, clock)
         return StoreSources(
-            configuration=TableReader(store, 'op', 'config', CONFIGURATION_KEY),
+            operators=TableReader(store, 'op', operator_key),
             upstreams=TableReader(store, 'servers'),
         )
 
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_store.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_store.py
@@ -1,7 +1,8 @@
 """Client of the platform's store."""
 
 import base64
-from collections.abc import Iterable, Mapping
+import logging
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 from urllib.parse import urlencode
 
@@ -19,6 +20,8 @@
 )
 from expression import Error, Ok, Result
 
+_logger = logging.getLogger(__name__)
+
 _OK = 200
 _GONE = 410
 _PAGE_ROWS = 500
@@ -89,25 +92,24 @@
 
 
 class TableReader:
-    """Reads all rows of a table, or a single one.
+    """Reads the rows of a table.
 
     :param store: the store of the table.
     :param table: the name of the table.
-    :param key: the key of the only row to read, or ``None`` for all rows.
-    :param name: the key under which to return that row.
+    :param translate_key: returns the key under which to return a row, or
+        ``None`` to ignore it. A value that cannot be decoded is then returned as
+        an empty text, so that it does not hide the other rows.
     """
 
     def __init__(
         self,
         store: Store,
         table: str,
-        key: str | None = None,
-        name: str | None = None,
+        translate_key: Callable[[str], str | None] | None = None,
     ) -> None:
         self.store = store
         self.table = table
-        self.key = key
-        self.name = name
+        self.translate_key = translate_key
 
     async def read(self) -> Result[StoreRows, StoreError]:
         """Return all rows, with the revision of the first page."""
@@ -156,15 +158,19 @@
             return _fail(StoreFault.UNREADABLE, repr(error))
 
     def _decode_rows(self, rows: Iterable[dict[str, Any]]) -> list[StoreRow]:
-        return [
-            StoreRow(
-                self.name or row['key'],
-                int(row['row_version']),
-                _decode_text(row),
-            )
-            for row in rows
-            if self.key is None or row['key'] == self.key
-        ]
+        if self.translate_key is None:
+            return [
+                StoreRow(row['key'], int(row['row_version']), _decode_text(row))
+                for row in rows
+            ]
+        decoded = []
+        for row in rows:
+            key = self.translate_key(row['key'])
+            if key is None:
+                continue
+            version = int(row['row_version'])
+            decoded.append(StoreRow(key, version, _decode_or_empty(row)))
+        return decoded
 
 
 def _decode_text(row: dict[str, Any]) -> str | None:
@@ -173,5 +179,16 @@
     return base64.b64decode(row['value']).decode('utf-8', 'replace')
 
 
+def _decode_or_empty(row: dict[str, Any]) -> str | None:
+    try:
+        return _decode_text(row)
+    except (KeyError, TypeError, ValueError) as error:
+        _logger.warning(
+            'cannot decode the value of a row',
+            extra={'key': row['key'], 'detail': repr(error)},
+        )
+        return ''
+
+
 def _fail(fault: StoreFault, detail: str) -> Result[Any, StoreError]:
     return Error(StoreError(fault, detail))
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_backend.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_backend.py
@@ -60,12 +60,15 @@
     ``leaving_answers`` are the kinds of answers (``success``, ``failure``,
     ``refusal``, ``health``) that say that it leaves. With ``pause``, the text
     of a header, it refuses all requests and asks for a pause.
+    ``warm_up_span`` is when it is cold, on the clock; its health answers tell how
+    much of it is left.
     """
 
     def __init__(self) -> None:
         self.rate_limit: float | None = None
         self.leaving_answers: frozenset[str] = frozenset()
         self.pause: str | None = None
+        self.warm_up_span: tuple[Millis, Millis] | None = None
 
 
 class _RequestParser:
@@ -265,6 +268,8 @@
             % (self.running, len(self.waiting), self.slots),
         ]
         lines.extend(extra)
+        if kind == 'health' and self.announced.warm_up_span is not None:
+            lines.append(b'x-warmup-ms: %d' % self.warm_up_left())
         if kind in self.announced.leaving_answers:
             lines.append(b'server-leaving: 1')
         if self.announced.rate_limit is not None:
@@ -275,6 +280,17 @@
         lines.append(b'content-length: %d' % len(body))
         return b'\r\n'.join([*lines, b'', body])
 
+    def turn_cold(self, duration: Millis) -> None:
+        """Be cold from now on."""
+        now = self.clock.now()
+        self.announced.warm_up_span = (now, now + duration)
+
+    def warm_up_left(self) -> Millis:
+        """Return for how much longer the back end is cold."""
+        if self.announced.warm_up_span is None:
+            return 0
+        return max(self.announced.warm_up_span[1] - self.clock.now(), 0)
+
     def _is_drawn(self, probability: float) -> bool:
         return self.rng.random() < probability
 
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
@@ -73,6 +73,8 @@
         self.backends: list[Backend] = []
         self.nodes: list[Node] = []
         self.id_counter = itertools.count(1)
+        # Settings that override those of all services in the configuration.
+        self.service_settings: dict[str, float] = {}
         self.version = 0
         # Environment variables of the daemons that are started from now on.
         self.environment: dict[str, str] = {}
@@ -131,7 +133,7 @@
                 'version': 'v1',
                 'slots': backend.slots,
                 'state': state,
-                'warmup_left_ms': 0,
+                'warmup_left_ms': int(backend.warm_up_left()),
                 'sequence': 1,
                 'born': 1,
             },
@@ -141,6 +143,11 @@
         """Remove the store entry of a back end."""
         self.store.write('servers', backend.name, None)
 
+    def evacuate(self, domain: str, *, is_evacuated: bool = True) -> None:
+        """Begin or end the evacuation of a failure domain as an operator."""
+        payload: dict[str, str] | None = {} if is_evacuated else None
+        self.store.write('op', f'evacuate/{domain}', payload)
+
     def configure(self, routes: Mapping[str, Mapping[str, Any]]) -> int:
         """Write a configuration with these routes and return its version."""
         self.version += 1
@@ -153,7 +160,10 @@
             {
                 'version': _format_version(self.version),
                 'routes': dict(routes),
-                'services': {name: _SERVICE for name in services},
+                'services': {
+                    name: {**_SERVICE, **self.service_settings}
+                    for name in services
+                },
                 'limits': _LIMITS,
                 'base_version': _format_version(self.version - 1),
             },
--- /dev/null
+++ b/tests/dispatch/test_warm_ups.py
@@ -0,0 +1,162 @@
+"""Daemons share the rate that a cold upstream tolerates."""
+
+import itertools
+import random
+
+import pytest
+from cold_fleet import BOUND, RATE, WARM_UP, ColdFleet, Fault
+
+COLD_AT = 6000
+COLD_UNTIL = COLD_AT + WARM_UP
+ENDS_AT = 16_000
+SEEDS = range(6)
+
+
+def complete_lists(count: int) -> list[list[int]]:
+    return [
+        [other for other in range(count) if other != own]
+        for own in range(count)
+    ]
+
+
+def make_fleet(
+    seed: int,
+    daemons: int = 136,
+    *,
+    call_rate: float = 60,
+    lists: list[list[int]] | None = None,
+    counts: list[int] | None = None,
+    cold_spans: tuple[tuple[float, float], ...] = ((COLD_AT, COLD_UNTIL),),
+    is_certain: bool = True,
+) -> ColdFleet:
+    return ColdFleet(
+        seed,
+        lists or complete_lists(daemons),
+        counts or list(itertools.repeat(daemons, daemons)),
+        call_rate,
+        cold_spans,
+        is_certain=is_certain,
+    )
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+class TestBoundOfAnySecond:
+    @pytest.mark.parametrize('daemons', [18, 136, 313])
+    def test_holds_when_an_upstream_turns_cold_while_it_serves(
+        self, seed: int, daemons: int
+    ) -> None:
+        """Each daemon went on with what it knew, and the upstream crashed."""
+        fleet = make_fleet(seed, daemons)
+        fleet.run(ENDS_AT)
+        assert fleet.count(3000, COLD_AT) >= 30 * 3
+        assert fleet.busiest_second(COLD_AT, COLD_UNTIL) <= BOUND
+
+    def test_holds_for_uncertain_daemons_with_many_calls(
+        self, seed: int
+    ) -> None:
+        """Holders sent their saved calls together."""
+        span = (COLD_AT, COLD_AT + 8000)
+        fleet = make_fleet(
+            seed, call_rate=600, cold_spans=(span,), is_certain=False
+        )
+        fleet.run(ENDS_AT)
+        assert fleet.busiest_second(*span) <= BOUND
+        later = fleet.busiest_second(COLD_AT + 1000, COLD_AT + 8000)
+        assert 5 <= later <= BOUND / 2 + 1
+
+    def test_upstream_gets_a_useful_part_of_the_rate(self, seed: int) -> None:
+        """A cold upstream that gets no calls does not warm up."""
+        fleet = make_fleet(
+            seed, call_rate=300, cold_spans=((COLD_AT, COLD_AT + 8000),)
+        )
+        fleet.run(ENDS_AT)
+        served = fleet.count(COLD_AT + 1500, COLD_AT + 8000) / 6.5
+        assert served >= RATE
+
+    def test_rate_returns_without_a_jump(self, seed: int) -> None:
+        """All daemons sent their waiting calls in the same instant."""
+        fleet = make_fleet(seed, call_rate=100)
+        fleet.run(ENDS_AT)
+        first = fleet.busiest_second(COLD_UNTIL, COLD_UNTIL + 1000)
+        assert first <= 2 * BOUND
+        assert fleet.count(ENDS_AT - 2000, ENDS_AT) >= 2 * 65
+
+    def test_holds_with_incomplete_lists_of_daemons(self, seed: int) -> None:
+        """Daemons that knew 20 others each took a part of the rate."""
+        rng = random.Random(seed)
+        lists = [rng.sample(full, 20) for full in complete_lists(136)]
+        fleet = make_fleet(
+            seed, lists=lists, cold_spans=((COLD_AT, COLD_AT + 9000),)
+        )
+        fleet.run(ENDS_AT)
+        assert fleet.busiest_second(COLD_AT, COLD_AT + 9000) <= BOUND
+
+    def test_holds_on_both_sides_of_a_partition(self, seed: int) -> None:
+        """Both sides used the whole rate, as neither knew the other."""
+        near = set(range(68))
+        lists = [
+            [other for other in full if (other in near) is (own in near)]
+            for own, full in enumerate(complete_lists(136))
+        ]
+        fleet = make_fleet(
+            seed,
+            lists=lists,
+            counts=list(itertools.repeat(68, 136)),
+            cold_spans=((COLD_AT, COLD_AT + 9000),),
+        )
+        # They knew each other before.
+        for daemon in fleet.daemons:
+            daemon.limits.warm_ups.most_daemons = 136
+        fleet.run(ENDS_AT)
+        assert fleet.busiest_second(COLD_AT, COLD_AT + 9000) <= BOUND
+
+    def test_holds_when_daemons_pause_and_restart(self, seed: int) -> None:
+        """Paused daemons acted on readings from before their pause."""
+        rng = random.Random(seed)
+        faults = [
+            Fault(
+                rng.uniform(COLD_AT - 1500, COLD_AT + 7000),
+                daemon,
+                rng.uniform(200, 4000),
+                is_restart=False,
+            )
+            for daemon in rng.sample(range(136), 60)
+        ]
+        faults += [
+            Fault(rng.uniform(2000, COLD_AT + 5000), daemon, 400, True)
+            for daemon in rng.sample(range(136), 3)
+        ]
+        fleet = make_fleet(seed, cold_spans=((COLD_AT, COLD_AT + 8000),))
+        fleet.run(ENDS_AT, faults)
+        assert fleet.busiest_second(COLD_AT, COLD_AT + 8000) <= BOUND
+
+    def test_holds_while_the_whole_fleet_starts(self, seed: int) -> None:
+        """Daemons that knew no other believed to hold the whole rate."""
+        fleet = make_fleet(
+            seed,
+            lists=[[] for _ in range(136)],
+            counts=list(itertools.repeat(24, 136)),
+            cold_spans=((0, 9000),),
+            is_certain=False,
+        )
+        for daemon in fleet.daemons:
+            daemon.known = random.Random(seed).sample(range(136), 3)
+        fleet.run(2800)
+        full = complete_lists(136)
+        for index, starting in enumerate(fleet.daemons):
+            starting.known = full[index]
+            fleet.counts[index] = 136
+        fleet.run(9000)
+        assert fleet.busiest_second(0, 9000) <= BOUND
+
+    def test_holds_when_an_upstream_turns_cold_again_and_again(
+        self, seed: int
+    ) -> None:
+        """The end of one warm-up left tokens for the next one."""
+        spans = tuple((at, at + 900) for at in range(4000, 15_000, 1100))
+        fleet = make_fleet(seed, cold_spans=spans)
+        fleet.run(ENDS_AT)
+        assert (
+            max(fleet.busiest_second(start, end) for start, end in spans)
+            <= BOUND
+        )
--- /dev/null
+++ b/tests/evacuations/test_evacuation_log.py
@@ -0,0 +1,208 @@
+"""Evacuations of failure domains, without a store or a network."""
+
+import random
+
+import pytest
+from cowslippond_core import (
+    EVACUATION_PREFIX,
+    EvacuationLog,
+    StoreRow,
+    StoreRows,
+)
+from cowslippond_daemon.platform import operator_key
+from fakes import FakeClock
+
+DOMAINS = ('north', 'east', 'south')
+
+
+def evacuation(domain: str, revision: int, text: str | None = '{}') -> StoreRow:
+    return StoreRow(f'{EVACUATION_PREFIX}{domain}', revision, text)
+
+
+class Log(EvacuationLog):
+    """A log that records the changes that its watchers are told of."""
+
+    def __init__(self) -> None:
+        self.fake_clock = FakeClock()
+        super().__init__(self.fake_clock)
+        self.begun: list[str] = []
+        self.ended: list[str] = []
+        self.watchers.append(self.record)
+
+    def record(self, begun: frozenset[str], ended: frozenset[str]) -> None:
+        self.begun.extend(begun)
+        self.ended.extend(ended)
+
+    def apply(
+        self,
+        *rows: StoreRow,
+        revision: int,
+        is_whole: bool = False,
+        was_lost: bool = False,
+    ) -> None:
+        self.apply_rows(StoreRows(rows, revision), is_whole, was_lost, 0)
+
+
+class TestStore:
+    def test_row_evacuates_until_it_is_removed(self) -> None:
+        log = Log()
+        log.apply(evacuation('north', 4), revision=9)
+        assert log.domains == {'north'}
+        log.apply(evacuation('north', 11, None), revision=11)
+        assert log.domains == set()
+        assert (log.begun, log.ended) == (['north'], ['north'])
+
+    def test_begin_and_end_in_one_read_leave_the_last_state(self) -> None:
+        log = Log()
+        log.apply(
+            evacuation('north', 4),
+            evacuation('north', 5, None),
+            evacuation('east', 6, None),
+            evacuation('east', 7),
+            revision=7,
+        )
+        assert log.domains == {'east'}
+
+    @pytest.mark.parametrize('text', ['', 'nonsense', '\x00', '[]'])
+    def test_unreadable_value_evacuates(self, text: str) -> None:
+        """An empty value was taken for the end of the evacuation."""
+        log = Log()
+        log.apply(evacuation('north', 4, text), revision=4)
+        assert log.domains == {'north'}
+
+    def test_whole_read_without_the_row_ends_it(self) -> None:
+        log = Log()
+        log.apply(evacuation('north', 4), revision=4)
+        log.apply(revision=9, is_whole=True)
+        assert log.domains == set()
+
+    def test_partial_read_without_the_row_does_not_end_it(self) -> None:
+        log = Log()
+        log.apply(evacuation('north', 4), revision=4)
+        log.apply(revision=9)
+        assert log.domains == {'north'}
+
+    def test_late_answer_with_an_older_state_does_not_end_it(self) -> None:
+        log = Log()
+        log.apply(evacuation('north', 14), revision=14)
+        log.apply(revision=9, is_whole=True)
+        assert log.domains == {'north'}
+
+    def test_missing_row_after_an_outage_has_time_to_return(self) -> None:
+        """A store that came back without the row undid the evacuation."""
+        log = Log()
+        log.apply(evacuation('north', 4), revision=4)
+        log.apply(revision=9, is_whole=True, was_lost=True)
+        log.fake_clock.advance(1500)
+        log.apply_pending_removals()
+        assert log.domains == {'north'}
+        log.apply(evacuation('north', 10), revision=10)
+        log.fake_clock.advance(3000)
+        log.apply_pending_removals()
+        assert log.domains == {'north'}
+
+    def test_row_that_does_not_return_after_an_outage_is_gone(self) -> None:
+        log = Log()
+        log.apply(evacuation('north', 4), revision=4)
+        log.apply(revision=9, is_whole=True, was_lost=True)
+        log.fake_clock.advance(2400)
+        log.apply_pending_removals()
+        assert log.domains == set()
+        assert log.revision == 9
+
+    def test_other_rows_are_ignored(self) -> None:
+        log = Log()
+        log.apply(
+            StoreRow('configuration', 3, '{}'),
+            StoreRow('other', 4, 'x'),
+            revision=4,
+        )
+        assert log.domains == set()
+        assert log.revision == 0
+
+
+class TestPeers:
+    def test_lagging_peer_does_not_restore_an_ended_evacuation(self) -> None:
+        lagging = Log()
+        lagging.apply(evacuation('north', 4), revision=4)
+        log = Log()
+        log.apply(evacuation('north', 4), revision=4)
+        log.apply(evacuation('north', 8, None), revision=8)
+        log.offer_all(lagging.newer_than(0))
+        assert log.domains == set()
+
+    def test_restarted_daemon_learns_the_newest_state_from_peers(self) -> None:
+        """The state of a lagging peer came first, that of the others later."""
+        lagging = Log()
+        lagging.apply(evacuation('north', 4), revision=4)
+        current = Log()
+        current.apply(evacuation('north', 4), revision=4)
+        current.apply(
+            evacuation('north', 8, None), evacuation('east', 9), revision=9
+        )
+        log = Log()
+        log.offer_all(lagging.newer_than(0))
+        log.advance(lagging.revision)
+        log.offer_all(current.newer_than(log.revision))
+        assert log.domains == {'east'}
+
+    def test_peer_does_not_restore_what_ended_before_the_start(self) -> None:
+        """A daemon that had restarted knew no tombstone of the evacuation."""
+        lagging = Log()
+        lagging.apply(evacuation('north', 4), revision=4)
+        log = Log()
+        log.apply(revision=9, is_whole=True)
+        log.offer_all(lagging.newer_than(0))
+        assert log.domains == set()
+        lagging.offer_all(log.newer_than(lagging.revision))
+        assert lagging.domains == set()
+
+    @pytest.mark.parametrize('seed', range(20))
+    def test_all_orders_of_arrival_converge(self, seed: int) -> None:
+        rng = random.Random(seed)
+        store: dict[str, StoreRow] = {}
+        logs = [Log() for _ in range(5)]
+        for revision in range(1, 60):
+            domain = rng.choice(DOMAINS)
+            text = rng.choice(['{}', None])
+            store[domain] = evacuation(domain, revision, text)
+            if rng.choice([True, False]):
+                reader = rng.choice(logs)
+                reader.apply(store[domain], revision=revision)
+            else:
+                present = [row for row in store.values() if row.text]
+                rng.choice(logs).apply(
+                    *present, revision=revision, is_whole=True
+                )
+            giver, taker = rng.sample(logs, 2)
+            taker.offer_all(giver.newer_than(taker.revision))
+            taker.advance(giver.revision)
+        logs[0].apply(
+            *(row for row in store.values() if row.text),
+            revision=60,
+            is_whole=True,
+        )
+        for peer in logs[1:]:
+            logs[0].offer_all(peer.newer_than(0))
+        for taker in logs[1:]:
+            taker.offer_all(logs[0].newer_than(0))
+        expected = {domain for domain in DOMAINS if store[domain].text}
+        assert [log.domains for log in logs] == [expected for _ in logs]
+
+
+class TestKeys:
+    @pytest.mark.parametrize(
+        ('key', 'translated'),
+        [
+            ('config', 'configuration'),
+            ('evacuate/north', 'evacuation/north'),
+            ('evacuate/a/b', 'evacuation/a/b'),
+            ('evacuate/', None),
+            ('evacuate', None),
+            ('other', None),
+        ],
+    )
+    def test_rows_are_dispatched_by_key(
+        self, key: str, translated: str | None
+    ) -> None:
+        assert operator_key(key) == translated
