--- a/packages/cowslippond-core/src/cowslippond_core/_warm_up.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_warm_up.py
@@ -38,7 +38,8 @@
     something was requested, and ``warm_at`` the same for the last one by which it
     was warm. ``limit`` holds from the begin of a warm-up until calls have
     returned to their usual rate. ``listed_at`` is the date of the entry that has
-    been applied.
+    been applied. ``has_warm_peers`` tells whether other upstreams of the service
+    are warm.
 
     :param policy: how the service's upstreams warm up.
     """
@@ -52,6 +53,7 @@
         self.warm_at: Millis = -math.inf
         self.limit: RateLimit | None = None
         self.listed_at: Millis | None = None
+        self.has_warm_peers = True
 
     def is_cold(self, now: Millis) -> bool:
         """Tell whether the upstream is, or may be, cold."""
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -256,6 +256,7 @@
                 'reading_age_ms': grant.reading_age
                 and round(grant.reading_age, 1),
                 'waited_ms': round(waited, 1),
+                **_describe_warm_up(grant.upstream, self.clock.now()),
             },
         )
         return attempt
@@ -311,6 +312,11 @@
         return CallRefusal(outcome, reason, delay)
 
 
+def _describe_warm_up(upstream: Upstream, now: Millis) -> dict[str, bool]:
+    warm_up = upstream.load_state.warm_up
+    return {} if warm_up is None else {'is_cold': warm_up.is_cold(now)}
+
+
 def _refusal_reason(result: AttemptResult) -> RefusalReason:
     if not isinstance(result, NotRun):
         return RefusalReason.ANSWER_LOST
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_selector.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_selector.py
@@ -149,7 +149,10 @@
         return waits[0][0] if waits else 0
 
     def update_failure_baseline(self, now: Millis) -> None:
-        """Set the failure baseline to the median rate of all upstreams."""
+        """Set the failure baseline to the median rate of all upstreams.
+
+        Also learn whether all of them are cold.
+        """
         if now - self.baseline_updated_at < _BASELINE_INTERVAL:
             return
         self.baseline_updated_at = now
@@ -159,8 +162,11 @@
         usual = statistics.median_low(
             upstream.failures.current_rate(now) for upstream in upstreams
         )
+        is_any_warm = any(one.warmed_up_at <= now for one in upstreams)
         for upstream in upstreams:
             upstream.failures.baseline = usual
+            if upstream.load_state.warm_up is not None:
+                upstream.load_state.warm_up.has_warm_peers = is_any_warm
 
     def best(self, call: PendingCall, now: Millis) -> Grant | None:
         """Return the fastest upstream that has a free slot.
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_slowdown.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_slowdown.py
@@ -66,10 +66,16 @@
     """Return the slowdown factor for a cold start and recent failures.
 
     Only failures in excess of the service's failure baseline count: if all
-    upstreams fail alike, waiting for a better one only costs time.
+    upstreams fail alike, waiting for a better one only costs time. The same
+    holds if all are cold.
     """
     excess = upstream.failures.current_rate(now) - upstream.failures.baseline
     slowdown = 1 + _FAILURE_COST * max(excess, 0)
-    if upstream.warmed_up_at > now:
+    if upstream.warmed_up_at > now and _has_warm_peers(upstream):
         slowdown *= _COLD_FACTOR
     return slowdown
+
+
+def _has_warm_peers(upstream: Upstream) -> bool:
+    warm_up = upstream.load_state.warm_up
+    return warm_up is None or warm_up.has_warm_peers
--- a/tests/dispatch/test_dispatch.py
+++ b/tests/dispatch/test_dispatch.py
@@ -24,6 +24,7 @@
 from cowslippond_core._exchange import ExchangeFault
 from cowslippond_core._failures import FailureRate
 from cowslippond_core._reach import ServiceReach
+from cowslippond_core._upstreams import LoadState
 from cowslippond_core.dispatch import _dispatch
 from cowslippond_core.placing import Grant
 from fakes import FakeClock
@@ -81,6 +82,7 @@
         address='10.0.0.1:80',
         vm=SimpleNamespace(name='u1'),
         failures=FailureRate(),
+        load_state=LoadState(),
         reach=ServiceReach(tuple, 's'),
     )
 
--- a/tests/placing/test_slowdown.py
+++ b/tests/placing/test_slowdown.py
@@ -6,6 +6,7 @@
 from anyio.abc import TaskGroup
 from cowslippond_core import Connections, Upstream, Vm, VmState
 from cowslippond_core._upstreams import LoadReading
+from cowslippond_core._warm_up import WarmUp, WarmUpPolicy
 from cowslippond_core.placing import expected_slowdown
 from fakes import FakeClock
 
@@ -82,3 +83,22 @@
             upstream.failures.record(clock.now(), is_failure=True)
         clock.advance(20_000)
         assert upstream.failures.current_rate(clock.now()) * 100 < 1
+
+
+class TestColdUpstream:
+    def test_is_slower_than_its_warm_peers(self, clock: FakeClock) -> None:
+        upstream = upstream_of(clock)
+        upstream.warmed_up_at = clock.now() + 1000
+        slowdown = expected_slowdown(upstream, clock.now())
+        assert slowdown == pytest.approx(1.8)
+
+    def test_is_not_avoided_if_all_upstreams_are_cold(
+        self, clock: FakeClock
+    ) -> None:
+        """Late calls waited for a warm upstream until they were refused."""
+        upstream = upstream_of(clock)
+        upstream.warmed_up_at = clock.now() + 1000
+        upstream.load_state.warm_up = WarmUp(WarmUpPolicy(3.9, 3000))
+        upstream.load_state.warm_up.has_warm_peers = False
+        slowdown = expected_slowdown(upstream, clock.now())
+        assert slowdown == pytest.approx(1)
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -9,7 +9,7 @@
 # Wire names of the platform that no other format uses.
 NAMES = re.compile(
     'X-Target-Instance|X-Not-Executed|X-Backend-Load|X-Response-Signature'
-    '|X-Instance-Id|rows-tx|rows-get|rows-feed|warmup_left_ms|traffic_split'
+    '|X-Instance-Id|rows-tx|rows-get|rows-feed|warmup_left_ms|X-Warmup-Ms|warmup_per_s|traffic_split'
     '|Server-Limit|target_latency_ms|path_prefix_ms|probes_per_s|retry_budget_ratio'
     '|COWSLIPPOND_NODE_FILE',
     re.IGNORECASE,
