Send calls to cold services through daemons that hold a part of the rate

Cause: a daemon that held no part refused all calls to a service whose upstreams were all cold, while holders had tokens left; with ten cold upstreams that is half of 136 daemons.

Ruled out: parts for all daemons, whose saved calls together exceed the bound.

Change: such calls are relayed by peers, as without a path; a service without a part counts as out of reach in the status. Late calls do not wait for 3 s after one was overtaken, for services with a warm-up rate. Whether a service is within reach is judged by upstreams that are not evacuated. More unit tests of readings and news.

Conclusion: the rate of a cold service is used whichever daemons the calls reach.

--- a/packages/cowslippond-core/src/cowslippond_core/_reach.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reach.py
@@ -76,7 +76,8 @@
 class ServiceReach:
     """Whether upstreams of a service accept connections and answer.
 
-    ``on_cut`` is called with each failure while the service is out of reach.
+    ``on_cut`` is called with each failure while the service is out of reach, and
+    when peers are needed for another reason.
 
     :param list_addresses: returns the addresses of the service's upstreams.
     :param service: the name of the service, for the log.
--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -3,6 +3,7 @@
 import math
 from collections import deque
 from collections.abc import Collection, Iterable
+from collections.abc import Set as AbstractSet
 from typing import NamedTuple
 
 from anyio.abc import TaskGroup
@@ -182,6 +183,9 @@
         self.connection_limit = connection_limit
         self.by_address: dict[str, Upstream] = {}
         self.warm_up_policy: WarmUpPolicy | None = None
+        # Upstreams in these failure domains get no calls, so that they cannot show
+        # whether the service is within reach.
+        self.evacuated: AbstractSet[str] = frozenset()
         self.reach = ServiceReach(self._list_addresses, service)
 
     def update(self, vms: Iterable[Vm]) -> None:
@@ -238,7 +242,13 @@
         return upstream
 
     def _list_addresses(self) -> Collection[str]:
-        return self.by_address.keys()
+        if not self.evacuated:
+            return self.by_address.keys()
+        return [
+            address
+            for address, upstream in self.by_address.items()
+            if upstream.failure_domain not in self.evacuated
+        ]
 
 
 def _retire(upstream: Upstream) -> None:
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_call_relay.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_call_relay.py
@@ -1,4 +1,4 @@
-"""Sends a call through a peer while this daemon reaches no upstream."""
+"""Sends a call through a peer while this daemon cannot send it itself."""
 
 import logging
 
@@ -34,6 +34,7 @@
     """Decides whether one call is sent through a peer, and sends it.
 
     A call that a peer has relayed to this daemon is not relayed again.
+    ``refusal`` is the reason if no peer answers the call.
 
     :param ctx: dependencies that all dispatches share.
     :param service: the service that the call is for.
@@ -48,6 +49,7 @@
         self.call = call
         self.tried: set[str] = set()
         self.has_failed_to_connect = False
+        self.refusal = RefusalReason.OUT_OF_REACH
 
     async def run(self) -> AttemptResult | None:
         """Send the call through peers, until one does not refuse it.
@@ -64,7 +66,11 @@
 
     def is_next_after(self, refusal: RefusalReason) -> bool:
         """Tell whether a call that got no upstream is now sent through a peer."""
-        return refusal is RefusalReason.OUT_OF_REACH and self._may_relay()
+        if not self._may_relay():
+            return False
+        if refusal is RefusalReason.RATE_LIMITED:
+            return self._has_holder()
+        return refusal is RefusalReason.OUT_OF_REACH
 
     def record_result(self, result: AttemptResult) -> None:
         """Record the result of a direct send."""
@@ -73,10 +79,24 @@
                 result.reason is NotRunReason.CONNECT_FAILED
             )
 
+    def _has_holder(self) -> bool:
+        """Tell whether a peer may send a call that this daemon may not."""
+        relays = self.ctx.relays
+        # A body that was partly read cannot be sent to a second peer.
+        if relays is None or self.call.request.rest is not None:
+            return False
+        if not self.service.lacks_share(self.ctx.clock.now()):
+            return False
+        self.refusal = RefusalReason.RATE_LIMITED
+        self.service.upstreams.reach.on_cut()
+        return relays.choose(self.service.entry.name, self.tried) is not None
+
     def _choose_peer(self) -> Upstream | None:
         relays = self.ctx.relays
         if relays is None or not self._may_relay():
             return None
+        if self.refusal is RefusalReason.RATE_LIMITED:
+            return relays.choose(self.service.entry.name, self.tried)
         needs_connection = (
             not self.call.request.is_idempotent or self.has_failed_to_connect
         )
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -98,7 +98,7 @@
             relayed = await self.relay.run()
             if relayed is not None:
                 self._keep_result(relayed)
-                return RefusalReason.OUT_OF_REACH
+                return self.relay.refusal
             grant = await self.service.placer.acquire(self._pending_call())
             if isinstance(grant, RefusalReason):
                 if self.relay.is_next_after(grant):
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_reach_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_reach_watch.py
@@ -1,4 +1,4 @@
-"""Looks for peers and for the end of the cut while upstreams are out of reach."""
+"""Looks for peers while this daemon cannot send calls to upstreams."""
 
 import contextlib
 import random
@@ -21,7 +21,7 @@
 
 
 class ReachWatch:
-    """Runs while a service is out of reach.
+    """Runs while a service is out of reach, or this daemon has no share of it.
 
     :param relays: the peers that relay calls meanwhile.
     :param list_services: returns the services in use.
@@ -62,10 +62,15 @@
             if service.upstreams.reach.is_cut(needs_connection=True)
         ]
 
+    def services_without_share(self) -> list[Service]:
+        """Return the services of whose limits other daemons hold all parts."""
+        now = self.clock.now()
+        return [one for one in self.list_services() if one.lacks_share(now)]
+
     async def _run(self) -> None:
         with contextlib.ExitStack() as cleanup:
             cleanup.callback(self._record_end)
-            while self.services_out_of_reach():
+            while self.services_out_of_reach() or self.services_without_share():
                 await self._check()
                 await self.clock.sleep(_INTERVAL)
 
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_service.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_service.py
@@ -1,5 +1,6 @@
 """The state that a daemon keeps for each service."""
 
+import math
 from typing import NamedTuple
 
 from cowslippond_core._clock import Millis
@@ -51,3 +52,14 @@
         self.estimator = estimator
         self.placer = placer
         self.budget = budget
+
+    def lacks_share(self, now: Millis) -> bool:
+        """Tell whether this daemon may send no call to any upstream.
+
+        Other daemons then hold the parts of the rates of all upstreams, which
+        are cold.
+        """
+        if self.entry.warm_up_rate <= 0:
+            return False
+        wait = self.placer.selector.acceptance_wait(frozenset(), 0, now)
+        return math.isinf(wait)
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_services.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_services.py
@@ -95,12 +95,18 @@
             service.placer.notify_capacity_change()
 
     def out_of_reach(self) -> list[str]:
-        """Return the services of which no upstream is within reach."""
+        """Return the services to whose upstreams this daemon sends no calls.
+
+        None is within reach, or other daemons hold the parts of their rates.
+        """
         if self.reach_watch is None:
             return []
         return [
             service.entry.name
-            for service in self.reach_watch.services_out_of_reach()
+            for service in (
+                *self.reach_watch.services_out_of_reach(),
+                *self.reach_watch.services_without_share(),
+            )
         ]
 
     def update_vms(self, vms: Iterable[Vm]) -> None:
@@ -136,6 +142,7 @@
         limit = max(entry.max_connections // daemons, _MIN_CONNECTIONS)
         upstreams = UpstreamSet(self.tasks, ctx.clock, limit, entry.name)
         upstreams.set_warm_up(_warm_up_policy(entry))
+        upstreams.evacuated = ctx.evacuated
         prober = LoadProber(
             ctx.clock,
             ctx.dialect,
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_limited_waits.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_limited_waits.py
@@ -8,6 +8,10 @@
 # Once an upstream accepts a call, the search for a slot may take this long.
 _PLACING_TIME: Millis = 100
 
+# Once timely calls have taken the turn of a late one, late calls do not wait for
+# cold upstreams for this time: most of them would be refused after their wait.
+_OVERTAKING_MEMORY: Millis = 3000
+
 
 class LimitedWaits:
     """Estimates how long pauses and rate limits of upstreams delay calls.
@@ -19,6 +23,7 @@
     def __init__(self, queue: CallQueue, selector: UpstreamSelector) -> None:
         self.queue = queue
         self.selector = selector
+        self.overtaken_until: Millis = 0
 
     def is_refused(self, call: PendingCall, ahead: int, now: Millis) -> bool:
         """Tell whether pauses and limits delay a call for too long.
@@ -33,15 +38,19 @@
             return False
         if self.queue.is_too_long(wait + _PLACING_TIME, call, now):
             return True
-        return ahead > 0 and self.queue.is_late(call, now + wait)
+        may_be_overtaken = ahead > 0 or now < self.overtaken_until
+        return may_be_overtaken and self.queue.is_late(call, now + wait)
 
     def refused_calls(self, now: Millis) -> list[PendingCall]:
         """Return the waiting calls that are delayed for too long."""
-        return [
+        refused = [
             call
             for ahead, call in enumerate(self.queue.service_order(now))
             if self.is_refused(call, ahead, now)
         ]
+        if refused and self.selector.upstreams.warm_up_policy is not None:
+            self.overtaken_until = now + _OVERTAKING_MEMORY
+        return refused
 
     def retry_after(self, now: Millis) -> Millis:
         """Return when a refused call can expect an upstream, in milliseconds."""
--- a/tests/dispatch/test_warm_ups.py
+++ b/tests/dispatch/test_warm_ups.py
@@ -5,6 +5,9 @@
 
 import pytest
 from cold_fleet import BOUND, RATE, WARM_UP, ColdFleet, Fault
+from cowslippond_core._gossip_table import GossipRow
+from cowslippond_core._rate_limit import RateLimit
+from cowslippond_core._warm_up import WARMTH_MAX_AGE
 
 COLD_AT = 6000
 COLD_UNTIL = COLD_AT + WARM_UP
@@ -160,3 +163,155 @@
             max(fleet.busiest_second(start, end) for start, end in spans)
             <= BOUND
         )
+
+
+class OneDaemon:
+    """A daemon alone, which therefore holds a part of each rate."""
+
+    def __init__(self) -> None:
+        self.fleet = make_fleet(1, 1)
+        self.daemon = self.fleet.daemons[0]
+        self.state = self.daemon.state
+        self.clock = self.fleet.clock
+        self.clock.advance(2000)
+
+    def read(self, remaining: float | None, age: float = 0) -> None:
+        self.daemon.limits.warm_ups.record_reading(
+            self.daemon.upstream, remaining, self.clock.now() - age
+        )
+
+    def tell(self, text: str, remaining: float = 3000) -> None:
+        stamp = self.clock.wall()
+        row = GossipRow('cold 10.9.0.1:80 1', text, stamp, remaining)
+        self.daemon.table.merge(row)
+
+    def may_send(self) -> bool:
+        now = self.clock.now()
+        wait = self.daemon.upstream.load_state.wait(0, now)
+        return wait <= 0 and self.state.admits(now, WARMTH_MAX_AGE)
+
+
+class TestReadings:
+    def test_upstream_of_unknown_state_gets_no_call(self) -> None:
+        """It may have returned cold with an entry from before."""
+        one = OneDaemon()
+        assert not one.may_send()
+        one.read(0)
+        assert one.may_send()
+
+    def test_word_of_a_warm_upstream_is_valid_for_a_short_time(self) -> None:
+        one = OneDaemon()
+        one.read(0)
+        one.clock.advance(WARMTH_MAX_AGE + 1)
+        assert not one.may_send()
+
+    def test_answer_that_was_requested_before_a_pause_is_old(self) -> None:
+        """A daemon that had been paused took it for the present state."""
+        one = OneDaemon()
+        one.read(0, age=3000)
+        assert not one.may_send()
+
+    def test_late_answer_does_not_replace_a_newer_one(self) -> None:
+        one = OneDaemon()
+        one.read(3000)
+        one.read(0, age=50)
+        assert one.state.is_cold(one.clock.now())
+
+    def test_answer_that_does_not_say_keeps_an_upstream_cold(self) -> None:
+        one = OneDaemon()
+        one.read(3000)
+        one.read(None)
+        assert one.state.is_cold(one.clock.now())
+
+    def test_upstream_without_the_header_is_usable(self) -> None:
+        one = OneDaemon()
+        one.read(None)
+        assert one.may_send()
+
+    def test_cold_upstream_gets_a_call_a_second_from_a_daemon(self) -> None:
+        one = OneDaemon()
+        one.read(9000)
+        sent = 0
+        for _ in range(80):
+            one.clock.advance(100)
+            if one.may_send():
+                one.daemon.upstream.load_state.record_grant(one.clock.now())
+                sent += 1
+        assert 6 <= sent <= 8
+
+    def test_lower_one_of_limit_and_warm_up_holds(self) -> None:
+        """Only the one that was checked last was counted."""
+        one = OneDaemon()
+        state = one.daemon.upstream.load_state
+        one.read(20_000)
+        now = one.clock.now()
+        state.rate_limit = RateLimit(0.2, 0.2, now, now + 60_000)
+        one.clock.advance(1500)
+        assert not one.may_send()
+        one.clock.advance(4000)
+        assert one.may_send()
+        state.record_grant(one.clock.now())
+        one.clock.advance(1500)
+        assert not one.may_send()
+
+    def test_repeated_readings_give_no_further_tokens(self) -> None:
+        one = OneDaemon()
+        one.read(3000)
+        one.clock.advance(1100)
+        one.daemon.upstream.load_state.record_grant(one.clock.now())
+        one.read(1900)
+        assert not one.may_send()
+
+
+class TestNewsOfOthers:
+    def test_news_of_a_peer_limits_until_the_upstream_is_asked(self) -> None:
+        one = OneDaemon()
+        one.read(0)
+        one.tell('cold')
+        assert not one.may_send()
+        assert one.state.wait(0, one.clock.now()) == 0
+        one.read(0)
+        assert one.may_send()
+
+    def test_end_that_a_peer_tells_does_not_replace_the_own_reading(
+        self,
+    ) -> None:
+        """A late message let a daemon send to an upstream that was cold."""
+        one = OneDaemon()
+        one.read(3000)
+        one.clock.advance(500)
+        one.tell('')
+        assert not one.state.is_cold(one.clock.now())
+        # Even with a token, as in the second case, its own word is missing.
+        assert not one.may_send()
+        one.clock.advance(1500)
+        assert not one.may_send()
+
+    @pytest.mark.parametrize('text', ['nonsense', '7'])
+    def test_unknown_text_of_a_newer_release_does_no_harm(
+        self, text: str
+    ) -> None:
+        one = OneDaemon()
+        one.tell(text)
+        one.read(0)
+        assert one.may_send()
+
+    def test_upstreams_count_as_cold_after_an_evacuation(self) -> None:
+        one = OneDaemon()
+        one.read(0)
+        one.daemon.limits.warm_ups.presume([one.daemon.upstream])
+        assert one.state.is_cold(one.clock.now())
+        assert not one.may_send()
+        one.read(0)
+        assert one.may_send()
+        assert one.state.limit is None
+
+    def test_service_without_a_rate_ignores_warm_ups(self) -> None:
+        one = OneDaemon()
+        state = one.daemon.upstream.load_state
+        state.warm_up = None
+        one.read(3000)
+        one.tell('cold')
+        one.daemon.limits.update([one.daemon.upstream])
+        assert state.warm_up is None
+        assert not state.has_limit()
--- a/tests/fleet/test_cold_upstreams.py
+++ b/tests/fleet/test_cold_upstreams.py
@@ -104,3 +104,36 @@
         ]
         await anyio.sleep(WARM_UP / 1000)
         assert (await fleet.nodes[0].status())['cold'] == []
+
+
+class TestDaemonWithoutShare:
+    async def test_calls_are_sent_through_daemons_that_hold_a_part(
+        self, fleet: FleetDeployment
+    ) -> None:
+        """They were refused, while holders had tokens that nobody used."""
+        fleet.service_settings = dict(SETTINGS)
+        load = FleetLoad(fleet)
+        backends = await load.start(1, 9)
+        await load.send(1)
+        backends[0].turn_cold(2 * WARM_UP)
+        cold_at = fleet.clock.now()
+        await load.send(1, interval=200)
+        without_share = [
+            node.name
+            for node in fleet.nodes
+            if (await node.status())['out_of_reach']
+        ]
+        assert without_share
+        callers = load.callers
+        load.callers = [
+            caller for caller in callers if caller.node in without_share
+        ]
+        calls = await load.send(4, interval=100)
+        served = [one for one in calls if one.verdict is Verdict.GOOD]
+        assert len(served) >= 4 * RATE / 2
+        assert {one.verdict for one in calls} <= {
+            Verdict.GOOD,
+            Verdict.NOT_RUN,
+        }
+        cold_span = (cold_at, cold_at + 2 * WARM_UP)
+        assert busiest_second(backends[0], *cold_span) <= BOUND
