--- a/packages/cowslippond-core/src/cowslippond_core/_metrics.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_metrics.py
@@ -56,6 +56,8 @@
     QUOTA_TIMEOUTS = 'quota.timeouts'
     QUOTA_BYTES_SENT = 'quota.bytes_sent'
     QUOTA_BYTES_RECEIVED = 'quota.bytes_received'
+    UPSTREAMS_COLD = 'upstreams.cold'
+    DOMAINS_EVACUATED = 'domains.evacuated'
 
 
 def refusal_name(reason: RefusalReason) -> str:
--- a/packages/cowslippond-core/src/cowslippond_core/_reasons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reasons.py
@@ -17,6 +17,7 @@
     RATE_LIMITED = 'rate_limited'
     UNAUTHENTICATED = 'unauthenticated'
     KEY_REVOKED = 'key_revoked'
+    EVACUATED = 'evacuated'
     OUT_OF_REACH = 'out_of_reach'
     CONNECT_FAILED = 'connect_failed'
     ANSWER_LOST = 'answer_lost'
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -100,7 +100,7 @@
             relayed = await self.relay.run()
             if relayed is not None:
                 self._keep_result(relayed)
-                return _relay_refusal_reason(relayed)
+                return _relay_refusal_reason(relayed, self.relay.refusal)
             grant = await self.service.placer.acquire(self._pending_call())
             grant = await _check_first_send(self, grant)
             if isinstance(grant, RefusalReason):
@@ -261,6 +261,7 @@
                 'reading_age_ms': grant.reading_age
                 and round(grant.reading_age, 1),
                 'waited_ms': round(waited, 1),
+                **_describe_warm_up(grant.upstream, self.clock.now()),
             },
         )
         return attempt
@@ -324,10 +325,16 @@
     return None if check is None else check.reason
 
 
-def _relay_refusal_reason(result: AttemptResult) -> RefusalReason:
+def _relay_refusal_reason(
+    result: AttemptResult, cause: RefusalReason
+) -> RefusalReason:
+    """Return why a call is refused that no peer took.
+
+    :param cause: why it was sent through peers.
+    """
     if _refusal_reason(result) is RefusalReason.KEY_REVOKED:
         return RefusalReason.KEY_REVOKED
-    return RefusalReason.OUT_OF_REACH
+    return cause
 
 
 async def _check_first_send(
@@ -346,6 +353,11 @@
     return refusal
 
 
+def _describe_warm_up(upstream: Upstream, now: Millis) -> dict[str, bool]:
+    warm_up = upstream.load_state.warm_up
+    return {} if warm_up is None else {'is_cold': warm_up.is_cold(now)}
+
+
 def _refusal_reason(result: AttemptResult) -> RefusalReason:
     if not isinstance(result, NotRun):
         return RefusalReason.ANSWER_LOST
--- a/tests/fleet/test_quotas.py
+++ b/tests/fleet/test_quotas.py
@@ -3,6 +3,7 @@
 import itertools
 import pathlib
 from functools import partial
+from types import MappingProxyType
 
 import anyio
 import httpcore
@@ -19,7 +20,7 @@
 
 pytestmark = pytest.mark.anyio
 
-KEYS = {'limited': 'key-of-limited', 'other': 'key-of-other'}
+KEYS = MappingProxyType({'limited': 'key-of-limited', 'other': 'key-of-other'})
 RATE = 40
 BURST = 40
 WINDOW = 5000
