Order revisions by the era of the store, which a restore increases

Cause: a store that is restored from a copy issues its revisions again. Daemons waited for changes after revisions that it did not have, took its new rows for old ones and rows of the copy for new ones. Ruled out: one combined number also in messages to the previous release. Its own reads would look old to it until every daemon that holds such a number has stopped, also after a rollback. A number relative to the first era needs all daemons to agree on that era. Change: Store-Era is decoded in the adapter, into the high bits of each revision. Daemons that know eras exchange entries in the log upstreams.era and tell the era and the first era in their digests; the log upstreams keeps plain revisions for the previous release and takes nothing from it once the store was restored. A watch reads all rows again in a new era and treats a lower one as a failed read. An upstream that had ended keeps that state until the restored store has a row that is not from the copy; one that the copy lacks has 2.3 s to return. Readers announce themselves, and a daemon reads if no reader of this release does, since older ones pass on neither eras nor other rows. ReaderRole moved to its own module. The stand-in restores copies, with 410, eras and lagging daemons. If all three readers see the old era, the fleet learns of the new one only when one of them does.

--- a/packages/cowslippond-core/src/cowslippond_core/__init__.pyi
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.pyi
@@ -111,6 +111,7 @@
 from ._objects import ObjectFault as ObjectFault
 from ._objects import ObjectStore as ObjectStore
 from ._objects import S3ObjectStore as S3ObjectStore
+from ._plain_log import PlainLog as PlainLog
 from ._platform_store import RowSource as RowSource
 from ._platform_store import StoreError as StoreError
 from ._platform_store import StoreFault as StoreFault
@@ -120,6 +121,9 @@
 from ._quarantine_gossip import (
     share_quarantine as share_quarantine,
 )
+from ._reader_role import STORE_LOST_TABLE as STORE_LOST_TABLE
+from ._reader_role import STORE_READER_TABLE as STORE_READER_TABLE
+from ._reader_role import ReaderRole as ReaderRole
 from ._reasons import RefusalReason as RefusalReason
 from ._reasons import RetryReason as RetryReason
 from ._route_overlap import Overlap as Overlap
@@ -140,8 +144,11 @@
 from ._spread import Spread as Spread
 from ._spread import SpreadSettings as SpreadSettings
 from ._spread import SpreadStatus as SpreadStatus
-from ._store_watch import STORE_LOST_TABLE as STORE_LOST_TABLE
-from ._store_watch import ReaderRole as ReaderRole
+from ._store_era import MAX_ERA as MAX_ERA
+from ._store_era import StoreEra as StoreEra
+from ._store_era import combine_era as combine_era
+from ._store_era import era_of as era_of
+from ._store_era import plain_revision as plain_revision
 from ._store_watch import StoreWatch as StoreWatch
 from ._suspects import CrashMark as CrashMark
 from ._suspects import Suspect as Suspect
@@ -154,6 +161,7 @@
 from ._table import TableError as TableError
 from ._table import TableFault as TableFault
 from ._text_file import read_text_file as read_text_file
+from ._upstream_registry import UPSTREAM_ERA_LOG as UPSTREAM_ERA_LOG
 from ._upstream_registry import UPSTREAM_LOG as UPSTREAM_LOG
 from ._upstream_registry import UpstreamRegistry as UpstreamRegistry
 from ._upstreams import Upstream as Upstream
--- a/packages/cowslippond-core/src/cowslippond_core/_gossip.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_gossip.py
@@ -21,6 +21,7 @@
     Pull,
     TableRows,
 )
+from cowslippond_core._store_era import StoreEra
 from cowslippond_core._versions import Versions
 
 #: Limit on gossip traffic, both directions together. Above it, only digests,
@@ -48,6 +49,8 @@
 class Gossip:
     """The state that a daemon exchanges with its peers.
 
+    Peers are told the era of the store, ``era``.
+
     :param fleet: the fleet's name; daemons of other fleets are refused.
     :param address: the peer address of this daemon.
     :param catalogue: the documents in force.
@@ -70,6 +73,7 @@
         codec: Codec,
         logs: Mapping[str, Versions] | None = None,
     ) -> None:
+        self.era = StoreEra()
         self.fleet = fleet
         self.address = address
         self.catalogue = catalogue
@@ -118,14 +122,7 @@
         """
         reply_rows = MAX_INITIAL_ROWS if wants_all_rows else MAX_MESSAGE_ROWS
         request = self.build_exchange(MAX_MESSAGE_ROWS, reply_rows)
-        revisions = _revisions_of(self.logs)
-        digest = Digest(
-            request.digest.revision,
-            None,
-            (),
-            revisions,
-            request.digest.daemons,
-        )
+        digest = request.digest._replace(confirmed_age=None, witnesses=())
         return request._replace(digest=digest)
 
     def build_confirmation(self) -> Confirmation:
@@ -145,6 +142,7 @@
             milliseconds; its ages are counted from then.
         """
         digest = peer_state.digest
+        self.era.observe_digest(digest)
         if digest.revision > self.catalogue.revision:
             return
         self.contact.record_witnesses(
@@ -207,7 +205,9 @@
         return [
             (name, peer_revisions[name])
             for name, log in self.logs.items()
-            if name in peer_revisions and peer_revisions[name] != log.revision
+            if name in peer_revisions
+            and log.successor not in digest.logs
+            and _is_out_of_sync(log, peer_revisions[name])
         ]
 
     @singledispatchmethod
@@ -225,6 +225,7 @@
     def _answer_exchange(self, message: Exchange) -> Message:
         self.check_fleet(message)
         self.contact.size.record_report(message.digest.daemons)
+        self.era.observe_digest(message.digest)
         self.catalogue.observe_revision(message.digest.revision)
         self.merge_rows(message)
         reply_rows = min(max(message.row_limit, 0), MAX_INITIAL_ROWS)
@@ -250,6 +251,8 @@
             self.contact.witnesses(now),
             _revisions_of(self.logs),
             self.contact.size.count_known(),
+            self.era.current,
+            self.era.first,
         )
 
     def _next_rows(self, max_rows: int) -> tuple[TableRows, ...]:
@@ -275,6 +278,12 @@
     }
 
 
+def _is_out_of_sync(log: Versions, peer_revision: int) -> bool:
+    if peer_revision > log.revision:
+        return log.accepts()
+    return peer_revision < log.revision
+
+
 def _first_batch(newer: list[AcceptedDocument]) -> list[AcceptedDocument]:
     size = 0
     batch: list[AcceptedDocument] = []
--- a/packages/cowslippond-core/src/cowslippond_core/_http_calls.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_http_calls.py
@@ -15,6 +15,7 @@
 from cowslippond_core._connection import Connection
 from cowslippond_core._connections import Connections
 from cowslippond_core._exchange import Exchange
+from cowslippond_core._messages import HeaderList
 
 
 class HttpAnswer(NamedTuple):
@@ -22,6 +23,7 @@
 
     status: int
     body: bytes
+    headers: HeaderList = ()
 
 
 class HttpCalls:
@@ -82,7 +84,7 @@
         body = await read_body(exchange)
     if exchange.fault is not None:
         return Error(exchange.fault.value)
-    return Ok(HttpAnswer(exchange.status, body))
+    return Ok(HttpAnswer(exchange.status, body, tuple(exchange.headers)))
 
 
 async def read_body(exchange: Exchange) -> bytes:
--- a/packages/cowslippond-core/src/cowslippond_core/_json_codec.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_json_codec.py
@@ -54,6 +54,10 @@
 # without it ignore unknown logs but refuse a longer digest.
 _DAEMONS = '#daemons'
 
+# The same for the era of the store, which is left out while none is known.
+_ERA = '#era'
+_FIRST_ERA = '#first_era'
+
 
 class JsonCodec:
     """Encodes a message as an array of its kind and its fields in order.
@@ -147,10 +151,18 @@
             [witness.failure_domain, round_age_up(witness.age)]
             for witness in digest.witnesses
         ],
-        {**digest.logs, _DAEMONS: digest.daemons},
+        _pack_logs(digest),
     ]
 
 
+def _pack_logs(digest: Digest) -> dict[str, int]:
+    packed = {**digest.logs, _DAEMONS: digest.daemons}
+    if digest.era:
+        packed[_ERA] = digest.era
+        packed[_FIRST_ERA] = digest.first_era
+    return packed
+
+
 def _pack_table(batch: TableRows) -> list[Any]:
     rows = [
         [row.key, row.text, row.stamp, int(row.remaining)] for row in batch.rows
@@ -209,6 +221,8 @@
         for name, log_revision in dict(logs).items()
     }
     daemons = revisions.pop(_DAEMONS, 0)
+    era = revisions.pop(_ERA, 0)
+    first_era = revisions.pop(_FIRST_ERA, 0)
     return Digest(
         read_number(revision),
         None if age is None else read_number(age),
@@ -218,6 +232,8 @@
         ),
         revisions,
         daemons,
+        era,
+        first_era,
     )
 
 
--- a/packages/cowslippond-core/src/cowslippond_core/_metrics.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_metrics.py
@@ -45,6 +45,8 @@
     MEASURING_CALLS = 'measuring.calls'
     QUEUE_MS = 'queue_ms'
     READING_AGE_MS = 'reading_age_ms'
+    STORE_ERA = 'store.era'
+    STORE_READERS = 'store.readers'
     CONFIGURATION = 'configuration.version'
     UPSTREAMS_KNOWN = 'upstreams.known'
     UPSTREAMS_RATE_LIMITED = 'upstreams.rate_limited'
--- a/packages/cowslippond-core/src/cowslippond_core/_peer_client.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_peer_client.py
@@ -180,6 +180,7 @@
             raise WireError('connected to this daemon itself')
         self.gossip.check_fleet(answer)
         self.gossip.contact.size.record_report(answer.digest.daemons)
+        self.gossip.era.observe_digest(answer.digest)
         self.gossip.catalogue.observe_revision(answer.digest.revision)
         self.gossip.merge_rows(answer)
         for name, revision in self.gossip.out_of_sync_logs(answer.digest):
--- a/packages/cowslippond-core/src/cowslippond_core/_peer_messages.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_peer_messages.py
@@ -24,7 +24,9 @@
     ``confirmed_age`` is the time since the revision was last known to be the
     newest, in milliseconds; ``None`` if it never was. ``logs`` maps the names
     of additional logs to their revisions. ``daemons`` is the number of daemons
-    that the sender knows, including itself, or 0 if it does not tell.
+    that the sender knows, including itself, or 0 if it does not tell. ``era``
+    is the era of the store that the sender knows and ``first_era`` the lowest
+    one that it remembers, both 0 if it knows none.
     """
 
     revision: int
@@ -32,6 +34,8 @@
     witnesses: tuple[Witness, ...]
     logs: Mapping[str, int] = _NO_LOGS
     daemons: int = 0
+    era: int = 0
+    first_era: int = 0
 
 
 class TableRows(NamedTuple):
--- a/packages/cowslippond-core/src/cowslippond_core/_platform_store.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_platform_store.py
@@ -15,23 +15,27 @@
     REFUSED = 'refused'
     UNREADABLE = 'unreadable'
     HISTORY_LOST = 'history_lost'
+    OLD_ERA = 'old_era'
 
 
 class StoreError(NamedTuple):
     """A failed call to the store.
 
-    ``detail`` is for logs.
+    ``detail`` is for logs. ``era`` is the era that the store sent with the
+    failure, or 0 if it sent none.
     """
 
     fault: StoreFault
     detail: str
+    era: int = 0
 
 
 class StoreRow(NamedTuple):
     """A row as it is in the store.
 
     ``text`` is ``None`` if the row was removed. ``revision`` is the number of
-    the store's change that wrote the row; a higher one is newer.
+    the store's change that wrote the row; a higher one is newer. The revisions
+    of rows contain the era of the store in their high bits.
     """
 
     key: str
--- a/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
@@ -6,37 +6,21 @@
 """
 
 import logging
-import math
 import random
 from collections.abc import Callable
 
 from cowslippond_core._clock import Clock, Millis
-from cowslippond_core._gossip_table import GossipTable
-from cowslippond_core._membership import Daemon, Membership
 from cowslippond_core._platform_store import (
     RowSource,
     StoreError,
     StoreFault,
     StoreRows,
 )
-from cowslippond_core._versions import Versions
+from cowslippond_core._reader_role import ReaderRole
+from cowslippond_core._store_era import era_of, lift_rows
 
 _logger = logging.getLogger(__name__)
 
-#: Number of daemons that wait for changes, divided among the failure domains.
-#: With three, one may be partitioned undetected while another one is killed.
-READER_COUNT = 3
-
-#: Age of the last confirmation above which a daemon reads the store itself. It
-#: covers two waits for changes and the time to detect that a store is down.
-STALE_AGE: Millis = 4000
-
-#: The gossip table in which daemons report that they cannot read the store.
-STORE_LOST_TABLE = 'store_lost'
-
-# Lifetime of such a report unless it is renewed.
-_STORE_LOST_TTL: Millis = 5000
-
 # Bounds of the wait of one call for changes. A change must be in force 2 s after
 # it was stored, and an open call may fail to report it, so calls have to end
 # well before that. The random length keeps the readers out of step.
@@ -66,11 +50,6 @@
 _PEER_WAIT_LIMIT: Millis = 1200
 _PEER_CHECK_INTERVAL: Millis = 50
 
-# Time that a starting daemon needs to discover most of a large fleet. Before
-# that, it would rank itself first in its failure domain, so only the seeds are
-# designated readers.
-_DISCOVERY_PERIOD: Millis = 15_000
-
 # Minimum range of the random delay before a daemon takes over reading, so that
 # daemons whose copies become stale together do not all read at once.
 _MIN_TAKEOVER_JITTER: Millis = 500
@@ -80,122 +59,8 @@
 _DESIGNATED_JITTER: Millis = 150
 
 
-class ReaderRole:
-    """Decides whether this daemon reads the store.
-
-    :param membership: the other daemons.
-    :param versions: the versions whose confirmation peers pass on.
-    :param lost_reports: which daemons cannot read the store.
-    :param clock: measures the age of confirmations.
-    """
-
-    def __init__(
-        self,
-        membership: Membership,
-        versions: Versions,
-        lost_reports: GossipTable,
-        clock: Clock,
-    ) -> None:
-        self.membership = membership
-        self.versions = versions
-        self.lost_reports = lost_reports
-        self.clock = clock
-        self.started_at = clock.now()
-
-    def is_reader(self) -> bool:
-        """Return whether this daemon waits for changes in the store."""
-        return not self.is_confirmed(STALE_AGE) or self.is_designated()
-
-    def is_confirmed(self, max_age: Millis) -> bool:
-        """Return whether the versions were confirmed recently.
-
-        :param max_age: the maximum age of the confirmation, in milliseconds.
-        """
-        confirmed_at = self.versions.confirmed_at
-        if confirmed_at is None:
-            return False
-        return self.clock.now() - confirmed_at <= max_age
-
-    def is_designated(self) -> bool:
-        """Return whether this daemon is one that reads for the others.
-
-        A daemon that only took over, and that the store refused as well, makes
-        room for the next one; otherwise an outage would leave more and more
-        daemons retrying.
-        """
-        own = self.membership.own
-        if own.is_leaving:
-            return False
-        lost = self.lost_reports.alive_keys()
-        peers = [
-            peer
-            for peer in self.membership.known_daemons()
-            if _is_eligible(peer)
-        ]
-        if self._ranks_first(peers):
-            return True
-        if own.address in lost or not self._may_take_over(peers, lost):
-            return False
-        served = [peer for peer in peers if peer.address not in lost]
-        return self._has_reader_rank(served)
-
-    def _ranks_first(self, peers: list[Daemon]) -> bool:
-        """Return whether this daemon reads while the store serves everybody."""
-        if self._is_discovering():
-            return self.is_seed()
-        return self._has_reader_rank(peers)
-
-    def _may_take_over(self, peers: list[Daemon], lost: set[str]) -> bool:
-        """Return whether the ranks of daemons without a report count.
-
-        While daemons discover each other, they count only once no seed that
-        has announced itself is served, and one of the seeds has said so.
-        """
-        if not self._is_discovering():
-            return True
-        seeds = self.membership.configured_seeds
-        if lost.isdisjoint(seeds):
-            return False
-        return all(
-            peer.address in lost for peer in peers if peer.address in seeds
-        )
-
-    def _is_discovering(self) -> bool:
-        return self.clock.now() - self.started_at < _DISCOVERY_PERIOD
-
-    def _has_reader_rank(self, peers: list[Daemon]) -> bool:
-        """Return whether few enough of some peers come before this daemon."""
-        own = self.membership.own
-        own_key = self._rank_key(own.address)
-        domains = {own.failure_domain}
-        rank = 0
-        for peer in peers:
-            domains.add(peer.failure_domain)
-            if peer.failure_domain != own.failure_domain:
-                continue
-            rank += self._rank_key(peer.address) < own_key
-        return rank < math.ceil(READER_COUNT / len(domains))
-
-    def is_seed(self) -> bool:
-        """Return whether this daemon is a seed, which all others know."""
-        membership = self.membership
-        return membership.own.address in membership.configured_seeds
-
-    def report_store_lost(self) -> None:
-        """Ask another daemon to take over if this one is a designated reader."""
-        if not self.is_designated():
-            return
-        self.lost_reports.put(
-            self.membership.own.address, 'lost', _STORE_LOST_TTL
-        )
-
-    def _rank_key(self, address: str) -> tuple[bool, str]:
-        """Return the sort key that ranks daemons; seeds come first."""
-        return address not in self.membership.configured_seeds, address
-
-
-def _is_eligible(daemon: Daemon) -> bool:
-    return bool(daemon.failure_domain) and not daemon.is_leaving
+# Who told an era, in logs.
+_STORE = 'store'
 
 
 class StoreWatch:
@@ -232,6 +97,7 @@
         self.rng = rng
         self.revision: int | None = None
         self.is_store_lost = False
+        self.era = role.era
         self.retry_delay = _INITIAL_RETRY_DELAY
 
     async def run(self) -> None:
@@ -274,6 +140,8 @@
 
     async def _read_once(self) -> None:
         requested_at = self.clock.now()
+        if self.revision is not None:
+            self._restart_in_new_era(self.era.current)
         is_full_read = self.revision is None
         if self.revision is None:
             answer = await self.source.read()
@@ -281,18 +149,46 @@
             wait = self.rng.uniform(_MIN_CHANGE_WAIT, _MAX_CHANGE_WAIT)
             answer = await self.source.wait(self.revision, wait)
         if answer.is_error():
+            self.era.observe(answer.error.era, _STORE)
             await self._record_error(answer.error)
             return
-        rows = answer.ok
+        rows = self._with_era(answer.ok)
+        if era_of(rows.revision) < self.era.current:
+            await self._record_error(
+                StoreError(StoreFault.OLD_ERA, 'response of an earlier era')
+            )
+            return
+        self.era.observe(era_of(rows.revision), _STORE)
+        if not is_full_read and self._restart_in_new_era(self.era.current):
+            return
         was_lost = self._record_success()
         self.revision = rows.revision
+        self.role.announce_reading()
         self.on_rows(rows, is_full_read, was_lost, requested_at)
         if rows.rows:
             ends_at = requested_at + _MIN_CALL_INTERVAL
             await self.clock.sleep(ends_at - self.clock.now())
 
+    def _with_era(self, rows: StoreRows) -> StoreRows:
+        """Return the rows in the known era if the store has not sent one."""
+        is_present = bool(era_of(rows.revision))
+        self.era.record_presence(is_present)
+        if is_present or not self.era.current:
+            return rows
+        if self.revision is None:
+            return lift_rows(rows, self.era.current)
+        return lift_rows(rows, era_of(self.revision))
+
+    def _restart_in_new_era(self, era: int) -> bool:
+        """Read all rows next if the last read was of another era."""
+        if self.revision is None or era_of(self.revision) == era:
+            return False
+        self.revision = None
+        return True
+
     async def _record_error(self, error: StoreError) -> None:
-        if error.fault is StoreFault.HISTORY_LOST:
+        is_watch = self.revision is not None
+        if is_watch and error.fault is StoreFault.HISTORY_LOST:
             _logger.info(
                 'store truncated its change history; reading all rows again',
                 extra={'rows': self.name},
--- a/packages/cowslippond-core/src/cowslippond_core/_upstream_registry.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstream_registry.py
@@ -1,19 +1,28 @@
 """The upstreams of all services, replicated from the store and from peers."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._document import AcceptedDocument
 from cowslippond_core._platform_store import StoreRows
+from cowslippond_core._store_era import (
+    StoreEra,
+    era_of,
+    lift_unknown,
+    plain_revision,
+)
 from cowslippond_core._versions import Versions
-from cowslippond_core._vm import Vm
+from cowslippond_core._vm import Vm, VmState
 
 _logger = logging.getLogger(__name__)
 
 #: The name of the log through which daemons exchange upstream entries.
 UPSTREAM_LOG = 'upstreams'
 
+#: The name under which daemons that know eras exchange the same entries.
+UPSTREAM_ERA_LOG = 'upstreams.era'
+
 # Entries that expired during an outage of the store are registered again about
 # two seconds after its return.
 _GRACE_PERIOD: Millis = 2300
@@ -33,14 +42,24 @@
     late answer of the store restores an old one. An entry with an empty text is
     a tombstone, which marks a removal.
 
+    Revisions contain the era of the store. In a restored store, an entry that
+    had ended or announced its end after the copy was made is found again as it
+    was before; it keeps its later state until the store has a newer row.
+
     :param clock: the clock of the grace period.
     :param decode: returns the VM of an entry, or ``None`` if it has none.
+    :param era: the era of the store.
     """
 
     def __init__(
-        self, clock: Clock, decode: Callable[[str, str], Vm | None]
+        self,
+        clock: Clock,
+        decode: Callable[[str, str], Vm | None],
+        era: StoreEra | None = None,
     ) -> None:
         super().__init__()
+        self.era = era or StoreEra()
+        self.era.listeners.append(self._lift_unknown)
         self.clock = clock
         self.decode = decode
         self.by_key: dict[str, Vm] = {}
@@ -71,7 +90,7 @@
         :param was_lost: whether the store could not be read before.
         :param requested_at: when the rows were requested.
         """
-        if was_lost:
+        if was_lost or self._is_restored(rows.revision):
             self.store_back_at = self.clock.now()
         offered = []
         removed = {}
@@ -101,6 +120,14 @@
         )
         self._advance_revision()
 
+    def offer(self, accepted: AcceptedDocument) -> bool:
+        """Put a newer entry in force, unless it comes from a copy."""
+        return super().offer(self._reconcile(accepted))
+
+    def offer_all(self, batch: Iterable[AcceptedDocument]) -> None:
+        """Put the newer entries in force, except those from a copy."""
+        super().offer_all([self._reconcile(accepted) for accepted in batch])
+
     def put_in_force(self, accepted: AcceptedDocument) -> bool:
         """Put a newer entry of an upstream in force."""
         key = accepted.service
@@ -116,6 +143,65 @@
         self.changes.append(accepted)
         return True
 
+    def _is_restored(self, revision: int) -> bool:
+        """Return whether a revision is the first one of a new era."""
+        return 0 < era_of(self.revision) < era_of(revision)
+
+    def _reconcile(self, accepted: AcceptedDocument) -> AcceptedDocument:
+        """Return an entry of a new era with the state that it had reached.
+
+        Rows that were written before the copy was made have the revisions that
+        they had in the earlier era. Once this daemon has all entries of the new
+        era, rows are known to be written in it.
+        """
+        if not self._is_restored(accepted.revision):
+            return accepted
+        known = self.latest.get(accepted.service)
+        if known is None or era_of(known.revision) == era_of(accepted.revision):
+            return accepted
+        is_older = plain_revision(accepted.revision) <= plain_revision(
+            known.revision
+        )
+        if not is_older or not self._has_ended(known):
+            return accepted
+        if self._has_ended(accepted):
+            return accepted
+        _logger.info(
+            'store was restored without the end of an upstream; keeping it',
+            extra={
+                'upstream': accepted.service,
+                'revision': plain_revision(accepted.revision),
+                'ended': plain_revision(known.revision),
+            },
+        )
+        return accepted._replace(text=known.text)
+
+    def _has_ended(self, entry: AcceptedDocument) -> bool:
+        """Return whether an entry marks a removal or a draining upstream."""
+        if not entry.text:
+            return True
+        vm = self.decode(entry.service, entry.text)
+        return vm is not None and vm.state is VmState.LEAVING
+
+    def _lift_unknown(self, previous: int) -> None:
+        """Assign entries of an unknown era to the first era of the store."""
+        if previous:
+            return
+        first = self.era.first
+        self.latest = {
+            key: entry._replace(
+                version=lift_unknown(entry.version, first),
+                revision=lift_unknown(entry.revision, first),
+            )
+            for key, entry in self.latest.items()
+        }
+        self.pending_removals = {
+            key: lift_unknown(revision, first)
+            for key, revision in self.pending_removals.items()
+        }
+        self.revision = lift_unknown(self.revision, first)
+        self.read_revision = lift_unknown(self.read_revision, first)
+
     def _notify(self) -> None:
         """Call the watchers once for all changes since the last call."""
         if self.changes:
@@ -132,7 +218,7 @@
                 extra={
                     'changes': len(self.changes),
                     'upstreams': len(self.by_key),
-                    'revision': self.changes[-1].revision,
+                    'revision': plain_revision(self.changes[-1].revision),
                 },
             )
             return
@@ -142,7 +228,7 @@
                 'upstream changed',
                 extra={
                     'upstream': accepted.service,
-                    'revision': accepted.revision,
+                    'revision': plain_revision(accepted.revision),
                     'state': vm.state.value if vm else 'gone',
                     'service': vm.service if vm else '',
                 },
--- a/packages/cowslippond-core/src/cowslippond_core/_versions.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_versions.py
@@ -13,8 +13,12 @@
     of any text is missing; individual texts may be newer. ``confirmed_at`` is
     the clock time at which ``revision`` was last known to be the newest.
     ``observed_revision`` is the highest revision reported to exist.
+    ``successor`` is the name of the log in which peers that have it exchange
+    the same texts instead.
     """
 
+    successor = ''
+
     def __init__(self) -> None:
         self.revision = 0
         self.observed_revision = 0
@@ -79,6 +83,10 @@
         if self.confirmed_at is None or self.confirmed_at < at:
             self.confirmed_at = at
 
+    def accepts(self) -> bool:
+        """Return whether texts of peers are applied."""
+        return True
+
     def newer_than(self, revision: int) -> list[AcceptedDocument]:
         """Return the newest texts above a revision, lowest revision first."""
         newer = [
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -12,6 +12,8 @@
 from anyio.abc import TaskGroup
 from cowslippond_core import (
     STORE_LOST_TABLE,
+    STORE_READER_TABLE,
+    UPSTREAM_ERA_LOG,
     UPSTREAM_LOG,
     Clock,
     Configuration,
@@ -26,11 +28,13 @@
     Metric,
     Metrics,
     Millis,
+    PlainLog,
     Quarantine,
     ReaderRole,
     RowSource,
     SendingHooks,
     Services,
+    StoreEra,
     StoreWatch,
     UpstreamRegistry,
     Vm,
@@ -136,11 +140,12 @@
         self.state = DaemonState.STARTING
         self.stop_requested = anyio.Event()
         self.started_at = self.clock.now()
+        self.era = StoreEra()
         self.configuration_log = ConfigurationLog(
             self.clock, adapter.decode_configuration
         )
         self.upstream_registry = UpstreamRegistry(
-            self.clock, adapter.decode_upstream
+            self.clock, adapter.decode_upstream, self.era
         )
         self.fleet = Fleet(
             FleetSettings(
@@ -156,11 +161,25 @@
             self.configuration_log,
             self.metrics,
             self.rng,
-            {UPSTREAM_LOG: self.upstream_registry},
+            {
+                UPSTREAM_ERA_LOG: self.upstream_registry,
+                UPSTREAM_LOG: PlainLog(
+                    self.upstream_registry, self.era, UPSTREAM_ERA_LOG
+                ),
+            },
             (STORE_LOST_TABLE, RATE_LIMIT_TABLE),
-            (FAILURE_TABLE,),
+            (FAILURE_TABLE, STORE_READER_TABLE),
         )
+        self.fleet.gossip.era = self.era
         self.fleet.relay_at_once(STORE_LOST_TABLE)
+        self.reader_role = ReaderRole(
+            self.fleet.membership,
+            self.configuration_log,
+            self.fleet.gossip_table(STORE_LOST_TABLE),
+            self.clock,
+            self.era,
+            self.fleet.gossip_table(STORE_READER_TABLE),
+        )
         self.rate_limits = SharedRateLimits(
             self.fleet.gossip_table(RATE_LIMIT_TABLE),
             settings.peer_address,
@@ -225,12 +244,6 @@
             partial(self._update_upstreams, services)
         )
         sources = self.open_sources(tasks, self.clock)
-        role = ReaderRole(
-            self.fleet.membership,
-            self.configuration_log,
-            self.fleet.gossip_table(STORE_LOST_TABLE),
-            self.clock,
-        )
         for name, source, apply_changes in (
             (
                 'configuration',
@@ -242,7 +255,7 @@
             watch = StoreWatch(
                 name,
                 source,
-                role,
+                self.reader_role,
                 apply_changes,
                 self.clock,
                 self.rng,
@@ -379,6 +392,10 @@
         self.metrics.gauge(
             Metric.UPSTREAMS_RATE_LIMITED, self.rate_limits.count()
         )
+        self.metrics.gauge(Metric.STORE_ERA, self.era.store_number() or 0)
+        self.metrics.gauge(
+            Metric.STORE_READERS, len(self.reader_role.known_readers())
+        )
         self.metrics.gauge(Metric.DAEMONS_KNOWN, self.fleet.membership.count())
         return self.metrics.render()
 
@@ -396,6 +413,9 @@
             'confirmed_age': None
             if confirmed_at is None
             else now - confirmed_at,
+            'store_era': self.era.store_number(),
+            'store_restores': self.era.changes,
+            'store_readers': self.reader_role.known_readers(),
             'daemons': self.fleet.membership.count(),
             'upstreams': len(self.upstream_registry.by_key),
             # The names are enumeration members, which the encoder refuses.
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_store.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_store.py
@@ -1,24 +1,32 @@
 """Client of the platform's store."""
 
 import base64
+import logging
 from collections.abc import Iterable, Mapping
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
 import orjson
 from anyio.abc import TaskGroup
 from cowslippond_core import (
+    MAX_ERA,
     Clock,
     Connections,
+    HeaderList,
     HttpCalls,
     Millis,
     StoreError,
     StoreFault,
     StoreRow,
     StoreRows,
+    combine_era,
+    era_of,
+    plain_revision,
 )
 from expression import Error, Ok, Result
 
+_logger = logging.getLogger(__name__)
+
 _OK = 200
 _GONE = 410
 _PAGE_ROWS = 500
@@ -34,6 +42,22 @@
 
 _MAX_CALLS = 4
 
+_ERA_HEADER = b'store-era'
+
+# An invalid value is logged up to this number of characters.
+_MAX_LOGGED = 64
+
+
+class StoreResponse(NamedTuple):
+    """The JSON object of a response, and the era of the store.
+
+    ``era`` is one more than the store's number, and 0 if the response has no
+    valid one, since the store may count from 0.
+    """
+
+    fields: dict[str, Any]
+    era: int
+
 
 class Store:
     """Sends calls to the store; concurrent calls use separate connections.
@@ -45,6 +69,7 @@
 
     def __init__(self, address: str, tasks: TaskGroup, clock: Clock) -> None:
         self.calls = HttpCalls(Connections(address, tasks, clock, _MAX_CALLS))
+        self.is_era_invalid = False
 
     async def call(
         self,
@@ -53,7 +78,7 @@
         query: Mapping[str, str | int],
         body: bytes | None = None,
         wait: Millis = 0,
-    ) -> Result[dict[str, Any], StoreError]:
+    ) -> Result[StoreResponse, StoreError]:
         """Send a call and return the JSON object of its response.
 
         :param wait: how long the store may delay its response to wait for
@@ -71,11 +96,12 @@
         if outcome.is_error():
             return _fail(StoreFault.UNREACHABLE, outcome.error)
         response = outcome.ok
+        era = self._decode_era(response.headers)
         if response.status == _GONE:
-            return _fail(StoreFault.HISTORY_LOST, path)
+            return _fail(StoreFault.HISTORY_LOST, path, era)
         if response.status != _OK:
             return _fail(
-                StoreFault.REFUSED, f'{path}: status {response.status}'
+                StoreFault.REFUSED, f'{path}: status {response.status}', era
             )
         try:
             answer = orjson.loads(response.body)
@@ -85,7 +111,27 @@
             return _fail(
                 StoreFault.UNREADABLE, f'{path}: response is not a JSON object'
             )
-        return Ok(answer)
+        return Ok(StoreResponse(answer, era))
+
+    def _decode_era(self, headers: HeaderList) -> int:
+        """Return the era of a response; log the first of invalid ones."""
+        texts = [text for name, text in headers if name == _ERA_HEADER]
+        era = _parse_era(texts) if texts else 0
+        is_invalid = bool(texts) and not era
+        if is_invalid and not self.is_era_invalid:
+            _logger.warning(
+                'store sent an era that is not a number',
+                extra={'detail': repr(texts)[:_MAX_LOGGED]},
+            )
+        self.is_era_invalid = is_invalid
+        return era
+
+
+def _parse_era(texts: list[bytes]) -> int:
+    if len(set(texts)) != 1 or not texts[0].strip().isdigit():
+        return 0
+    era = int(texts[0][:_MAX_LOGGED]) + 1
+    return era if era <= MAX_ERA else 0
 
 
 class TableReader:
@@ -113,6 +159,7 @@
         """Return all rows, with the revision of the first page."""
         rows: list[StoreRow] = []
         revision: int | None = None
+        era = 0
         query: dict[str, str | int] = {
             'table': self.table,
             'part': '',
@@ -128,10 +175,15 @@
             rows.extend(decoded.ok.rows)
             if revision is None:
                 revision = decoded.ok.revision
-            if not page.ok.get('has_more'):
+            elif era_of(revision) != page.ok.era:
+                return _fail(
+                    StoreFault.HISTORY_LOST, 'restored while reading', era
+                )
+            era = page.ok.era
+            if not page.ok.fields.get('has_more'):
                 return Ok(StoreRows(tuple(rows), revision))
             # ``from`` is inclusive, so start just after the last key read.
-            last_key = page.ok['rows'][-1]['key']
+            last_key = page.ok.fields['rows'][-1]['key']
             query['from'] = f'{last_key}\0'
 
     async def wait(
@@ -140,7 +192,7 @@
         """Wait for changes after a revision and return them."""
         query: dict[str, str | int] = {
             'table': self.table,
-            'after': after,
+            'after': plain_revision(after),
             'wait_ms': int(wait),
         }
         answer = await self.store.call('GET', '/rows-feed', query, wait=wait)
@@ -148,18 +200,22 @@
             return Error(answer.error)
         return self._decode(answer.ok)
 
-    def _decode(self, answer: dict[str, Any]) -> Result[StoreRows, StoreError]:
+    def _decode(self, response: StoreResponse) -> Result[StoreRows, StoreError]:
+        answer = response.fields
         try:
-            rows = tuple(self._decode_rows(answer['rows']))
-            return Ok(StoreRows(rows, int(answer['row_version'])))
+            rows = tuple(self._decode_rows(answer['rows'], response.era))
+            revision = combine_era(response.era, int(answer['row_version']))
+            return Ok(StoreRows(rows, revision))
         except (KeyError, TypeError, ValueError) as error:
             return _fail(StoreFault.UNREADABLE, repr(error))
 
-    def _decode_rows(self, rows: Iterable[dict[str, Any]]) -> list[StoreRow]:
+    def _decode_rows(
+        self, rows: Iterable[dict[str, Any]], era: int
+    ) -> list[StoreRow]:
         return [
             StoreRow(
                 self.name or row['key'],
-                int(row['row_version']),
+                combine_era(era, int(row['row_version'])),
                 _decode_text(row),
             )
             for row in rows
@@ -173,5 +229,7 @@
     return base64.b64decode(row['value']).decode('utf-8', 'replace')
 
 
-def _fail(fault: StoreFault, detail: str) -> Result[Any, StoreError]:
-    return Error(StoreError(fault, detail))
+def _fail(
+    fault: StoreFault, detail: str, era: int = 0
+) -> Result[Any, StoreError]:
+    return Error(StoreError(fault, detail, era))
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
@@ -99,6 +99,19 @@
         """Stop all processes and tasks of the deployment."""
         await self.stack.__aexit__(kind, error, trace)
 
+    def serve_store(self, *, is_lagging: bool = False) -> Address:
+        """Serve the store at another address as well, and return it.
+
+        :param is_lagging: whether daemons that use this address see the rows
+            as they were before the last restore.
+        """
+        address = Address(_HOST, free_ports(1))
+        if is_lagging:
+            self.store.lagging_ports.add(address.port)
+        server = make_server(Endpoint(self.store, *address))
+        self.tasks.start_soon(server.serve)
+        return address
+
     async def add_backend(
         self, service: str, mean_work: Millis = 15, domain: str = _FIRST_DOMAIN
     ) -> Backend:
--- a/packages/cowslippond-standins/src/cowslippond_standins/model/_reading.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/_reading.py
@@ -12,6 +12,7 @@
 from anyio.abc import ByteStream, TaskGroup
 from cowslippond_core import (
     STORE_LOST_TABLE,
+    STORE_READER_TABLE,
     Configuration,
     ConfigurationLog,
     Fleet,
@@ -207,6 +208,7 @@
             Metrics(''),
             rng,
             tables=(STORE_LOST_TABLE,),
+            deferred_tables=(STORE_READER_TABLE,),
         )
         fleet.relay_at_once(STORE_LOST_TABLE)
         fleet.peer_client.connect = partial(self._connect, tasks)
@@ -216,6 +218,7 @@
             log,
             fleet.gossip_table(STORE_LOST_TABLE),
             self.clock,
+            readers=fleet.gossip_table(STORE_READER_TABLE),
         )
         tasks.start_soon(fleet.peer_client.run)
         tasks.start_soon(fleet.send_heartbeats)
