--- a/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
@@ -97,6 +97,7 @@
         self.rng = rng
         self.revision: int | None = None
         self.is_store_lost = False
+        self.logged_role = ''
         self.era = role.era
         self.retry_delay = _INITIAL_RETRY_DELAY
 
@@ -110,11 +111,27 @@
         await self._await_peers()
         while True:
             if not self.role.is_reader():
+                self._log_role('other daemons read the store')
                 self.revision = None
                 await self._await_role()
                 continue
+            self._log_role('this daemon reads the store')
             await self._read_once()
 
+    def _log_role(self, message: str) -> None:
+        """Log who reads the store, once for each change."""
+        if message == self.logged_role:
+            return
+        self.logged_role = message
+        _logger.info(
+            message,
+            extra={
+                'rows': self.name,
+                'designated': self.role.is_designated(),
+                'readers': self.role.known_readers(),
+            },
+        )
+
     async def _await_peers(self) -> None:
         """Leave the first read to the seeds.
 
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_story.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_story.py
@@ -13,6 +13,9 @@
 # Fields that have their own column or are of no interest to an operator.
 _HIDDEN_FIELDS = frozenset(('time', 'level', 'logger', 'message', 'request_id'))
 
+# The logger of the lines about the era of the store.
+_ERA_LOGGER = '_store_era"'
+
 
 class LogLine(NamedTuple):
     """A log line of a daemon about one request.
@@ -35,10 +38,12 @@
     if missing:
         names = ', '.join(missing)
         return fail(ExitCode.FAULTY, 'no_file', f'no such log: {names}')
-    log_lines = sorted(_find_lines(request_id, files), key=_sort_key)
-    if not log_lines:
+    found = list(_find_lines(request_id, files))
+    if not found:
         message = f'no line about request {request_id}'
         return fail(ExitCode.NOT_FOUND, 'not_found', message)
+    found.extend(_find_eras(found, files))
+    log_lines = sorted(found, key=_sort_key)
     record = {
         'request_id': request_id,
         'lines': [line._asdict() for line in log_lines],
@@ -63,6 +68,27 @@
                     yield parsed
 
 
+def _find_eras(
+    log_lines: Iterable[LogLine], files: Iterable[pathlib.Path]
+) -> list[LogLine]:
+    """Return the last line about the era of the store before the request ended.
+
+    There is one for each VM in the story: the era that it knew. The lines of a
+    log are in the order of their times.
+    """
+    ends = {line.source: line.time for line in sorted(log_lines, key=_sort_key)}
+    latest: dict[str, LogLine] = {}
+    for path in files:
+        with path.open(errors='replace') as lines:
+            for line in lines:
+                if _ERA_LOGGER not in line:
+                    continue
+                parsed = _parse_line(line, path.name)
+                if parsed and parsed.time <= ends.get(parsed.source, ''):
+                    latest[parsed.source] = parsed
+    return list(latest.values())
+
+
 def _parse_line(line: str, file_name: str) -> LogLine | None:
     """Parse a JSON log line, possibly prefixed with the VM name."""
     prefix, brace, rest = line.partition('{')
--- a/tests/ctl/test_story.py
+++ b/tests/ctl/test_story.py
@@ -44,6 +44,20 @@
             ('a.log', 'call answered'),
         ]
 
+    def test_the_era_that_a_daemon_knew_is_shown(
+        self, logs: list[pathlib.Path]
+    ) -> None:
+        """A call that went to a removed upstream may follow a restore."""
+        known, restored = (
+            line(time, f'era {time}', '', logger='core._store_era')
+            for time in ('1', '2.5')
+        )
+        logs[0].write_text('\n'.join((known, logs[0].read_text())))
+        logs[1].write_text(''.join((logs[1].read_text(), restored)))
+        outcome = show_story('r1', logs)
+        shown = [one['message'] for one in outcome.record['lines']]
+        assert shown == ['era 1', 'call given up', 'call sent', 'call answered']
+
     def test_a_request_without_lines_is_not_found(
         self, logs: list[pathlib.Path]
     ) -> None:
