Give entries that a copy lacks their time also at a second reader

Cause: the time to return began with a daemon's own first read of the new era. A reader that had the era's entries from a peer already removed the missing ones at once. A lower number from the store also counted as a remembered earlier era, after which entries of the previous release were ignored. Change: the time begins when a daemon learns of the era; only peers' digests lower the first era. Measured: both new tests fail before; test_store_era and test_upstream_registry, 40 passed.

--- a/packages/cowslippond-core/src/cowslippond_core/_store_era.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_era.py
@@ -89,6 +89,8 @@
         """
         if not 0 < era <= MAX_ERA:
             return
+        if era < self.current and first <= 0:
+            return
         lowest = min(first, era) if first > 0 else era
         self.first = min(self.first, lowest) if self.first else lowest
         if era <= self.current:
--- a/packages/cowslippond-core/src/cowslippond_core/_upstream_registry.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstream_registry.py
@@ -59,7 +59,7 @@
     ) -> None:
         super().__init__()
         self.era = era or StoreEra()
-        self.era.listeners.append(self._lift_unknown)
+        self.era.listeners.append(self._begin_era)
         self.clock = clock
         self.decode = decode
         self.by_key: dict[str, Vm] = {}
@@ -90,7 +90,7 @@
         :param was_lost: whether the store could not be read before.
         :param requested_at: when the rows were requested.
         """
-        if was_lost or self._is_restored(rows.revision):
+        if was_lost:
             self.store_back_at = self.clock.now()
         offered = []
         removed = {}
@@ -183,9 +183,13 @@
         vm = self.decode(entry.service, entry.text)
         return vm is not None and vm.state is VmState.LEAVING
 
-    def _lift_unknown(self, previous: int) -> None:
-        """Assign entries of an unknown era to the first era of the store."""
+    def _begin_era(self, previous: int) -> None:
+        """Give entries that the copy lacks time to return.
+
+        Entries of an unknown era are assigned to the first era of the store.
+        """
         if previous:
+            self.store_back_at = self.clock.now()
             return
         first = self.era.first
         self.latest = {
--- a/tests/core/test_store_era.py
+++ b/tests/core/test_store_era.py
@@ -145,6 +145,21 @@
         assert not registry.states()
         assert not other.states()
 
+    def test_second_reader_gives_them_the_time_as_well(
+        self, registry: Registry
+    ) -> None:
+        """Its peer may have passed on the new era before its own read."""
+        registry.read(1, 90, ('u', 90, 'live'), is_whole=True)
+        other = Registry()
+        other.copy_from(registry)
+        registry.read(2, 41, ('w', 41, 'live'), is_whole=True)
+        other.copy_from(registry)
+        other.read(2, 41, ('w', 41, 'live'), is_whole=True)
+        assert other.states() == {'u': 'live', 'w': 'live'}
+        other.clock.advance(2400)
+        other.log.apply_pending_removals()
+        assert other.states() == {'w': 'live'}
+
     def test_two_restores_in_succession(self, registry: Registry) -> None:
         registry.read(1, 40, ('u', 40, 'live'), ('w', 30, 'live'))
         registry.read(1, 90, ('u', 90, None))
@@ -343,6 +358,13 @@
         ]
         assert era.store_number() == 3
 
+    def test_lower_number_of_the_store_is_no_sign_of_a_restore(self) -> None:
+        """Otherwise, entries of the previous release would be ignored."""
+        era = StoreEra()
+        era.observe(8, 'store')
+        era.observe(3, 'store')
+        assert not era.was_restored()
+
     def test_era_that_a_message_cannot_hold_is_ignored(self) -> None:
         era = StoreEra()
         era.observe(1 << 60, 'peer')
