--- a/packages/cowslippond-core/src/cowslippond_core/_peer_messages.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_peer_messages.py
@@ -26,6 +26,8 @@
     of additional logs to their revisions. ``daemons`` is the number of daemons
     that the sender knows, including itself, or 0 if it does not tell.
     ``is_settled`` tells whether it has discovered the fleet since its start.
+    ``era`` is the era of the store that the sender knows and ``first_era`` the
+    lowest one that it remembers, both 0 if it knows none.
     """
 
     revision: int
@@ -34,6 +36,8 @@
     logs: Mapping[str, int] = _NO_LOGS
     daemons: int = 0
     is_settled: bool = False
+    era: int = 0
+    first_era: int = 0
 
 
 class TableRows(NamedTuple):
--- a/packages/cowslippond-core/src/cowslippond_core/evacuations/_evacuation_log.py
+++ b/packages/cowslippond-core/src/cowslippond_core/evacuations/_evacuation_log.py
@@ -6,6 +6,7 @@
 from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._document import AcceptedDocument
 from cowslippond_core._platform_store import StoreRows
+from cowslippond_core._store_era import StoreEra
 from cowslippond_core._versions import Versions
 
 _logger = logging.getLogger(__name__)
@@ -16,7 +17,8 @@
 #: Keys of rows that evacuate a failure domain; its name follows.
 EVACUATION_PREFIX = 'evacuation/'
 
-# Operators repeat within this time what the store has lost in an outage.
+# Operators repeat within this time what the store has lost in an outage or a
+# restore.
 _GRACE_PERIOD: Millis = 2300
 
 # The text of an evacuation. What the operator wrote is not passed on, as it has
@@ -36,11 +38,14 @@
     and those whose evacuation ended.
 
     :param clock: the clock of the grace period.
+    :param era: the era of the store.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, era: StoreEra | None = None) -> None:
         super().__init__()
         self.clock = clock
+        if era is not None:
+            era.listeners.append(self._begin_era)
         self.domains: set[str] = set()
         self.watchers: list[
             Callable[[frozenset[str], frozenset[str]], None]
@@ -61,8 +66,8 @@
     ) -> None:
         """Apply rows of the store, some of which may be evacuations.
 
-        After an outage of the store, the end of an evacuation whose row is
-        missing is deferred, as the operator may write it again.
+        After an outage or a restore of the store, the end of an evacuation
+        whose row is missing is deferred, as the operator may write it again.
 
         :param rows: the rows.
         :param is_whole: whether a missing row means that it has been removed.
@@ -174,6 +179,11 @@
                 watcher(begun, ended)
         super()._notify()
 
+    def _begin_era(self, previous: int) -> None:
+        """Give evacuations that the restored copy lacks time to return."""
+        if previous:
+            self.store_back_at = self.clock.now()
+
     def _is_in_grace_period(self) -> bool:
         if self.store_back_at is None:
             return False
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -3,7 +3,6 @@
 import logging
 import math
 import random
-import uuid
 from collections.abc import Callable, Mapping
 from functools import partial
 from typing import Any
@@ -11,38 +10,24 @@
 import anyio
 from anyio.abc import TaskGroup
 from cowslippond_core import (
-    EVACUATION_LOG,
-    STORE_LOST_TABLE,
-    UPSTREAM_LOG,
     Clock,
-    ConfigurationLog,
     DispatchContext,
-    EvacuationLog,
-    Fleet,
-    FleetSettings,
-    JsonCodec,
     LeavingSource,
     Metric,
-    Metrics,
     Millis,
     OperatorRows,
     Quarantine,
-    ReaderRole,
     SendingHooks,
     Services,
-    UpstreamRegistry,
     run_restarting,
     seconds_of,
     share_quarantine,
 )
 from cowslippond_core.dispatch import (
     FAILURE_TABLE,
-    RATE_LIMIT_TABLE,
     RelayPeers,
     SharedFailures,
-    SharedRateLimits,
 )
-from cowslippond_core.quotas import QUOTA_TABLE
 from expression import Result
 
 from cowslippond_daemon._admin import Admin
@@ -54,10 +39,9 @@
     make_bounds,
 )
 from cowslippond_daemon._fleet_calls import FleetRouter
-from cowslippond_daemon._fleet_status import FleetParts
+from cowslippond_daemon._fleet_parts import build_fleet_parts
 from cowslippond_daemon._node_settings import NodeSettings
 from cowslippond_daemon._platform_adapter import PlatformAdapter
-from cowslippond_daemon._quotas import DaemonQuotas
 from cowslippond_daemon._reload import SettingsReloader
 from cowslippond_daemon._retirement import (
     DaemonState,
@@ -76,14 +60,6 @@
 _MILLIS_PER_SECOND = 1000
 _UPDATE_INTERVAL: Millis = 200
 
-# All daemons that the platform starts belong to one fleet, whichever address
-# each of them uses for the store.
-_FLEET_NAME = 'platform'
-
-# Enough to distinguish two starts of a daemon. Kept short because each
-# heartbeat carries it.
-_INCARNATION_DIGITS = 8
-
 # The front balancer stops sending after two failed checks, one second apart.
 _BALANCER_LAG: Millis = 2500
 
@@ -123,65 +99,11 @@
         self.adapter = adapter
         self.clock = Clock()
         self.rng = random.Random()
-        self.metrics = Metrics('')
         self.state = DaemonState.STARTING
         self.stop_requested = anyio.Event()
-        self.configuration_log = ConfigurationLog(
-            self.clock, adapter.decode_configuration, adapter.replace_keys
-        )
-        self.upstream_registry = UpstreamRegistry(
-            self.clock, adapter.decode_upstream
-        )
-        self.evacuations = EvacuationLog(self.clock)
-        self.fleet = Fleet(
-            FleetSettings(
-                fleet=_FLEET_NAME,
-                peer_address=settings.peer_address,
-                admin_address=settings.ready_address,
-                failure_domain=settings.failure_domain,
-                incarnation=uuid.uuid4().hex[:_INCARNATION_DIGITS],
-                seeds=settings.seeds,
-                codec=JsonCodec(),
-            ),
-            self.clock,
-            self.configuration_log,
-            self.metrics,
-            self.rng,
-            {
-                UPSTREAM_LOG: self.upstream_registry,
-                EVACUATION_LOG: self.evacuations,
-            },
-            (STORE_LOST_TABLE, RATE_LIMIT_TABLE),
-            (FAILURE_TABLE, QUOTA_TABLE),
-        )
-        self.fleet.relay_at_once(STORE_LOST_TABLE)
-        self.rate_limits = SharedRateLimits(
-            self.fleet.gossip_table(RATE_LIMIT_TABLE),
-            settings.peer_address,
-            self.fleet.membership.serving_addresses,
-            self.fleet.size.estimate,
-            self.clock,
-            self.rng,
-        )
-        apply_warm_up_settings(self.rate_limits.warm_ups, settings)
-        self.quotas = DaemonQuotas(
-            settings,
-            self.configuration_log,
-            self.fleet,
-            self.clock,
-            self.rng,
-            self.metrics,
-        )
-        self.parts = FleetParts(
-            self.configuration_log,
-            self.upstream_registry,
-            self.evacuations,
-            self.rate_limits,
-            self.quotas,
-            self.fleet,
-            self.metrics,
-            self.clock,
-        )
+        self.parts = build_fleet_parts(settings, adapter, self.clock, self.rng)
+        self.metrics = self.parts.metrics
+        self.fleet = self.parts.fleet
 
     async def run(self) -> None:
         """Serve until a graceful shutdown is complete."""
@@ -214,8 +136,8 @@
                 ),
                 count_retry=self.metrics.count_retry,
                 quarantine=quarantine,
-                record_rate_limit=self.rate_limits.record_answer,
-                record_warm_up=self.rate_limits.warm_ups.record_reading,
+                record_rate_limit=self.parts.rate_limits.record_answer,
+                record_warm_up=self.parts.rate_limits.warm_ups.record_reading,
             ),
             self.fleet.size.estimate,
             self.rng,
@@ -227,9 +149,9 @@
                 tasks,
                 self.clock,
                 self.rng,
-                self.configuration_log.keys.is_required,
+                self.parts.configuration_log.keys.is_required,
             ),
-            evacuated=self.evacuations.domains,
+            evacuated=self.parts.evacuations.domains,
         )
         services = Services(
             ctx,
@@ -237,21 +159,18 @@
             self.settings.failure_domain,
             tasks,
         )
-        self.upstream_registry.watchers.append(
+        self.parts.upstream_registry.watchers.append(
             partial(self._update_upstreams, services)
         )
-        EvacuationEffects(self.evacuations, services, self.rate_limits)
-        sources = self.open_sources(tasks, self.clock)
-        role = ReaderRole(
-            self.fleet.membership,
-            self.configuration_log,
-            self.fleet.gossip_table(STORE_LOST_TABLE),
-            self.clock,
+        EvacuationEffects(
+            self.parts.evacuations, services, self.parts.rate_limits
         )
+        sources = self.open_sources(tasks, self.clock)
         operator_rows = OperatorRows(
-            self.evacuations.apply_rows, self.configuration_log.apply_rows
+            self.parts.evacuations.apply_rows,
+            self.parts.configuration_log.apply_rows,
         )
-        registry = self.upstream_registry
+        registry = self.parts.upstream_registry
         start_watches(
             tasks,
             (
@@ -262,7 +181,7 @@
                     'upstreams', sources.upstreams, registry.apply_rows
                 ),
             ),
-            role,
+            self.parts.reader_role,
             self.clock,
             self.rng,
             is_first_start=self.settings.is_first_start,
@@ -278,9 +197,12 @@
         )
         tasks.start_soon(run_restarting, self.clock, shared_failures.run)
         tasks.start_soon(
-            run_restarting, self.clock, self.rate_limits.run, services.upstreams
+            run_restarting,
+            self.clock,
+            self.parts.rate_limits.run,
+            services.upstreams,
         )
-        tasks.start_soon(run_restarting, self.clock, self.quotas.run)
+        tasks.start_soon(run_restarting, self.clock, self.parts.quotas.run)
         return services
 
     def _apply_settings(
@@ -290,30 +212,32 @@
         self.settings = settings
         self.fleet.membership.seeds = settings.seeds
         services.update_bounds(make_bounds(settings))
-        apply_warm_up_settings(self.rate_limits.warm_ups, settings)
-        self.quotas.apply_settings(settings)
+        apply_warm_up_settings(self.parts.rate_limits.warm_ups, settings)
+        self.parts.quotas.apply_settings(settings)
 
     def _update_upstreams(self, services: Services) -> None:
-        vms = self.upstream_registry.vms()
+        vms = self.parts.upstream_registry.vms()
         self.fleet.leaving.apply_list(vms)
         services.update_vms(vms)
 
     async def _update_periodically(self, services: Services) -> None:
         while True:
             await self.clock.sleep(_UPDATE_INTERVAL)
-            self.upstream_registry.apply_pending_removals()
-            self.evacuations.apply_pending_removals()
+            self.parts.upstream_registry.apply_pending_removals()
+            self.parts.evacuations.apply_pending_removals()
             services.update_daemons()
 
     async def _serve(self, tasks: TaskGroup, services: Services) -> None:
         settings = self.settings
         router = FleetRouter(
-            self.configuration_log,
+            self.parts.configuration_log,
             services,
             services.ctx,
             self.metrics,
-            CallKeys(self.configuration_log.keys, self.adapter.credentials),
-            self.quotas.gate,
+            CallKeys(
+                self.parts.configuration_log.keys, self.adapter.credentials
+            ),
+            self.parts.quotas.gate,
         )
         edge = Edge(
             router,
@@ -326,7 +250,7 @@
             settings.caller_address,
             _INITIAL_IDLE_SECONDS + _IDLE_MARGIN_SECONDS,
         )
-        self.configuration_log.listeners.append(
+        self.parts.configuration_log.listeners.append(
             lambda: self._apply_limits(edge, callers)
         )
         admin = Admin(
@@ -354,7 +278,7 @@
 
     def _apply_limits(self, edge: Edge, callers: DaemonServer) -> None:
         """Apply the idle timeout of the configuration in force."""
-        configuration = self.configuration_log.current
+        configuration = self.parts.configuration_log.current
         if configuration is None:
             return
         idle = configuration.limits.idle_timeout / _MILLIS_PER_SECOND
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_status.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_status.py
@@ -10,8 +10,10 @@
     Fleet,
     Metric,
     Metrics,
+    ReaderRole,
     Services,
     SharedRateLimits,
+    StoreEra,
     UpstreamRegistry,
 )
 
@@ -29,6 +31,8 @@
     evacuations: EvacuationLog
     rate_limits: SharedRateLimits
     quotas: DaemonQuotas
+    era: StoreEra
+    reader_role: ReaderRole
     fleet: Fleet
     metrics: Metrics
     clock: Clock
@@ -56,6 +60,8 @@
             (Metric.UPSTREAMS_RATE_LIMITED, self.rate_limits.count()),
             (Metric.UPSTREAMS_COLD, len(self.rate_limits.cold_upstreams())),
             (Metric.DOMAINS_EVACUATED, len(self.evacuations.domains)),
+            (Metric.STORE_ERA, self.era.store_number() or 0),
+            (Metric.STORE_READERS, len(self.reader_role.known_readers())),
             (Metric.DAEMONS_KNOWN, self.fleet.membership.count()),
         ):
             self.metrics.gauge(name, level)
@@ -90,6 +96,9 @@
             'configuration': self.configuration_log.revision,
             'workspaces': self.configuration_log.count_workspaces(),
             'confirmed_age': confirmed_age,
+            'store_era': self.era.store_number(),
+            'store_restores': self.era.changes,
+            'store_readers': self.reader_role.known_readers(),
             'daemons': self.fleet.membership.count(),
             'upstreams': len(self.upstream_registry.by_key),
             'cold': self.rate_limits.cold_upstreams(),
--- a/tests/evacuations/test_evacuation_log.py
+++ b/tests/evacuations/test_evacuation_log.py
@@ -6,9 +6,11 @@
 from cowslippond_core import (
     EVACUATION_PREFIX,
     EvacuationLog,
+    StoreEra,
     StoreRow,
     StoreRows,
 )
+from cowslippond_core._store_era import combine_era
 from cowslippond_daemon.platform import operator_key
 from fakes import FakeClock
 
@@ -24,7 +26,8 @@
 
     def __init__(self) -> None:
         self.fake_clock = FakeClock()
-        super().__init__(self.fake_clock)
+        self.store_era = StoreEra()
+        super().__init__(self.fake_clock, self.store_era)
         self.begun: list[str] = []
         self.ended: list[str] = []
         self.watchers.append(self.record)
@@ -43,6 +46,37 @@
         self.apply_rows(StoreRows(rows, revision), is_whole, was_lost, 0)
 
 
+class TestRestoredStore:
+    def test_evacuation_that_the_copy_lacks_stays_until_it_is_rewritten(
+        self,
+    ) -> None:
+        """Calls reached the domain until the operator had written again."""
+        log = Log()
+        log.store_era.observe(1, 'store')
+        log.apply(evacuation('north', combine_era(1, 9)), revision=9)
+        log.store_era.observe(2, 'store')
+        log.apply(revision=combine_era(2, 4), is_whole=True)
+        assert log.domains == {'north'}
+        log.fake_clock.advance(1500)
+        log.apply(
+            evacuation('north', combine_era(2, 6)), revision=combine_era(2, 6)
+        )
+        log.fake_clock.advance(2000)
+        log.apply_pending_removals()
+        assert log.domains == {'north'}
+        assert not log.ended
+
+    def test_evacuation_that_is_not_rewritten_ends(self) -> None:
+        log = Log()
+        log.store_era.observe(1, 'store')
+        log.apply(evacuation('north', combine_era(1, 9)), revision=9)
+        log.store_era.observe(2, 'store')
+        log.apply(revision=combine_era(2, 4), is_whole=True)
+        log.fake_clock.advance(2500)
+        log.apply_pending_removals()
+        assert log.domains == set()
+
+
 class TestStore:
     def test_row_evacuates_until_it_is_removed(self) -> None:
         log = Log()
