Let the router refuse a call from its head, before the body is read

Cause: the edge read up to 64 KiB of a body before the router saw the call, so a refusal could not precede the body, and `Expect: 100-continue` was answered before it.

Change: `CallHandler` has `async check_head(call)`, which returns a refusal or `None` and is called with the headers alone (`body` empty, `rest` `None`). `FleetRouter.check_head` refuses without a configuration and without a route; authentication of callers belongs there. `record_refusal` counts and logs a refusal that `serve_call` did not return. `IncomingCall.arrived_at` is the time at which the headers were complete; deadlines count from it, so the time that a body takes to arrive is part of the caller's deadline. `_edge.py` is split: `_incoming_call`, `_caller_body` (size and silence limits, not yet set by the daemon) and `_edge_responses`. `IncomingCall` can still be imported from `_edge`. A daemon that is stopping refuses a call before reading its body.

Ruled out: reading the route in the edge, as the edge also serves the former platform, whose routes come from documents.

Tests changed: the fake router of test_edge.py has the two new methods of the protocol; nothing is checked less.

Conclusion: other parts can build on `check_head`.

--- a/packages/cowslippond-core/src/cowslippond_core/_reasons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reasons.py
@@ -25,6 +25,10 @@
     KEY_OUTCOME_LOST = 'key_outcome_lost'
     ANSWER_NOT_KEPT = 'answer_not_kept'
     QUARANTINED = 'quarantined'
+    HEAD_TOO_LARGE = 'head_too_large'
+    HEAD_TIMEOUT = 'head_timeout'
+    BODY_TOO_LARGE = 'body_too_large'
+    BODY_TIMEOUT = 'body_timeout'
 
 
 class RetryReason(enum.StrEnum):
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_calls.py
@@ -41,6 +41,11 @@
     def __init__(self, components: DaemonComponents) -> None:
         self.components = components
 
+    async def check_head(self, _: IncomingCall) -> CallRefusal | None:
+        """Refuse no call: a claim needs the whole call."""
+        refusal: CallRefusal | None = None
+        return refusal
+
     async def serve_call(self, call: IncomingCall) -> CallAnswer | CallRefusal:
         """Return the response of an upstream, or a refusal."""
         host = (call.get_header(b'host') or b'').decode('latin-1')
@@ -48,18 +53,27 @@
         service = in_force.document.service if in_force else ''
         reply = await self._route_call(call, in_force)
         if isinstance(reply, CallRefusal):
-            self.components.metrics.count_refusal(reply.reason)
-            _logger.info(
-                'call refused',
-                extra={
-                    'request_id': call.request_id,
-                    'service': service,
-                    'reason': reply.reason,
-                    'outcome': reply.outcome,
-                },
-            )
+            self._record(call, reply, service)
         return reply
 
+    def record_refusal(self, call: IncomingCall, refusal: CallRefusal) -> None:
+        """Count and log a refusal that :meth:`serve_call` did not return."""
+        self._record(call, refusal, '')
+
+    def _record(
+        self, call: IncomingCall, refusal: CallRefusal, service: str
+    ) -> None:
+        self.components.metrics.count_refusal(refusal.reason)
+        _logger.info(
+            'call refused',
+            extra={
+                'request_id': call.request_id,
+                'service': service,
+                'reason': refusal.reason,
+                'outcome': refusal.outcome,
+            },
+        )
+
     async def _route_call(
         self, call: IncomingCall, in_force: InForce | None
     ) -> CallAnswer | CallRefusal:
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
@@ -1,22 +1,16 @@
 """The ASGI application for callers: reads calls and sends responses."""
 
 import contextlib
-import http
 import logging
 import uuid
-from collections.abc import (
-    AsyncIterator,
-    Awaitable,
-    Callable,
-    MutableMapping,
-)
-from types import MappingProxyType
-from typing import Any, NamedTuple, Protocol, TypeAlias
+from collections.abc import Callable
+from typing import Protocol
 
 import anyio
 from cowslippond_core import (
     CallAnswer,
     CallRefusal,
+    Clock,
     HeaderList,
     Millis,
     Outcome,
@@ -25,46 +19,27 @@
 )
 from cowslippond_core import _headers as header_names
 
-Message: TypeAlias = MutableMapping[str, Any]
-Receive: TypeAlias = Callable[[], Awaitable[Message]]
-Send: TypeAlias = Callable[[Message], Awaitable[None]]
+from cowslippond_daemon._caller_body import (
+    BodyLimits,
+    BodyReader,
+    BodyRest,
+    BrokenBodyError,
+    read_body,
+)
+from cowslippond_daemon._edge_responses import (
+    ResponseSettings,
+    ResponseWriter,
+    encode_whole_seconds,
+)
+from cowslippond_daemon._incoming_call import IncomingCall as IncomingCall
+from cowslippond_daemon._incoming_call import Message as Message
+from cowslippond_daemon._incoming_call import Receive as Receive
+from cowslippond_daemon._incoming_call import Send as Send
+from cowslippond_daemon._incoming_call import declared_length
 
 _logger = logging.getLogger(__name__)
 
-_OUTCOME = header_names.OUTCOME.encode()
-_REASON = header_names.REASON.encode()
-_RETRY_AFTER = header_names.RETRY_AFTER.encode()
 _REQUEST_ID = header_names.REQUEST_ID.encode()
-_MAX_BUFFERED_BODY_BYTES = 65536
-_MILLIS_PER_SECOND = 1000
-_HOP_BY_HOP_HEADERS = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'transfer-encoding',
-        b'proxy-connection',
-        b'upgrade',
-        b'te',
-        b'trailer',
-    )
-)
-_STATUS_OF_REASON = MappingProxyType(
-    {
-        RefusalReason.NO_SERVICE: http.HTTPStatus.NOT_FOUND,
-        RefusalReason.BAD_REQUEST: http.HTTPStatus.BAD_REQUEST,
-        RefusalReason.NO_CALLER: http.HTTPStatus.BAD_REQUEST,
-        RefusalReason.KEY_REUSED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
-        RefusalReason.KEY_IN_PROGRESS: http.HTTPStatus.CONFLICT,
-    }
-)
-_STATUS_OF_OUTCOME = MappingProxyType(
-    {
-        Outcome.NOT_RUN: http.HTTPStatus.SERVICE_UNAVAILABLE,
-        Outcome.FAILED: http.HTTPStatus.BAD_GATEWAY,
-        Outcome.UNKNOWN: http.HTTPStatus.GATEWAY_TIMEOUT,
-    }
-)
-
 
 # Another daemon can serve the call as soon as its caller retries.
 _STOPPING_RETRY_AFTER: Millis = 50
@@ -72,48 +47,29 @@
     Outcome.NOT_RUN, RefusalReason.NOT_READY, _STOPPING_RETRY_AFTER
 )
 
-
-class IncomingCall(NamedTuple):
-    """A call as read from a caller's connection.
-
-    ``body`` holds the start of the body; ``rest`` yields the remainder, or is
-    ``None`` if ``body`` is complete.
-    """
-
-    request_id: str
-    method: str
-    path: str
-    target: bytes
-    headers: HeaderList
-    body: bytes
-    rest: AsyncIterator[bytes] | None
-
-    def get_header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header, or ``None`` if it is absent.
-
-        :param name: in lower case.
-        """
-        for present, text in self.headers:
-            if present == name:
-                return text
-        return None
-
-
-def encode_whole_seconds(delay: Millis) -> bytes:
-    """Encode a ``Retry-After`` delay in seconds, rounded up, at least 1."""
-    return b'%d' % max(1, -(-int(delay) // _MILLIS_PER_SECOND))
+# The delay after which a caller may send a call again whose body was broken or
+# too large.
+_BODY_RETRY_AFTER: Millis = 1000
 
 
 class CallHandler(Protocol):
     """Serves calls that the edge has read."""
 
+    async def check_head(self, call: IncomingCall) -> CallRefusal | None:
+        """Return why a call is refused before its body is read, if it is."""
+
     async def serve_call(self, call: IncomingCall) -> CallAnswer | CallRefusal:
         """Return the response of an upstream, or a refusal."""
 
+    def record_refusal(self, call: IncomingCall, refusal: CallRefusal) -> None:
+        """Count and log a refusal that :meth:`serve_call` did not return."""
+
 
 class Edge:
     """The ASGI application that callers connect to.
 
+    ``body_limits`` apply to the calls that arrive from now on.
+
     :param router: serves each call.
     :param keep_alive_seconds: the least time that an idle connection stays
         open, advertised to callers.
@@ -128,10 +84,12 @@
         encode_retry_after: Callable[[Millis], bytes] = encode_whole_seconds,
     ) -> None:
         self.router = router
+        self.clock = Clock()
         self.encode_retry_after = encode_retry_after
         self.is_leaving = False
         self.refuses_calls = False
         self.active_calls = 0
+        self.body_limits = BodyLimits()
         self.advertise_keep_alive(keep_alive_seconds)
 
     def advertise_keep_alive(self, seconds: int) -> None:
@@ -155,17 +113,54 @@
     async def _serve(
         self, scope: Message, receive: Receive, send: Send
     ) -> None:
-        reader = _BodyReader(receive)
-        call = await _read_call(scope, reader)
-        if call is None:
+        call = _read_head(scope, self.clock.now())
+        reader = BodyReader(
+            receive, declared_length(call.headers), self.body_limits
+        )
+        writer = ResponseWriter(
+            ResponseSettings(self.keep_alive, self.encode_retry_after),
+            call,
+            reader,
+            send,
+        )
+        refusal = await self._check_head(call, reader)
+        if refusal is not None:
+            self.router.record_refusal(call, refusal)
+            await self._send_refusal(writer, refusal)
             return
-        watch = _DisconnectWatch(receive)
+        with anyio.CancelScope() as scope_of_call:
+            try:
+                call = await read_body(call, reader, scope_of_call.cancel)
+            except BrokenBodyError:
+                scope_of_call.cancel()
+            else:
+                await self._serve_watched(call, reader, writer)
+        if reader.error is not None:
+            await self._end_broken(call, reader.error, writer)
+
+    async def _check_head(
+        self, call: IncomingCall, reader: BodyReader
+    ) -> CallRefusal | None:
+        if self.refuses_calls:
+            return _STOPPING_REFUSAL
+        refusal = await self.router.check_head(call)
+        if refusal is None and (reader.length or 0) > self.body_limits.size:
+            return CallRefusal(
+                Outcome.NOT_RUN, RefusalReason.BODY_TOO_LARGE, _BODY_RETRY_AFTER
+            )
+        return refusal
+
+    async def _serve_watched(
+        self, call: IncomingCall, reader: BodyReader, writer: ResponseWriter
+    ) -> None:
+        watch = _DisconnectWatch(reader, call)
         try:
             async with anyio.create_task_group() as group:
-                if call.rest is None:
-                    group.start_soon(watch.run, group.cancel_scope)
-                await self._answer(call, send)
+                group.start_soon(watch.run, group.cancel_scope)
+                await self._answer(call, writer)
                 watch.is_answered = True
+                if reader.error is not None:
+                    group.cancel_scope.cancel()
         except* TruncatedAnswerError as broken:
             # The server closes the connection after an incomplete response, so
             # the caller can tell that it was truncated.
@@ -176,132 +171,63 @@
                     'error': str(broken.exceptions[0]),
                 },
             )
-        except* CallerDisconnectedError:
-            _logger.info(
-                'caller disconnected', extra={'request_id': call.request_id}
-            )
 
-    async def _answer(self, call: IncomingCall, send: Send) -> None:
-        if self.refuses_calls:
-            _logger.info('call refused', extra={'request_id': call.request_id})
-            await self._send_refusal(call, _STOPPING_REFUSAL, send)
-            return
+    async def _answer(self, call: IncomingCall, writer: ResponseWriter) -> None:
         reply = await self.router.serve_call(call)
         if isinstance(reply, CallRefusal):
-            await self._send_refusal(call, reply, send)
+            await self._send_refusal(writer, reply)
             return
         async with contextlib.aclosing(reply.chunks):
-            await self._send_answer(call, reply, send)
+            await self._send_answer(call, writer, reply)
 
     async def _send_answer(
-        self, call: IncomingCall, reply: CallAnswer, send: Send
+        self, call: IncomingCall, writer: ResponseWriter, reply: CallAnswer
     ) -> None:
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': reply.status,
-                'headers': self._response_headers(
-                    call, _set_outcome_header(reply.status, reply.headers)
-                ),
-            }
-        )
-        async for chunk in reply.chunks:
-            await send(
-                {
-                    'type': 'http.response.body',
-                    'body': chunk,
-                    'more_body': True,
-                }
-            )
-        await send({'type': 'http.response.body', 'body': b''})
+        self._update_settings(writer)
+        await writer.send_answer(reply)
+        if isinstance(call.rest, BodyRest) and call.rest.is_started:
+            # An upstream that has answered early may still read the body, which
+            # the server discards once the response has ended.
+            await call.rest.ended.wait()
+        await writer.end()
 
     async def _send_refusal(
-        self, call: IncomingCall, refusal: CallRefusal, send: Send
+        self, writer: ResponseWriter, refusal: CallRefusal
     ) -> None:
-        text = f'{refusal.outcome}: {refusal.reason}\n'.encode()
-        status = _STATUS_OF_REASON.get(
-            refusal.reason, _STATUS_OF_OUTCOME[refusal.outcome]
-        )
-        headers = (
-            (b'content-type', b'text/plain'),
-            (b'content-length', b'%d' % len(text)),
-            (_OUTCOME, refusal.outcome.encode()),
-            (_REASON, refusal.reason.encode()),
-            (_RETRY_AFTER, self.encode_retry_after(refusal.retry_after_ms)),
+        self._update_settings(writer)
+        await writer.send_refusal(refusal)
+
+    def _update_settings(self, writer: ResponseWriter) -> None:
+        """Close the connection if the daemon has begun to leave."""
+        if self.is_leaving:
+            writer.settings = writer.settings._replace(keep_alive=b'')
+
+    async def _end_broken(
+        self, call: IncomingCall, error: BrokenBodyError, writer: ResponseWriter
+    ) -> None:
+        """End a call whose body is not complete."""
+        is_sent = isinstance(call.rest, BodyRest) and call.rest.is_started
+        _logger.info(
+            'body of a call is not complete',
+            extra={
+                'request_id': call.request_id,
+                'error': str(error),
+                'received_bytes': writer.reader.received_bytes,
+                'is_partly_sent': is_sent,
+            },
         )
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': status,
-                'headers': self._response_headers(call, headers),
-            }
+        if error.reason is None or writer.is_started:
+            return
+        refusal = CallRefusal(
+            Outcome.UNKNOWN if is_sent else Outcome.NOT_RUN,
+            error.reason,
+            _BODY_RETRY_AFTER,
         )
-        await send({'type': 'http.response.body', 'body': text})
-
-    def _response_headers(
-        self, call: IncomingCall, headers: HeaderList
-    ) -> list[tuple[bytes, bytes]]:
-        forwarded = [
-            (name, text)
-            for name, text in headers
-            if name.lower() not in _HOP_BY_HOP_HEADERS
-            and name.lower() != _REQUEST_ID
-        ]
-        forwarded.append((_REQUEST_ID, call.request_id.encode()))
-        if self.is_leaving or call.rest is not None:
-            forwarded.append((b'connection', b'close'))
-        else:
-            forwarded.append((b'keep-alive', self.keep_alive))
-        return forwarded
-
-
-class CallerDisconnectedError(Exception):
-    """The caller closed its connection before the whole call was read."""
-
-
-class _BodyReader:
-    """Reads the body of a call from the server."""
-
-    def __init__(self, receive: Receive) -> None:
-        self.receive = receive
-        self.is_complete = False
-
-    async def read(self) -> bytes:
-        """Return the next chunk of the body.
-
-        :raises CallerDisconnectedError: if the caller closed its connection.
-        """
-        message = await self.receive()
-        if message['type'] == 'http.disconnect':
-            raise CallerDisconnectedError
-        self.is_complete = not message.get('more_body', False)
-        chunk: bytes = message.get('body', b'')
-        return chunk
-
-    async def rest(self, buffered: bytes) -> AsyncIterator[bytes]:
-        """Yield the rest of the body.
-
-        :param buffered: the part of it that was read already.
-        """
-        yield buffered
-        while not self.is_complete:
-            yield await self.read()
-
-
-async def _read_call(
-    scope: Message, reader: _BodyReader
-) -> IncomingCall | None:
-    buffer = bytearray()
-    try:
-        while (
-            not reader.is_complete and len(buffer) <= _MAX_BUFFERED_BODY_BYTES
-        ):
-            buffer += await reader.read()
-    except CallerDisconnectedError:
-        return None
-    # Always split the body at the same offset, whatever the chunk sizes, so
-    # that repeats of a call have the same fingerprint.
-    remainder = bytes(buffer[_MAX_BUFFERED_BODY_BYTES:])
+        self.router.record_refusal(call, refusal)
+        await self._send_refusal(writer, refusal)
+
+
+def _read_head(scope: Message, arrived_at: Millis) -> IncomingCall:
     headers: HeaderList = tuple(scope['headers'])
     target: bytes = scope['raw_path']
     if scope['query_string']:
@@ -312,8 +238,9 @@
         path=scope['path'],
         target=target,
         headers=headers,
-        body=bytes(buffer[:_MAX_BUFFERED_BODY_BYTES]),
-        rest=reader.rest(remainder) if remainder else None,
+        body=b'',
+        rest=None,
+        arrived_at=arrived_at,
     )
     supplied_id = call.get_header(_REQUEST_ID)
     request_id = (
@@ -322,18 +249,6 @@
     return call._replace(request_id=request_id)
 
 
-def _set_outcome_header(status: int, headers: HeaderList) -> HeaderList:
-    """Return the headers of an upstream's response with the actual outcome.
-
-    An upstream that answered has run the call, so its own outcome header is
-    dropped. A server error is marked as failed.
-    """
-    forwarded = tuple(pair for pair in headers if pair[0].lower() != _OUTCOME)
-    if status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
-        return forwarded
-    return (*forwarded, (_OUTCOME, Outcome.FAILED.encode()))
-
-
 class _DisconnectWatch:
     """Cancels a call whose caller disconnects before the response is sent.
 
@@ -342,14 +257,24 @@
     than the call itself.
     """
 
-    def __init__(self, receive: Receive) -> None:
-        self.receive = receive
+    def __init__(self, reader: BodyReader, call: IncomingCall) -> None:
+        self.reader = reader
+        self.call = call
         self.is_answered = False
 
     async def run(self, scope: anyio.CancelScope) -> None:
         """Wait until the call has ended or its caller has disconnected."""
-        message = await self.receive()
+        if isinstance(self.call.rest, BodyRest):
+            # Until then, whoever sends the body notices a disconnect.
+            await self.call.rest.ended.wait()
+            if not self.reader.is_complete:
+                return
+        message = await self.reader.receive()
         while message['type'] != 'http.disconnect':
-            message = await self.receive()
+            message = await self.reader.receive()
         if not self.is_answered:
+            _logger.info(
+                'caller disconnected',
+                extra={'request_id': self.call.request_id},
+            )
             scope.cancel()
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_calls.py
@@ -8,7 +8,6 @@
     CallAnswer,
     CallRefusal,
     CallRequest,
-    Clock,
     ConfigurationLog,
     Dispatch,
     DispatchContext,
@@ -62,13 +61,30 @@
         self.round_robin = WeightedRoundRobin(ctx.rng)
         log.listeners.append(self._retain_splits)
 
+    async def check_head(self, call: IncomingCall) -> CallRefusal | None:
+        """Return why a call is refused before its body is read, if it is."""
+        if self.log.current is None:
+            return self._refuse(RefusalReason.NOT_READY)
+        if self._find_route(call) is None:
+            return self._refuse(RefusalReason.NO_SERVICE)
+        return None
+
     async def serve_call(self, call: IncomingCall) -> CallAnswer | CallRefusal:
         """Return the response of an upstream, or a refusal."""
-        arrived_at = self.ctx.clock.now()
-        reply = await self._route_call(call, arrived_at)
+        reply = await self._route_call(call)
+        self._record(call, reply)
+        return reply
+
+    def record_refusal(self, call: IncomingCall, refusal: CallRefusal) -> None:
+        """Count and log a refusal that :meth:`serve_call` did not return."""
+        self._record(call, refusal)
+
+    def _record(
+        self, call: IncomingCall, reply: CallAnswer | CallRefusal
+    ) -> None:
         if isinstance(reply, CallRefusal):
             self.metrics.count_refusal(reply.reason)
-        elapsed = self.ctx.clock.now() - arrived_at
+        elapsed = self.ctx.clock.now() - call.arrived_at
         self.metrics.count(Metric.CALLS)
         self.metrics.timing(Metric.CALL_MS, elapsed)
         version = self.log.current.version if self.log.current else 0
@@ -81,24 +97,26 @@
                 **_outcome_fields(reply),
             },
         )
-        return reply
 
-    async def _route_call(
-        self, call: IncomingCall, arrived_at: Millis
-    ) -> CallAnswer | CallRefusal:
+    def _find_route(self, call: IncomingCall) -> Route | None:
+        host = (call.get_header(b'host') or b'').decode('latin-1')
+        return self.log.routes.find(host, call.target.decode('latin-1'))
+
+    async def _route_call(self, call: IncomingCall) -> CallAnswer | CallRefusal:
         configuration = self.log.current
         if configuration is None:
             return self._refuse(RefusalReason.NOT_READY)
-        host = (call.get_header(b'host') or b'').decode('latin-1')
-        route = self.log.routes.find(host, call.target.decode('latin-1'))
+        route = self._find_route(call)
         if route is None:
             return self._refuse(RefusalReason.NO_SERVICE)
         entry = configuration.services[self.round_robin.next_service(route)]
         service = self.services.get(entry, route.objective)
-        request = _make_request(call, route, self.ctx.clock, arrived_at)
-        if request.deadline <= arrived_at:
+        request = _make_request(call, route)
+        if request.deadline <= self.ctx.clock.now():
             return self._refuse(RefusalReason.DEADLINE)
-        dispatch = Dispatch(self.ctx, service, Call(request, route, arrived_at))
+        dispatch = Dispatch(
+            self.ctx, service, Call(request, route, call.arrived_at)
+        )
         return await dispatch.run()
 
     def _retain_splits(self) -> None:
@@ -110,9 +128,7 @@
         return CallRefusal(Outcome.NOT_RUN, reason, delay)
 
 
-def _make_request(
-    call: IncomingCall, route: Route, clock: Clock, arrived_at: Millis
-) -> CallRequest:
+def _make_request(call: IncomingCall, route: Route) -> CallRequest:
     method = call.method.encode()
     return CallRequest(
         request_id=call.request_id,
@@ -122,7 +138,7 @@
         body=call.body,
         rest=call.rest,
         is_idempotent=route.is_idempotent,
-        deadline=arrived_at + _time_left(call, route.timeout),
+        deadline=call.arrived_at + _time_left(call, route.timeout),
         attempt=0,
         fingerprint=fingerprint_request(method, call.target, '', call.body),
     )
--- a/packages/cowslippond-standins/src/cowslippond_standins/call_cost.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/call_cost.py
@@ -127,6 +127,14 @@
         self.service = service
         self.clock = Clock()
 
+    async def check_head(self, _: IncomingCall) -> CallRefusal | None:
+        """Refuse no call."""
+        refusal: CallRefusal | None = None
+        return refusal
+
+    def record_refusal(self, call: IncomingCall, refusal: CallRefusal) -> None:
+        """Do not record refusals, as calls of the measurement get none."""
+
     async def serve_call(self, call: IncomingCall) -> CallAnswer | CallRefusal:
         """Send a call to the upstream and return its response."""
         request = CallRequest(
--- a/tests/daemon/test_edge.py
+++ b/tests/daemon/test_edge.py
@@ -32,6 +32,13 @@
         self.calls: list[IncomingCall] = []
         self.rest = b''
 
+    async def check_head(self, _: IncomingCall) -> CallRefusal | None:
+        refusal: CallRefusal | None = None
+        return refusal
+
+    def record_refusal(self, call: IncomingCall, refusal: CallRefusal) -> None:
+        raise AssertionError(refusal)
+
     async def serve_call(self, call: IncomingCall) -> CallRefusal:
         self.calls.append(call)
         if call.rest is not None:
