Pass uploads whole or not at all, and enforce the limits on callers

Cause, each found with a real daemon or by reading the path that it takes: - `max_body_bytes`, `max_header_bytes` and `header_timeout_ms` were decoded and not enforced. - A response to a call whose body was still arriving was followed by a close with unread bytes, which resets the connection: the caller lost it. - An upstream that accepted a call early had its connection closed under it. - A caller that stalled was never given up. The disconnect watch did not run for streamed bodies. A caller that broke off counted as a failure of the upstream and, three times in a row, as lost reach. - A relayed call with a partly streamed body could go to a second peer. - A call without any deadline failed, as infinity could not be encoded. - Trailers of a short body became headers of the call. - A daemon that stopped during an upload answered 504 instead of closing.

Change: `CallerProtocol` limits headers (431, 408) and lingers before it closes; `BodyReader` limits bodies (413, 408); `UploadGate` admits at most half of a service's connections, and 64, to streamed bodies; socket buffers of streamed bodies are 128 KiB; `ExchangeFault.BODY` is a break by the caller. The fault proxy has a speed for links, and the stand-ins have an upload caller and back end.

Ruled out: uvicorn's own limits, as it has none on headers; closing the connection on each early answer, as an upstream that accepted a call may still read it.

--- a/packages/cowslippond-core/src/cowslippond_core/_attempt.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_attempt.py
@@ -1,6 +1,7 @@
 """One send of a call to one upstream, and the result of that attempt."""
 
-from collections.abc import AsyncIterator, Callable
+import contextlib
+from collections.abc import AsyncGenerator, Callable
 from typing import NamedTuple, TypeAlias
 
 import anyio
@@ -24,6 +25,7 @@
     CallAnswer,
     CallRequest,
     TruncatedAnswerError,
+    close_parts,
 )
 from cowslippond_core._upstreams import Upstream
 
@@ -274,9 +276,12 @@
             await connection.send(head + request.body)
             return
         await connection.send(head)
+        if request.rest is not None:
+            connection.limit_send_buffer()
         connection.start_sending_rest(
             self.upstream.connections.tasks,
             _body_parts(request),
+            self.upstream.connections.release,
             is_chunked=is_chunked(request),
         )
 
@@ -329,9 +334,12 @@
         return self.answer_metadata.is_genuine or not is_success
 
 
-async def _body_parts(request: CallRequest) -> AsyncIterator[bytes]:
-    yield request.body
+async def _body_parts(request: CallRequest) -> AsyncGenerator[bytes, None]:
     if request.rest is None:
+        yield request.body
         return
-    async for part in request.rest:
-        yield part
+    async with contextlib.AsyncExitStack() as at_end:
+        at_end.push_async_callback(close_parts, request.rest)
+        yield request.body
+        async for part in request.rest:
+            yield part
--- a/packages/cowslippond-core/src/cowslippond_core/_connection.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_connection.py
@@ -3,12 +3,13 @@
 import contextlib
 import logging
 import select
-from collections.abc import AsyncIterator, Callable
+import socket
+from collections.abc import AsyncGenerator, Callable
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
-from cowslippond_core._clock import Clock, Millis
+from cowslippond_core._clock import Clock, Millis, seconds_of
 from cowslippond_core._exchange import (
     Exchange,
     ExchangeFault,
@@ -19,6 +20,15 @@
 _logger = logging.getLogger(__name__)
 
 _READ_SIZE = 65536
+_FIRST_FAILURE_STATUS = 300
+
+# Enough for 5 Mbit/s at a round trip of 200 ms. Several dozen connections would
+# otherwise take up to 4 MB each.
+_SEND_BUFFER_BYTES = 131_072
+
+# An upstream that takes no bytes of a body for this long is given up. At 48
+# uploads over 5 Mbit/s, the buffer of a socket takes 64 KB in about 5 s.
+_SEND_SILENCE_TIMEOUT: Millis = 30_000
 _CONNECTION_ERRORS = (
     anyio.EndOfStream,
     anyio.BrokenResourceError,
@@ -84,31 +94,50 @@
         except _CONNECTION_ERRORS:
             return
 
+    def limit_send_buffer(self) -> None:
+        """Keep the system from buffering megabytes for a slow upstream."""
+        raw_socket = self.stream.extra(SocketAttribute.raw_socket)
+        raw_socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES
+        )
+
     def start_sending_rest(
-        self, tasks: TaskGroup, rest: AsyncIterator[bytes], *, is_chunked: bool
+        self,
+        tasks: TaskGroup,
+        rest: AsyncGenerator[bytes, None],
+        on_late_end: Callable[['Connection'], None],
+        *,
+        is_chunked: bool,
     ) -> None:
         """Send the rest of a body in the background.
 
         The answer may arrive before the body has been sent.
 
         :param rest: the parts of the body.
+        :param on_late_end: called if the body has been sent after the end of
+            the call, so that the connection can carry another call.
         :param is_chunked: whether each part is framed as a chunk.
         """
         self.is_sending = True
-        tasks.start_soon(self._send_rest, rest, is_chunked)
+        tasks.start_soon(self._send_rest, rest, on_late_end, is_chunked)
 
     def end_call(self) -> bool:
         """End the current call.
 
+        An upstream that has accepted a call before its body was sent gets the
+        rest of the body, as it may still read it.
+
         :return: whether the connection can carry another call.
         """
         exchange = self.exchange
         self.exchange = None
-        if self.is_sending or exchange is None or not exchange.is_complete:
+        if exchange is None or not exchange.is_complete:
             self.close()
         elif not exchange.is_reusable:
             self.close()
-        return not self.is_closed
+        elif self.is_sending and exchange.status >= _FIRST_FAILURE_STATUS:
+            self.close()
+        return not self.is_closed and not self.is_sending
 
     def has_no_pending_input(self) -> bool:
         """Return whether the socket has no unread input."""
@@ -163,25 +192,41 @@
             await exchange.wait_for_space()
 
     async def _send_rest(
-        self, rest: AsyncIterator[bytes], is_chunked: bool
+        self,
+        rest: AsyncGenerator[bytes, None],
+        on_late_end: Callable[['Connection'], None],
+        is_chunked: bool,
     ) -> None:
+        fault = ExchangeFault.CLOSED
         with self.body_scope:
             try:
-                await self._send_parts(rest, is_chunked)
-            except Exception:
+                async with contextlib.aclosing(rest):
+                    await self._send_parts(rest, is_chunked)
+            except TimeoutError:
+                fault = ExchangeFault.TIMEOUT
+            except Exception as error:
+                fault = ExchangeFault.BODY
                 _logger.info(
                     'could not read the rest of a request body from the caller',
-                    exc_info=True,
+                    extra={'error': str(error)},
                 )
         if self.is_sending:
-            self.close()
+            self.close(fault)
+        elif self.exchange is None and not self.is_closed:
+            on_late_end(self)
 
     async def _send_parts(
-        self, rest: AsyncIterator[bytes], is_chunked: bool
+        self, rest: AsyncGenerator[bytes, None], is_chunked: bool
     ) -> None:
         async for part in rest:
             if part:
-                await self.send(encode_chunk(part) if is_chunked else part)
+                await self._send_part(
+                    encode_chunk(part) if is_chunked else part
+                )
         if is_chunked:
-            await self.send(encode_chunk(b''))
+            await self._send_part(encode_chunk(b''))
         self.is_sending = False
+
+    async def _send_part(self, sent: bytes) -> None:
+        with anyio.fail_after(seconds_of(_SEND_SILENCE_TIMEOUT)):
+            await self.send(sent)
--- a/packages/cowslippond-core/src/cowslippond_core/_dialect.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_dialect.py
@@ -1,6 +1,7 @@
 """Header dialects: how call metadata is exchanged with upstreams."""
 
 import enum
+import math
 from typing import NamedTuple, Protocol
 
 from cowslippond_core._clock import Millis
@@ -85,6 +86,19 @@
     workspace: str | None = None
 
 
+def encode_remaining(name: bytes, remaining: Millis) -> HeaderList:
+    """Return the header that says how long a caller still waits.
+
+    A call without a deadline has no such header.
+
+    :param name: the name of the header.
+    :param remaining: in milliseconds.
+    """
+    if math.isinf(remaining):
+        return ()
+    return ((name, b'%d' % max(remaining, 0)),)
+
+
 class Dialect(Protocol):
     """The headers that this process exchanges with its upstreams.
 
@@ -118,7 +132,7 @@
     def request_headers(self, metadata: SendMetadata) -> HeaderList:
         """Return the headers for the deadline and the attempt number."""
         return (
-            (_DEADLINE, b'%d' % max(metadata.remaining, 0)),
+            *encode_remaining(_DEADLINE, metadata.remaining),
             (_ATTEMPT, b'%d' % metadata.attempt),
         )
 
--- a/packages/cowslippond-core/src/cowslippond_core/_exchange.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_exchange.py
@@ -30,6 +30,8 @@
     FRAMING = 'framing'
     SILENT = 'silent'
     TIMEOUT = 'timeout'
+    #: The caller has not completed the body of its call.
+    BODY = 'body'
 
 
 class Exchange:
--- a/packages/cowslippond-core/src/cowslippond_core/_messages.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_messages.py
@@ -58,6 +58,13 @@
     workspace: str | None = None
 
 
+async def close_parts(rest: AsyncIterator[bytes]) -> None:
+    """Discard the rest of a body, if its iterator can be closed."""
+    aclose = getattr(rest, 'aclose', None)
+    if aclose is not None:
+        await aclose()
+
+
 class CallAnswer(NamedTuple):
     """An answer of an upstream.
 
--- a/packages/cowslippond-core/src/cowslippond_core/_observations.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_observations.py
@@ -87,7 +87,7 @@
     lost: AnswerLost,
 ) -> None:
     now = attempt.clock.now()
-    if lost.fault is ExchangeFault.SILENT:
+    if lost.fault in {ExchangeFault.SILENT, ExchangeFault.BODY}:
         return
     if lost.fault is ExchangeFault.TIMEOUT:
         waited = now - attempt.sent_at
--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -171,6 +171,10 @@
         for upstream in self.by_address.values():
             upstream.connections.limit = limit
 
+    def count_allowed(self) -> int:
+        """Return how many connections this daemon may have to all of them."""
+        return self.connection_limit * len(self.by_address)
+
     def _make(self, vm: Vm) -> Upstream:
         connections = Connections(
             vm.address, self.tasks, self.clock, self.connection_limit
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/__init__.py
@@ -22,3 +22,6 @@
 from cowslippond_core.dispatch._shared_rate_limits import (
     SharedRateLimits as SharedRateLimits,
 )
+from cowslippond_core.dispatch._uploads import (
+    dispatch_upload as dispatch_upload,
+)
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_call.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_call.py
@@ -4,8 +4,12 @@
 
 from cowslippond_core._clock import Millis
 from cowslippond_core._configuration import Route
+from cowslippond_core._dialect import NotRunReason
 from cowslippond_core._messages import CallRequest
 
+# A call without a deadline waits for an upstream as if it had this one.
+_PLACING_LIMIT: Millis = 30_000
+
 
 class Call(NamedTuple):
     """A caller's request with its route.
@@ -32,6 +36,29 @@
         """The time up to which an answer meets the route's objective."""
         return self.arrived_at + self.route.objective
 
+    @property
+    def placing_deadline(self) -> Millis:
+        """The deadline by which waits for an upstream are bounded.
+
+        A call without a deadline would otherwise wait in the queue forever.
+        """
+        return min(self.effective_deadline, self.arrived_at + _PLACING_LIMIT)
+
+    @property
+    def is_streamed(self) -> bool:
+        """Whether the body is too large to buffer."""
+        return self.request.rest is not None
+
+    def may_resend_after(self, reason: NotRunReason) -> bool:
+        """Tell whether the call can be sent again after a promise.
+
+        A body that was partly streamed is gone. It is still whole if no
+        connection was made.
+        """
+        if reason is NotRunReason.DEADLINE:
+            return False
+        return not self.is_streamed or reason is NotRunReason.CONNECT_FAILED
+
     @property
     def is_retryable(self) -> bool:
         """Whether the call may run more than once.
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_call_relay.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_call_relay.py
@@ -55,13 +55,18 @@
         :return: the last result, or ``None`` if the call is to be sent directly.
         """
         result: AttemptResult | None = None
-        while result is None or isinstance(result, NotRun):
+        while result is None or self._may_resend(result):
             peer = self._choose_peer()
             if peer is None:
                 return result
             result = await self._send(peer)
         return result
 
+    def _may_resend(self, result: AttemptResult) -> bool:
+        return isinstance(result, NotRun) and self.call.may_resend_after(
+            result.reason
+        )
+
     def is_next_after(self, refusal: RefusalReason) -> bool:
         """Tell whether a call that got no upstream is now sent through a peer."""
         return refusal is RefusalReason.OUT_OF_REACH and self._may_relay()
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -81,8 +81,8 @@
         if isinstance(self.best_result, Answered):
             return self.best_result.answer
         if self.best_result is not None:
-            return self._refuse(Outcome.UNKNOWN, RefusalReason.ANSWER_LOST)
-        return self._refuse(Outcome.NOT_RUN, refusal)
+            return self.refuse(Outcome.UNKNOWN, RefusalReason.ANSWER_LOST)
+        return self.refuse(Outcome.NOT_RUN, refusal)
 
     async def _run(self) -> RefusalReason:
         """Send the call until a result is final; return the refusal reason.
@@ -141,7 +141,7 @@
             request_id=call.request.request_id,
             arrived_at=call.arrived_at,
             objective_at=call.objective_at,
-            deadline=call.effective_deadline,
+            deadline=call.placing_deadline,
             priority=call.priority,
             excluded=self._excluded(),
             is_hedge=is_hedge,
@@ -290,7 +290,8 @@
         attempt.end()
         self.service.placer.notify_capacity_change()
 
-    def _refuse(self, outcome: Outcome, reason: RefusalReason) -> CallRefusal:
+    def refuse(self, outcome: Outcome, reason: RefusalReason) -> CallRefusal:
+        """Return a refusal of the call, and log it."""
         placer = self.service.placer
         wait = placer.limited_waits.retry_after(self.clock.now())
         jitter = 1 + self.ctx.rng.random() * _RETRY_AFTER_JITTER
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_relay_dialect.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_relay_dialect.py
@@ -4,6 +4,7 @@
     AnswerMetadata,
     NotRunReason,
     SendMetadata,
+    encode_remaining,
 )
 from cowslippond_core._headers import DEADLINE, OUTCOME, RELAYED, REQUEST_ID
 from cowslippond_core._messages import HeaderList, Outcome
@@ -28,7 +29,7 @@
     def request_headers(self, metadata: SendMetadata) -> HeaderList:
         """Return the remaining time, and a mark that prevents a second relay."""
         return (
-            (_DEADLINE, b'%d' % max(metadata.remaining, 0)),
+            *encode_remaining(_DEADLINE, metadata.remaining),
             (_RELAYED, b'1'),
         )
 
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
@@ -23,6 +23,9 @@
 
 _FIRST_ERROR_STATUS = 500
 
+# Faults that say nothing about whether the upstream is within reach.
+_REACHED_FAULTS = (ExchangeFault.FRAMING, ExchangeFault.BODY)
+
 # A send that was cancelled or timed out counts as failed only if it had already
 # taken this many times the expected service time.
 _UNRESPONSIVE_FACTOR = 3
@@ -60,7 +63,8 @@
         upstream.answered_at = now
         is_failure = result.answer.status >= _FIRST_ERROR_STATUS
         upstream.failures.record(now, is_failure=is_failure)
-        if not is_failure:
+        # The time of a streamed call is mostly that of its body.
+        if not is_failure and attempt.request.rest is None:
             service.estimator.record_service_time(took, grant.slowdown)
         record_send_end(ctx.hooks.quarantine, attempt)
     elif isinstance(result, AnswerLost):
@@ -152,7 +156,7 @@
 def _store_reach(attempt: Attempt, result: AttemptResult) -> None:
     upstream = attempt.upstream
     if isinstance(result, AnswerLost):
-        if result.fault is not ExchangeFault.FRAMING:
+        if result.fault not in _REACHED_FAULTS:
             upstream.reach.record_silence(upstream.address)
         return
     if isinstance(result, NotRun):
@@ -175,6 +179,8 @@
     lost: AnswerLost,
 ) -> None:
     now = ctx.clock.now()
+    if lost.fault is ExchangeFault.BODY:
+        return
     if lost.fault is ExchangeFault.TIMEOUT:
         expected = service.estimator.service_time * grant.slowdown
         if now - attempt.sent_at < _UNRESPONSIVE_FACTOR * expected:
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_retries.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_retries.py
@@ -80,7 +80,7 @@
         self.ctx.hooks.count_retry(reason)
 
     def _can_resend(self, reason: NotRunReason) -> bool:
-        if reason is NotRunReason.DEADLINE or self.call.request.rest:
+        if not self.call.may_resend_after(reason):
             return False
         if reason is NotRunReason.CONNECT_FAILED:
             # Nothing reached the upstream, so the budget is not charged.
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_service.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_service.py
@@ -7,7 +7,7 @@
 from cowslippond_core._upstreams import UpstreamSet
 from cowslippond_core.dispatch._budget import FleetRetryBudget
 from cowslippond_core.dispatch._load_prober import LoadProber
-from cowslippond_core.placing import Placer, ServiceTimeEstimator
+from cowslippond_core.placing import Placer, ServiceTimeEstimator, UploadGate
 
 
 class FleetBounds(NamedTuple):
@@ -28,6 +28,8 @@
 class Service:
     """The upstreams of one service and the parts that dispatch its calls.
 
+    ``uploads`` limits how many bodies are streamed at once.
+
     :param entry: the service's entry in the configuration in force.
     :param upstreams: the upstreams of the service.
     :param prober: probes them for their load.
@@ -51,3 +53,4 @@
         self.estimator = estimator
         self.placer = placer
         self.budget = budget
+        self.uploads = UploadGate(upstreams.count_allowed, placer.clock)
--- a/packages/cowslippond-core/src/cowslippond_core/placing/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/__init__.py
@@ -15,3 +15,4 @@
 from cowslippond_core.placing._slowdown import (
     expected_slowdown as expected_slowdown,
 )
+from cowslippond_core.placing._upload_gate import UploadGate as UploadGate
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_bounded_log.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_bounded_log.py
@@ -28,7 +28,12 @@
 
 #: The messages that are the last of a request.
 FINAL_MESSAGES = frozenset(
-    ('call answered', 'caller disconnected', 'response truncated')
+    (
+        'call answered',
+        'caller disconnected',
+        'response truncated',
+        'body of a call is not complete',
+    )
 )
 _SUCCESS_OUTCOMES = frozenset(('answered',))
 _FIRST_ERROR_STATUS = 500
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_caller_body.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_caller_body.py
@@ -45,14 +45,20 @@
     :param receive: the server's interface.
     :param length: the length of the body in bytes, or ``None`` if it is chunked.
     :param limits: the limits on the body.
+    :param is_closed: tells whether the caller has closed its connection.
     """
 
     def __init__(
-        self, receive: Receive, length: int | None, limits: BodyLimits
+        self,
+        receive: Receive,
+        length: int | None,
+        limits: BodyLimits,
+        is_closed: Callable[[], bool],
     ) -> None:
         self.receive = receive
         self.length = length
         self.limits = limits
+        self.is_closed = is_closed
         self.received_bytes = 0
         self.is_complete = False
         self.error: BrokenBodyError | None = None
@@ -66,20 +72,21 @@
             return await self._receive()
         with anyio.move_on_after(seconds_of(self.limits.silence)):
             return await self._receive()
-        raise self._fail(RefusalReason.BODY_TIMEOUT)
+        raise self.fail(RefusalReason.BODY_TIMEOUT)
 
     async def _receive(self) -> bytes:
         message = await self.receive()
         if message['type'] == 'http.disconnect':
-            raise self._fail(None)
+            raise self.fail(None)
         part: bytes = message.get('body', b'')
         self.received_bytes += len(part)
         if self.received_bytes > self.limits.size:
-            raise self._fail(RefusalReason.BODY_TOO_LARGE)
+            raise self.fail(RefusalReason.BODY_TOO_LARGE)
         self.is_complete = not message.get('more_body', False)
         return part
 
-    def _fail(self, reason: RefusalReason | None) -> BrokenBodyError:
+    def fail(self, reason: RefusalReason | None) -> BrokenBodyError:
+        """Record that the rest of the body will not be read."""
         self.error = BrokenBodyError(reason)
         return self.error
 
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
@@ -16,6 +16,7 @@
     Outcome,
     RefusalReason,
     TruncatedAnswerError,
+    seconds_of,
 )
 from cowslippond_core import _headers as header_names
 
@@ -31,11 +32,14 @@
     ResponseWriter,
     encode_whole_seconds,
 )
+from cowslippond_daemon._incoming_call import (
+    CLOSED_EXTENSION,
+    declared_length,
+)
 from cowslippond_daemon._incoming_call import IncomingCall as IncomingCall
 from cowslippond_daemon._incoming_call import Message as Message
 from cowslippond_daemon._incoming_call import Receive as Receive
 from cowslippond_daemon._incoming_call import Send as Send
-from cowslippond_daemon._incoming_call import declared_length
 
 _logger = logging.getLogger(__name__)
 
@@ -47,6 +51,9 @@
     Outcome.NOT_RUN, RefusalReason.NOT_READY, _STOPPING_RETRY_AFTER
 )
 
+# How soon a disconnect is noticed while a slow upstream stops the reading.
+_CLOSE_CHECK_INTERVAL: Millis = 500
+
 # The delay after which a caller may send a call again whose body was broken or
 # too large.
 _BODY_RETRY_AFTER: Millis = 1000
@@ -65,6 +72,14 @@
         """Count and log a refusal that :meth:`serve_call` did not return."""
 
 
+def _never() -> bool:
+    return False
+
+
+def _ignore() -> None:
+    """Do nothing; the edge counts no broken bodies."""
+
+
 class Edge:
     """The ASGI application that callers connect to.
 
@@ -75,6 +90,7 @@
         open, advertised to callers.
     :param encode_retry_after: encodes the delay after which a caller may
         retry; whole seconds unless the callers accept fractions.
+    :param count_broken_body: called for each call without a complete body.
     """
 
     def __init__(
@@ -82,8 +98,10 @@
         router: CallHandler,
         keep_alive_seconds: int,
         encode_retry_after: Callable[[Millis], bytes] = encode_whole_seconds,
+        count_broken_body: Callable[[], None] = _ignore,
     ) -> None:
         self.router = router
+        self.count_broken_body = count_broken_body
         self.clock = Clock()
         self.encode_retry_after = encode_retry_after
         self.is_leaving = False
@@ -114,8 +132,12 @@
         self, scope: Message, receive: Receive, send: Send
     ) -> None:
         call = _read_head(scope, self.clock.now())
+        extensions = scope.get('extensions') or {}
         reader = BodyReader(
-            receive, declared_length(call.headers), self.body_limits
+            receive,
+            declared_length(call.headers),
+            self.body_limits,
+            extensions.get(CLOSED_EXTENSION, _never),
         )
         writer = ResponseWriter(
             ResponseSettings(self.keep_alive, self.encode_retry_after),
@@ -206,6 +228,7 @@
         self, call: IncomingCall, error: BrokenBodyError, writer: ResponseWriter
     ) -> None:
         """End a call whose body is not complete."""
+        self.count_broken_body()
         is_sent = isinstance(call.rest, BodyRest) and call.rest.is_started
         _logger.info(
             'body of a call is not complete',
@@ -265,8 +288,7 @@
     async def run(self, scope: anyio.CancelScope) -> None:
         """Wait until the call has ended or its caller has disconnected."""
         if isinstance(self.call.rest, BodyRest):
-            # Until then, whoever sends the body notices a disconnect.
-            await self.call.rest.ended.wait()
+            await self._watch_body(self.call.rest, scope)
             if not self.reader.is_complete:
                 return
         message = await self.reader.receive()
@@ -278,3 +300,15 @@
                 extra={'request_id': self.call.request_id},
             )
             scope.cancel()
+
+    async def _watch_body(
+        self, rest: BodyRest, scope: anyio.CancelScope
+    ) -> None:
+        """Wait until nobody reads the body, or its caller has disconnected."""
+        while not rest.ended.is_set():
+            with anyio.move_on_after(seconds_of(_CLOSE_CHECK_INTERVAL)):
+                await rest.ended.wait()
+            if not rest.ended.is_set() and self.reader.is_closed():
+                self.reader.fail(None)
+                scope.cancel()
+                return
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_calls.py
@@ -22,6 +22,7 @@
     fingerprint_request,
 )
 from cowslippond_core import _headers as header_names
+from cowslippond_core.dispatch import dispatch_upload
 
 from cowslippond_daemon._edge import IncomingCall
 
@@ -34,7 +35,8 @@
 _MIN_RETRY_AFTER: Millis = 200
 _MAX_RETRY_AFTER: Millis = 800
 
-# How long a caller waits that states no deadline, on a route without a timeout.
+# The maximum time that a caller waits that states no deadline, on a route with a
+# timeout.
 _DEFAULT_DEADLINE: Millis = 30_000
 
 
@@ -112,12 +114,14 @@
         entry = configuration.services[self.round_robin.next_service(route)]
         service = self.services.get(entry, route.objective)
         request = _make_request(call, route)
-        if request.deadline <= self.ctx.clock.now():
+        # The time that the body took has not been spent waiting for a slot.
+        buffered_at = self.ctx.clock.now()
+        if request.deadline <= buffered_at:
             return self._refuse(RefusalReason.DEADLINE)
-        dispatch = Dispatch(
-            self.ctx, service, Call(request, route, call.arrived_at)
-        )
-        return await dispatch.run()
+        routed = Call(request, route, buffered_at)
+        if call.rest is not None:
+            return await dispatch_upload(self.ctx, service, routed, call.rest)
+        return await Dispatch(self.ctx, service, routed).run()
 
     def _retain_splits(self) -> None:
         if self.log.current is not None:
@@ -146,7 +150,9 @@
 
 def _time_left(call: IncomingCall, timeout: Millis) -> Millis:
     """Return how long the caller waits; ignore an invalid deadline header."""
-    default = min(timeout, _DEFAULT_DEADLINE)
+    default = timeout
+    if math.isfinite(timeout):
+        default = min(timeout, _DEFAULT_DEADLINE)
     header_value = call.get_header(_DEADLINE)
     try:
         time_left = float(header_value) if header_value else default
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -1,7 +1,6 @@
 """The daemon that serves a whole configuration from the platform's store."""
 
 import logging
-import math
 import random
 import uuid
 from collections.abc import Callable, Mapping
@@ -48,6 +47,7 @@
 from expression import Result
 
 from cowslippond_daemon._admin import Admin
+from cowslippond_daemon._caller_server import CallerServer
 from cowslippond_daemon._edge import Edge
 from cowslippond_daemon._fleet_calls import FleetRouter
 from cowslippond_daemon._node_settings import NodeSettings
@@ -61,7 +61,6 @@
 
 _logger = logging.getLogger(__name__)
 
-_MILLIS_PER_SECOND = 1000
 _UPDATE_INTERVAL: Millis = 200
 
 # Daemons that start together know the size of the fleet after this time. Until
@@ -86,9 +85,10 @@
 # Within that margin, the limit for connections whose callers do not respond.
 _CLOSE_TIMEOUT: Millis = 300
 
-# Caller connections stay open for longer than callers reuse them, so that none
-# is closed while a request is in transit.
-_IDLE_MARGIN_SECONDS = 15
+# How long aborted connections take to close.
+_ABORT_TIME: Millis = 10
+
+# The idle timeout of the connections of the other servers.
 _INITIAL_IDLE_SECONDS = 30
 
 
@@ -297,20 +297,18 @@
         router = FleetRouter(
             self.configuration_log, services, services.ctx, self.metrics
         )
-        edge = Edge(
-            router, _INITIAL_IDLE_SECONDS, self.adapter.encode_retry_after
-        )
-        callers = make_server(
-            edge,
+        callers = CallerServer(
+            router,
             settings.caller_address,
-            _INITIAL_IDLE_SECONDS + _IDLE_MARGIN_SECONDS,
+            self.adapter.encode_retry_after,
+            self.metrics,
         )
         self.configuration_log.listeners.append(
-            lambda: self._apply_limits(edge, callers)
+            lambda: self._apply_limits(callers)
         )
         admin = Admin(
             self._is_ready,
-            partial(self._status, edge, services),
+            partial(self._status, callers.edge, services),
             self.adapter.ready_path,
             self._render_metrics,
         )
@@ -318,7 +316,7 @@
             if address:
                 server = make_server(admin, address, _INITIAL_IDLE_SECONDS)
                 tasks.start_soon(server.serve)
-        tasks.start_soon(callers.serve)
+        tasks.start_soon(callers.server.serve)
         self.state = DaemonState.SERVING
         _logger.info(
             'started',
@@ -329,16 +327,13 @@
             },
         )
         await self.stop_requested.wait()
-        await self._retire(edge, callers)
+        await self._retire(callers.edge, callers.server)
 
-    def _apply_limits(self, edge: Edge, callers: DaemonServer) -> None:
-        """Apply the idle timeout of the configuration in force."""
+    def _apply_limits(self, callers: CallerServer) -> None:
+        """Apply the limits of the configuration in force."""
         configuration = self.configuration_log.current
-        if configuration is None:
-            return
-        idle = configuration.limits.idle_timeout / _MILLIS_PER_SECOND
-        edge.advertise_keep_alive(max(int(idle), 1))
-        callers.set_idle_timeout(math.ceil(idle) + _IDLE_MARGIN_SECONDS)
+        if configuration is not None:
+            callers.apply_limits(configuration.limits)
 
     async def _retire(self, edge: Edge, callers: DaemonServer) -> None:
         self.state = DaemonState.LEAVING
@@ -353,6 +348,10 @@
         await plan.retire(edge, callers, _has_no_pending_work)
         with anyio.move_on_after(seconds_of(_CLOSE_TIMEOUT)):
             await callers.ended.wait()
+        # Otherwise a call would seem lost by its upstream when the connections
+        # to upstreams are closed.
+        callers.abort_all()
+        await self.clock.sleep(_ABORT_TIME)
         _logger.info(
             'stopped',
             extra={
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_incoming_call.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_incoming_call.py
@@ -9,6 +9,10 @@
 Receive: TypeAlias = Callable[[], Awaitable[Message]]
 Send: TypeAlias = Callable[[Message], Awaitable[None]]
 
+#: The extension of the server's interface that tells whether the caller has
+#: closed its connection, also while nothing is read from it.
+CLOSED_EXTENSION = 'cowslippond.is_closed'
+
 _CONTENT_LENGTH = b'content-length'
 _TRANSFER_ENCODING = b'transfer-encoding'
 
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_servers.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_servers.py
@@ -33,6 +33,12 @@
         for connection in list(self.server_state.connections):
             connection.shutdown()
 
+    def abort_all(self) -> None:
+        """Close all connections at once, without a response."""
+        for connection in list(self.server_state.connections):
+            if isinstance(connection, HttpToolsProtocol):
+                connection.transport.abort()
+
     def set_idle_timeout(self, seconds: int) -> None:
         """Change the idle timeout, for existing connections as well."""
         self.config.timeout_keep_alive = seconds
@@ -47,19 +53,23 @@
 
 
 def make_server(
-    app: Any, address: str, keep_alive_seconds: int
+    app: Any,
+    address: str,
+    keep_alive_seconds: int,
+    protocol: Any = 'httptools',
 ) -> DaemonServer:
     """Return a server for an ASGI application.
 
     :param address: the address to listen on, ``host:port``.
     :param keep_alive_seconds: the idle timeout of connections.
+    :param protocol: makes the protocol of a connection.
     """
     host, _, port = address.rpartition(':')
     config = uvicorn.Config(
         app,
         host=host,
         port=int(port),
-        http='httptools',
+        http=protocol,
         ws='none',
         lifespan='off',
         access_log=False,
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
@@ -12,6 +12,7 @@
     NotRunReason,
     SendMetadata,
 )
+from cowslippond_core._dialect import encode_remaining
 from cowslippond_core._headers import RELAYED
 
 _REQUEST_ID = b'x-request-id'
@@ -48,7 +49,7 @@
     def request_headers(self, metadata: SendMetadata) -> HeaderList:
         """Return headers with the remaining time and the target VM."""
         return (
-            (_DEADLINE, b'%d' % max(metadata.remaining, 0)),
+            *encode_remaining(_DEADLINE, metadata.remaining),
             (_TARGET_VM, metadata.vm.encode()),
         )
 
--- a/packages/cowslippond-standins/src/cowslippond_standins/fault_proxy/_link.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fault_proxy/_link.py
@@ -12,6 +12,8 @@
 from cowslippond_standins import _stream
 from cowslippond_standins._address import Address
 
+_PACKET_BYTES = 1500
+_MILLIS_PER_SECOND = 1000
 _CONNECTION_ERRORS = (
     OSError,
     anyio.BrokenResourceError,
@@ -43,7 +45,8 @@
     answers still to be dropped, each together with its connection.
     ``cut_after_bytes`` closes a connection that has sent more than that many
     bytes down; zero disables it. ``cut_mode`` is how a connection with a
-    dropped answer is closed.
+    dropped answer is closed. ``bytes_per_second`` is the speed of the link in
+    each direction, which its connections share; zero means no limit.
     """
 
     def __init__(self) -> None:
@@ -55,6 +58,7 @@
         self.drop_answers = 0
         self.cut_after_bytes = 0
         self.cut_mode = CutMode.RST
+        self.bytes_per_second: float = 0
 
     def update(self, command: Mapping[str, Any]) -> None:
         """Set the faults named by a control command.
@@ -106,6 +110,8 @@
         self.relays: set[Relay] = set()
         self.counters: collections.Counter[str] = collections.Counter()
         self.released = anyio.Event()
+        # When the bytes accepted so far have passed the link.
+        self.free_at: dict[Direction, Millis] = dict.fromkeys(Direction, 0)
 
     async def forward(self, client: SocketStream) -> None:
         """Forward one connection to the target until it closes."""
@@ -170,11 +176,28 @@
     ) -> None:
         async for chunk in source:
             if await self._apply_faults(relay, direction, chunk):
-                await sink.send(chunk)
+                await self._forward_chunk(direction, sink, chunk)
                 self.counters[f'bytes_{direction}'] += len(chunk)
         if direction not in relay.silent:
             await _stream.half_close(sink)
 
+    async def _forward_chunk(
+        self, direction: Direction, sink: SocketStream, chunk: bytes
+    ) -> None:
+        speed = self.faults.bytes_per_second
+        if not speed:
+            await sink.send(chunk)
+            return
+        # Connections take turns, one packet each.
+        for start in range(0, len(chunk), _PACKET_BYTES):
+            packet = chunk[start : start + _PACKET_BYTES]
+            now = self.clock.now()
+            free_at = max(self.free_at[direction], now)
+            free_at += len(packet) / speed * _MILLIS_PER_SECOND
+            self.free_at[direction] = free_at
+            await self.clock.sleep(free_at - now)
+            await sink.send(packet)
+
     async def _apply_faults(
         self, relay: Relay, direction: Direction, chunk: bytes
     ) -> bool:
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/__init__.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/__init__.py
@@ -17,3 +17,18 @@
 from cowslippond_standins.fleet._deployment import Node as Node
 from cowslippond_standins.fleet._deployment import route as route
 from cowslippond_standins.fleet._store_app import StoreApp as StoreApp
+from cowslippond_standins.fleet._upload_backend import Received as Received
+from cowslippond_standins.fleet._upload_backend import (
+    UploadBackend as UploadBackend,
+)
+from cowslippond_standins.fleet._upload_caller import Upload as Upload
+from cowslippond_standins.fleet._upload_caller import (
+    UploadCaller as UploadCaller,
+)
+from cowslippond_standins.fleet._upload_caller import (
+    UploadResponse as UploadResponse,
+)
+from cowslippond_standins.fleet._upload_caller import send_upload as send_upload
+from cowslippond_standins.fleet._upload_caller import (
+    upload_route as upload_route,
+)
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
@@ -74,6 +74,8 @@
         self.nodes: list[Node] = []
         self.id_counter = itertools.count(1)
         self.version = 0
+        # The limits of configurations that are written from now on.
+        self.limits: dict[str, float] = dict(_LIMITS)
         # Environment variables of the daemons that are started from now on.
         self.environment: dict[str, str] = {}
         self.stack = AsyncExitStack()
@@ -154,7 +156,7 @@
                 'version': _format_version(self.version),
                 'routes': dict(routes),
                 'services': {name: _SERVICE for name in services},
-                'limits': _LIMITS,
+                'limits': self.limits,
                 'base_version': _format_version(self.version - 1),
             },
         )
