Stream few fast uploads at once, so that short calls keep the link

Cause: beside 48 uploads of 8 MB on a link of 5 Mbit/s, a short call took 233 ms where it takes 3 ms alone: it takes turns with each upload, for the reading of the load and for the call. Uploads also held connections for seconds that short calls of the same service need.

An upload lasts until its call and its body have ended.

Ruled out: the speed of the last 2 s (36 of 48 admitted, as bodies move in steps of seconds); the end of an upload at its last byte (37 of 48).

On a slow link towards the daemon, callers are not held back before 0.4 MB of each are buffered.

--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_uploads.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_uploads.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import logging
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 
 from cowslippond_core._messages import (
     CallAnswer,
@@ -11,47 +11,57 @@
     close_parts,
 )
 from cowslippond_core._metrics import Metric
+from cowslippond_core._reasons import RefusalReason
 from cowslippond_core.dispatch._call import Call
 from cowslippond_core.dispatch._context import DispatchContext
 from cowslippond_core.dispatch._dispatch import Dispatch
 from cowslippond_core.dispatch._service import Service
+from cowslippond_core.placing import UploadGate, UploadProgress
 
 _logger = logging.getLogger(__name__)
 
 
 class _AdmittedBody:
-    """The rest of a body; the upload lasts until it is closed.
+    """The rest of a body, whose upload lasts until it and the call have ended.
 
-    An upstream that has answered early may read on after the call has ended.
+    An upstream that has answered early may read on after the call has ended, and
+    the end of a body may be on its way to an upstream for seconds.
     """
 
     def __init__(
-        self, rest: AsyncIterator[bytes], on_end: Callable[[], None]
+        self,
+        rest: AsyncIterator[bytes],
+        gate: UploadGate,
+        progress: UploadProgress,
     ) -> None:
         self.rest = rest
-        self.on_end = on_end
+        self.gate = gate
+        self.progress = progress
         self.is_started = False
-        self.is_ended = False
+        self.is_closed = False
+        self.is_call_ended = False
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         return self
 
     async def __anext__(self) -> bytes:
         self.is_started = True
-        return await anext(self.rest)
+        part = await anext(self.rest)
+        self.progress.passed_bytes += len(part)
+        return part
 
     async def aclose(self) -> None:
-        self._end()
+        self.is_closed = True
+        self._end_if_over()
         await close_parts(self.rest)
 
-    def end_if_not_started(self) -> None:
-        if not self.is_started:
-            self._end()
+    def end_call(self) -> None:
+        self.is_call_ended = True
+        self._end_if_over()
 
-    def _end(self) -> None:
-        if not self.is_ended:
-            self.is_ended = True
-            self.on_end()
+    def _end_if_over(self) -> None:
+        if self.is_call_ended and (self.is_closed or not self.is_started):
+            self.gate.leave(self.progress)
 
 
 async def dispatch_upload(
@@ -67,12 +77,12 @@
 
     :param rest: the rest of the call's body.
     """
-    refusal = await service.uploads.enter(call.effective_deadline)
-    if refusal is not None:
-        return Dispatch(ctx, service, call).refuse(Outcome.NOT_RUN, refusal)
-    body = _AdmittedBody(rest, service.uploads.leave)
+    progress = await service.uploads.enter(call.effective_deadline)
+    if isinstance(progress, RefusalReason):
+        return Dispatch(ctx, service, call).refuse(Outcome.NOT_RUN, progress)
+    body = _AdmittedBody(rest, service.uploads, progress)
     with contextlib.ExitStack() as at_end:
-        at_end.callback(body.end_if_not_started)
+        at_end.callback(body.end_call)
         now = ctx.clock.now()
         waited = now - call.arrived_at
         ctx.record_duration(Metric.UPLOAD_WAIT_MS, waited)
@@ -81,7 +91,7 @@
             extra={
                 'request_id': call.request.request_id,
                 'waited_ms': round(waited, 1),
-                'running': service.uploads.running,
+                'running': len(service.uploads.running),
                 'waiting': len(service.uploads.waiting),
             },
         )
--- a/packages/cowslippond-core/src/cowslippond_core/placing/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/__init__.py
@@ -16,3 +16,6 @@
     expected_slowdown as expected_slowdown,
 )
 from cowslippond_core.placing._upload_gate import UploadGate as UploadGate
+from cowslippond_core.placing._upload_gate import (
+    UploadProgress as UploadProgress,
+)
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_caller_protocol.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_caller_protocol.py
@@ -133,7 +133,7 @@
             self.cycle.transport = _LingeringTransport(self)  # type: ignore[assignment]
             self._limit_receive_buffer()
             self.scope['extensions'] = {
-                CLOSED_EXTENSION: self.is_closed_by_caller  # type: ignore[dict-item]
+                CLOSED_EXTENSION: self.close_if_abandoned  # type: ignore[dict-item]
             }
 
     def on_body(self, body: bytes) -> None:
@@ -162,8 +162,8 @@
                 socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
             )
 
-    def is_closed_by_caller(self) -> bool:
-        """Tell whether the caller has closed or reset the connection.
+    def close_if_abandoned(self) -> bool:
+        """Close the connection if its caller has; return whether it is closed.
 
         While a slow upstream stops the reading of a body, the event loop does
         not notice.
@@ -173,7 +173,12 @@
             return True
         poll = select.poll()
         poll.register(raw_socket.fileno(), select.POLLRDHUP)
-        return bool(poll.poll(0))
+        if not poll.poll(0):
+            return False
+        # Otherwise the server would send a response of its own.
+        self.cycle.disconnected = True
+        self.transport.abort()
+        return True
 
     def linger(self) -> None:
         """Close the connection once its caller has had time to read.
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_incoming_call.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_incoming_call.py
@@ -9,9 +9,9 @@
 Receive: TypeAlias = Callable[[], Awaitable[Message]]
 Send: TypeAlias = Callable[[Message], Awaitable[None]]
 
-#: The extension of the server's interface that tells whether the caller has
-#: closed its connection, also while nothing is read from it.
-CLOSED_EXTENSION = 'cowslippond.is_closed'
+#: The extension of the server's interface that closes a connection if its caller
+#: has, also while nothing is read from it, and tells whether it is closed.
+CLOSED_EXTENSION = 'cowslippond.close_if_abandoned'
 
 _CONTENT_LENGTH = b'content-length'
 _TRANSFER_ENCODING = b'transfer-encoding'
--- a/packages/cowslippond-standins/src/cowslippond_standins/call_cost.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/call_cost.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 from collections.abc import Iterator
+from functools import partial
 from typing import NamedTuple, cast
 
 import anyio
@@ -42,6 +43,7 @@
 from cowslippond_core._sender import Sender
 from cowslippond_core._service_state import ServiceState
 from cowslippond_core._vm import Vm, VmState
+from cowslippond_daemon._caller_protocol import CallerProtocol, HeadLimits
 from cowslippond_daemon._edge import Edge, IncomingCall
 from cowslippond_daemon._servers import make_server
 from rich.console import Console
@@ -216,7 +218,13 @@
             quarantine=Quarantine(Clock()),
         )
         edge = Edge(_Router(sender, service), _KEEP_ALIVE_SECONDS)
-        await make_server(edge, f'{_HOST}:{port}', _KEEP_ALIVE_SECONDS).serve()
+        server = make_server(
+            edge,
+            f'{_HOST}:{port}',
+            _KEEP_ALIVE_SECONDS,
+            partial(CallerProtocol, HeadLimits(_ignore)),
+        )
+        await server.serve()
 
 
 def _ignore(*_: object) -> None:
--- a/packages/cowslippond-standins/src/cowslippond_standins/fault_proxy/_link.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fault_proxy/_link.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import socket
 from collections.abc import Mapping
 from typing import Any
 
@@ -13,6 +14,7 @@
 from cowslippond_standins._address import Address
 
 _PACKET_BYTES = 1500
+_RECEIVE_BUFFER_BYTES = 65_536
 _MILLIS_PER_SECOND = 1000
 _CONNECTION_ERRORS = (
     OSError,
@@ -120,6 +122,11 @@
             self.counters['refused'] += 1
             await _stream.reset(client)
             return
+        if self.faults.bytes_per_second:
+            # The system would otherwise take megabytes from the sender at once.
+            client.extra(anyio.abc.SocketAttribute.raw_socket).setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+            )
         try:
             target = await _stream.connect(self.target)
         except OSError:
--- a/tests/fleet/test_caller_limits.py
+++ b/tests/fleet/test_caller_limits.py
@@ -64,7 +64,7 @@
 
 class TestHeaders:
     @pytest.mark.parametrize('size', [20_000, 200_000, 3_000_000])
-    async def test_too_large_headers_get_431(
+    async def test_too_large_headers_are_refused(
         self, fleet: FleetDeployment, size: int
     ) -> None:
         """Headers of any size were kept in memory."""
@@ -90,7 +90,9 @@
             b'GET /prints/1 HTTP/1.1\r\nhost: shop.example\r\n'
             b'x-request-id: %d\r\nx-a: %b\r\n\r\n'
         )
-        requests = b''.join(head % (n, b'a' * 10_000) for n in range(4))
+        requests = b''.join(
+            head % (number, b'a' * 10_000) for number in range(4)
+        )
         caller = await exchange(fleet, node, requests)
         assert caller.received.startswith(b'HTTP/1.1 200 ')
         assert await count_refusals(node, 'head_too_large') == 0
@@ -100,14 +102,16 @@
     ) -> None:
         """A small call must not hide the size of the one behind it."""
         node = await start_node(fleet)
-        head = b'GET /prints/%d HTTP/1.1\r\nhost: shop.example\r\n'
-        large = b'x-a: %b\r\n\r\n' % (b'a' * 30_000)
-        await exchange(fleet, node, head % 1 + b'\r\n' + head % 2 + large)
+        head = CALL.removesuffix(b'\r\n')
+        large = b'%bx-a: %b\r\n\r\n' % (head, b'a' * 30_000)
+        await exchange(fleet, node, b'%b%b' % (CALL, large))
         await anyio.sleep(0.3)
         assert await count_refusals(node, 'head_too_large') == 1
         assert (await node.status())['counters'].get('calls') == 1
 
-    async def test_slow_headers_get_408(self, fleet: FleetDeployment) -> None:
+    async def test_slow_headers_are_refused(
+        self, fleet: FleetDeployment
+    ) -> None:
         """A caller that sent a header a second kept its connection."""
         fleet.limits['header_timeout_ms'] = 1000
         node = await start_node(fleet)
@@ -124,21 +128,20 @@
         assert 800 < fleet.clock.now() - started_at < 2500
         assert await count_refusals(node, 'head_timeout') == 1
 
-    async def test_slow_headers_of_a_later_call_get_408(
+    async def test_slow_headers_of_a_later_call_are_refused(
         self, fleet: FleetDeployment
     ) -> None:
         """The time counts from the first byte of each call."""
         fleet.limits['header_timeout_ms'] = 1000
         node = await start_node(fleet)
-        whole = b'GET /prints/1 HTTP/1.1\r\nhost: shop.example\r\n'
         async with await anyio.connect_tcp(*node.caller_address) as stream:
             caller = UploadCaller(stream, fleet.clock)
-            await stream.send(whole + b'x-request-id: a\r\n\r\n')
+            await stream.send(CALL)
             await caller.read()
             assert caller.received.startswith(b'HTTP/1.1 200 ')
             await anyio.sleep(1.5)
             caller.received = b''
-            await stream.send(whole)
+            await stream.send(CALL.removesuffix(b'\r\n'))
             with anyio.fail_after(seconds_of(PATIENCE_MS)):
                 await caller.read()
         assert caller.received.startswith(b'HTTP/1.1 408 ')
@@ -190,7 +193,7 @@
 
 
 class TestBodies:
-    async def test_declared_length_above_the_limit_gets_413(
+    async def test_declared_length_above_the_limit_is_refused(
         self, fleet: FleetDeployment
     ) -> None:
         """The limit was not enforced; no byte of the body is to be read."""
@@ -218,7 +221,7 @@
         assert response.status == 413
         assert 'connection: close' in response.head
 
-    async def test_chunked_body_above_the_limit_gets_413(
+    async def test_chunked_body_above_the_limit_is_refused(
         self, fleet: FleetDeployment
     ) -> None:
         """The upstream never takes the truncated body for a complete one."""
@@ -296,7 +299,7 @@
         caller = Caller(
             node.name, node.caller_address, fleet.tasks, fleet.clock
         )
-        path = '/prints/{0}'.format('a' * 2000)
+        path = '/prints/{}'.format('a' * 2000)
         assert (await caller.send_request('a', path)).verdict is Verdict.GOOD
         fleet.limits['max_header_bytes'] = 1000
         fleet.configure({'prints': route('catalogue', prefix='/prints/')})
--- a/tests/fleet/test_uploads.py
+++ b/tests/fleet/test_uploads.py
@@ -4,13 +4,17 @@
 import pytest
 from cowslippond_ctl._story import show_story
 from cowslippond_standins import _stream
+from cowslippond_standins._address import Address
 from cowslippond_standins.fleet import (
+    DOMAINS,
     FleetDeployment,
     Node,
     Upload,
     UploadBackend,
     UploadCaller,
+    route,
     send_upload,
+    upload_route,
 )
 from fleet.upload_shop import (
     MEBIBYTE,
@@ -28,6 +32,7 @@
 
 FRAMINGS = (False, True)
 MAX_GROWTH_KB = 40_000
+MAX_SHORT_CALL_MS = 100
 
 
 class TestWholeUploads:
@@ -90,8 +95,9 @@
                 tasks.start_soon(
                     send_upload, node.caller_address, upload, fleet.clock
                 )
-            await wait_started(fleet, backend, len(uploads))
+            await wait_started(fleet, backend, 8)
             await anyio.sleep(4)
+            assert (await node.status())['running_calls'] == len(uploads)
             growth = memory_kb(node, 'VmHWM') - before
             tasks.cancel_scope.cancel()
         assert growth < MAX_GROWTH_KB
@@ -116,6 +122,48 @@
         await wait_idle(fleet, node)
 
 
+class TestBesideShortCalls:
+    async def test_short_calls_are_not_delayed_on_a_slow_link(
+        self, fleet: FleetDeployment
+    ) -> None:
+        """A short call took 233 ms beside 48 uploads on 5 Mbit/s."""
+        backend = UploadBackend('i-upload', fleet.clock)
+        await fleet.tasks.start(backend.serve)
+        link = await fleet.proxy.open(
+            'link', Address('127.0.0.1', backend.port)
+        )
+        fleet.list_backend(  # type: ignore[arg-type]
+            backend, 'files', DOMAINS[0], port=link.address.port
+        )
+        fleet.configure(
+            {
+                'files': upload_route('files'),
+                'prints': route('files', prefix='/prints/'),
+            }
+        )
+        node = await fleet.add_node(DOMAINS[0])
+        await anyio.sleep(2.5)
+        await fleet.proxy.command('faults', link, bytes_per_second=625_000)
+        durations = []
+        async with anyio.create_task_group() as tasks:
+            for number in range(48):
+                upload = Upload(f'u{number}', 8 * MEBIBYTE)
+                tasks.start_soon(
+                    send_upload, node.caller_address, upload, fleet.clock
+                )
+            await wait_started(fleet, backend, 8)
+            await anyio.sleep(1)
+            for number in range(40):
+                short = Upload(f's{number}', 100, path='/prints/1')
+                response = await send_upload(
+                    node.caller_address, short, fleet.clock
+                )
+                assert response.status == 200
+                durations.append(response.duration)
+            tasks.cancel_scope.cancel()
+        assert sorted(durations)[36] < MAX_SHORT_CALL_MS
+
+
 class TestEarlyResponse:
     @pytest.mark.parametrize('is_chunked', FRAMINGS)
     async def test_upstream_gets_the_rest_after_success(
