--- a/packages/cowslippond-core/src/cowslippond_core/_messages.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_messages.py
@@ -65,6 +65,13 @@
         return self.access is not None and self.access.is_revoked()
 
 
+async def close_parts(rest: AsyncIterator[bytes]) -> None:
+    """Discard the rest of a body, if its iterator can be closed."""
+    aclose = getattr(rest, 'aclose', None)
+    if aclose is not None:
+        await aclose()
+
+
 class CallAnswer(NamedTuple):
     """An answer of an upstream.
 
--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -232,6 +232,10 @@
             else:
                 state.warm_up.policy = policy
 
+    def count_allowed(self) -> int:
+        """Return how many connections this daemon may have to all of them."""
+        return self.connection_limit * len(self.by_address)
+
     def _make(self, vm: Vm) -> Upstream:
         connections = Connections(
             vm.address, self.tasks, self.clock, self.connection_limit
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/__init__.py
@@ -22,5 +22,6 @@
 from cowslippond_core.dispatch._shared_rate_limits import (
     SharedRateLimits as SharedRateLimits,
 )
+from cowslippond_core.dispatch._uploads import UploadDispatch as UploadDispatch
 from cowslippond_core.dispatch._warm_ups import WarmUpBounds as WarmUpBounds
 from cowslippond_core.dispatch._warm_ups import WarmUps as WarmUps
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_service.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_service.py
@@ -8,7 +8,7 @@
 from cowslippond_core._upstreams import UpstreamSet
 from cowslippond_core.dispatch._budget import FleetRetryBudget
 from cowslippond_core.dispatch._load_prober import LoadProber
-from cowslippond_core.placing import Placer, ServiceTimeEstimator
+from cowslippond_core.placing import Placer, ServiceTimeEstimator, UploadGate
 
 
 class FleetBounds(NamedTuple):
@@ -29,6 +29,8 @@
 class Service:
     """The upstreams of one service and the parts that dispatch its calls.
 
+    ``uploads`` limits how many bodies are streamed at once.
+
     :param entry: the service's entry in the configuration in force.
     :param upstreams: the upstreams of the service.
     :param prober: probes them for their load.
@@ -52,6 +54,7 @@
         self.estimator = estimator
         self.placer = placer
         self.budget = budget
+        self.uploads = UploadGate(upstreams.count_allowed, placer.clock)
 
     def lacks_share(self, now: Millis) -> bool:
         """Tell whether this daemon may send no call to any upstream.
--- a/packages/cowslippond-core/src/cowslippond_core/placing/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/__init__.py
@@ -15,3 +15,7 @@
 from cowslippond_core.placing._slowdown import (
     expected_slowdown as expected_slowdown,
 )
+from cowslippond_core.placing._upload_gate import UploadGate as UploadGate
+from cowslippond_core.placing._upload_gate import (
+    UploadProgress as UploadProgress,
+)
--- a/packages/cowslippond-core/src/cowslippond_core/quotas/_gate.py
+++ b/packages/cowslippond-core/src/cowslippond_core/quotas/_gate.py
@@ -2,11 +2,12 @@
 
 import logging
 import random
+from typing import TypeAlias
 
 from cowslippond_core._clock import Millis
 from cowslippond_core._messages import CallAnswer, CallRefusal, Outcome
 from cowslippond_core._reasons import RefusalReason
-from cowslippond_core.dispatch import Dispatch
+from cowslippond_core.dispatch import Dispatch, UploadDispatch
 from cowslippond_core.quotas._limiter import QuotaLimiter, QuotaRefusal
 from cowslippond_core.quotas._workspace_use import Token
 
@@ -18,6 +19,8 @@
 # The slack of the bound covers tokens that are used this much later.
 _MAX_QUEUE_TIME: Millis = 300
 
+AnyDispatch: TypeAlias = Dispatch | UploadDispatch
+
 _logger = logging.getLogger(__name__)
 
 
@@ -36,7 +39,7 @@
         self.limiter = limiter
         self.rng = rng
 
-    async def run(self, dispatch: Dispatch) -> CallAnswer | CallRefusal:
+    async def run(self, dispatch: AnyDispatch) -> CallAnswer | CallRefusal:
         """Dispatch a call if it is within its workspace's quota."""
         workspace = dispatch.call.request.workspace
         if workspace is None:
@@ -51,7 +54,7 @@
         return await admission.run()
 
     def _refuse(
-        self, dispatch: Dispatch, workspace: str, refusal: QuotaRefusal
+        self, dispatch: AnyDispatch, workspace: str, refusal: QuotaRefusal
     ) -> CallRefusal:
         jitter = 1 + self.rng.random() * _JITTER
         wait = max(refusal.wait, _MIN_RETRY_AFTER) * jitter
@@ -63,7 +66,7 @@
     """A call that has a token."""
 
     def __init__(
-        self, limiter: QuotaLimiter, dispatch: Dispatch, token: Token
+        self, limiter: QuotaLimiter, dispatch: AnyDispatch, token: Token
     ) -> None:
         self.limiter = limiter
         self.dispatch = dispatch
@@ -109,7 +112,7 @@
 
 
 def _log_refusal(
-    dispatch: Dispatch, workspace: str, refusal: QuotaRefusal
+    dispatch: AnyDispatch, workspace: str, refusal: QuotaRefusal
 ) -> None:
     _logger.info(
         'call refused by the quota of its workspace',
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_calls.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_calls.py
@@ -24,6 +24,7 @@
     fingerprint_request,
 )
 from cowslippond_core import _headers as header_names
+from cowslippond_core.dispatch import UploadDispatch
 from cowslippond_core.quotas import QuotaGate
 from cowslippond_core.workspaces import CallAccess, KeyFault
 
@@ -39,7 +40,8 @@
 _MIN_RETRY_AFTER: Millis = 200
 _MAX_RETRY_AFTER: Millis = 800
 
-# How long a caller waits that states no deadline, on a route without a timeout.
+# The maximum time that a caller waits that states no deadline, on a route with a
+# timeout.
 _DEFAULT_DEADLINE: Millis = 30_000
 
 
@@ -84,44 +86,35 @@
         self.round_robin = WeightedRoundRobin(ctx.rng)
         log.listeners.append(self._retain_splits)
 
-    def check_call(self, call: IncomingCall) -> CallRefusal | None:
-        """Refuse a call without a valid key, before its body is read.
-
-        :param call: a call without its body.
-        """
-        if self.log.keys.by_digest is None:
-            return None
-        arrived_at = self.ctx.clock.now()
+    async def check_head(self, call: IncomingCall) -> CallRefusal | None:
+        """Return why a call is refused before its body is read, if it is."""
         admission = self._admit(call)
-        if not isinstance(admission, CallRefusal):
-            return None
-        if admission.reason is not RefusalReason.UNAUTHENTICATED:
-            return None
-        self._record_reply(call, admission, arrived_at, None)
-        return admission
+        return admission if isinstance(admission, CallRefusal) else None
 
     async def serve_call(self, call: IncomingCall) -> CallAnswer | CallRefusal:
         """Return the response of an upstream, or a refusal."""
-        arrived_at = self.ctx.clock.now()
         # The key may have been revoked while the body was read.
         admission = self._admit(call)
         if isinstance(admission, CallRefusal):
-            self._record_reply(call, admission, arrived_at, None)
+            self.record_refusal(call, admission)
             return admission
-        reply = await self._dispatch(call, admission, arrived_at)
-        self._record_reply(call, reply, arrived_at, admission.workspace)
+        reply = await self._dispatch(call, admission)
+        self._record(call, reply, admission.workspace)
         return reply
 
-    def _record_reply(
+    def record_refusal(self, call: IncomingCall, refusal: CallRefusal) -> None:
+        """Count and log a refusal of a call that was not dispatched."""
+        self._record(call, refusal, None)
+
+    def _record(
         self,
         call: IncomingCall,
         reply: CallAnswer | CallRefusal,
-        arrived_at: Millis,
         workspace: str | None,
     ) -> None:
         if isinstance(reply, CallRefusal):
             self.metrics.count_refusal(reply.reason)
-        elapsed = self.ctx.clock.now() - arrived_at
+        elapsed = self.ctx.clock.now() - call.arrived_at
         self.metrics.count(Metric.CALLS)
         self.metrics.timing(Metric.CALL_MS, elapsed)
         version = self.log.current.version if self.log.current else 0
@@ -150,7 +143,7 @@
         return _Admission(configuration, route, access)
 
     async def _dispatch(
-        self, call: IncomingCall, admission: _Admission, arrived_at: Millis
+        self, call: IncomingCall, admission: _Admission
     ) -> CallAnswer | CallRefusal:
         configuration, route, access = admission
         entry = configuration.services[self.round_robin.next_service(route)]
@@ -158,12 +151,17 @@
         request = _make_request(
             call._replace(headers=self.keys.forwarded_headers(call, access)),
             admission,
-            arrived_at,
         )
-        if request.deadline <= arrived_at:
+        # The time that the body took has not been spent waiting for a slot.
+        buffered_at = self.ctx.clock.now()
+        if request.deadline <= buffered_at:
             return self._refuse(RefusalReason.DEADLINE)
-        dispatch = Dispatch(self.ctx, service, Call(request, route, arrived_at))
-        return await self.quotas.run(dispatch)
+        routed = Call(request, route, buffered_at)
+        if call.rest is None:
+            return await self.quotas.run(Dispatch(self.ctx, service, routed))
+        return await self.quotas.run(
+            UploadDispatch(self.ctx, service, routed, call.rest)
+        )
 
     def _retain_splits(self) -> None:
         if self.log.current is not None:
@@ -174,9 +172,7 @@
         return CallRefusal(Outcome.NOT_RUN, reason, delay)
 
 
-def _make_request(
-    call: IncomingCall, admission: _Admission, arrived_at: Millis
-) -> CallRequest:
+def _make_request(call: IncomingCall, admission: _Admission) -> CallRequest:
     route = admission.route
     method = call.method.encode()
     return CallRequest(
@@ -187,7 +183,7 @@
         body=call.body,
         rest=call.rest,
         is_idempotent=route.is_idempotent,
-        deadline=arrived_at + _time_left(call, route.timeout),
+        deadline=call.arrived_at + _time_left(call, route.timeout),
         attempt=0,
         fingerprint=fingerprint_request(method, call.target, '', call.body),
         workspace=admission.workspace,
@@ -197,7 +193,9 @@
 
 def _time_left(call: IncomingCall, timeout: Millis) -> Millis:
     """Return how long the caller waits; ignore an invalid deadline header."""
-    default = min(timeout, _DEFAULT_DEADLINE)
+    default = timeout
+    if math.isfinite(timeout):
+        default = min(timeout, _DEFAULT_DEADLINE)
     header_value = call.get_header(_DEADLINE)
     try:
         time_left = float(header_value) if header_value else default
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -1,7 +1,6 @@
 """The daemon that serves a whole configuration from the platform's store."""
 
 import logging
-import math
 import random
 from collections.abc import Callable, Mapping
 from functools import partial
@@ -32,6 +31,7 @@
 
 from cowslippond_daemon._admin import Admin
 from cowslippond_daemon._call_keys import CallKeys
+from cowslippond_daemon._caller_server import CallerServer
 from cowslippond_daemon._edge import Edge
 from cowslippond_daemon._evacuation_effects import EvacuationEffects
 from cowslippond_daemon._fleet_bounds import (
@@ -57,7 +57,6 @@
 
 _logger = logging.getLogger(__name__)
 
-_MILLIS_PER_SECOND = 1000
 _UPDATE_INTERVAL: Millis = 200
 
 # The front balancer stops sending after two failed checks, one second apart.
@@ -70,9 +69,10 @@
 # Within that part, the limit for connections whose callers do not respond.
 _CLOSE_TIMEOUT: Millis = 300
 
-# Caller connections stay open for longer than callers reuse them, so that none
-# is closed while a request is in transit.
-_IDLE_MARGIN_SECONDS = 15
+# How long aborted connections take to close.
+_ABORT_TIME: Millis = 10
+
+# The idle timeout of the connections of the other servers.
 _INITIAL_IDLE_SECONDS = 30
 
 
@@ -239,23 +239,20 @@
             ),
             self.parts.quotas.gate,
         )
-        edge = Edge(
+        callers = CallerServer(
             router,
-            _INITIAL_IDLE_SECONDS,
-            self.adapter.encode_retry_after,
-            router.check_call,
-        )
-        callers = make_server(
-            edge,
             settings.caller_address,
-            _INITIAL_IDLE_SECONDS + _IDLE_MARGIN_SECONDS,
+            self.adapter.encode_retry_after,
+            self.metrics,
         )
         self.parts.configuration_log.listeners.append(
-            lambda: self._apply_limits(edge, callers)
+            lambda: self._apply_limits(callers)
         )
+        # First, as a daemon that is ready must accept callers.
+        tasks.start_soon(callers.server.serve)
         admin = Admin(
             self._is_ready,
-            partial(self._status, edge, services),
+            partial(self._status, callers.edge, services),
             self.adapter.ready_path,
             self.parts.render_metrics,
         )
@@ -263,7 +260,6 @@
             if address:
                 server = make_server(admin, address, _INITIAL_IDLE_SECONDS)
                 tasks.start_soon(server.serve)
-        tasks.start_soon(callers.serve)
         self.state = DaemonState.SERVING
         _logger.info(
             'started',
@@ -274,16 +270,13 @@
             },
         )
         await self.stop_requested.wait()
-        await self._retire(edge, callers)
+        await self._retire(callers.edge, callers.server)
 
-    def _apply_limits(self, edge: Edge, callers: DaemonServer) -> None:
-        """Apply the idle timeout of the configuration in force."""
+    def _apply_limits(self, callers: CallerServer) -> None:
+        """Apply the limits of the configuration in force."""
         configuration = self.parts.configuration_log.current
-        if configuration is None:
-            return
-        idle = configuration.limits.idle_timeout / _MILLIS_PER_SECOND
-        edge.advertise_keep_alive(max(int(idle), 1))
-        callers.set_idle_timeout(math.ceil(idle) + _IDLE_MARGIN_SECONDS)
+        if configuration is not None:
+            callers.apply_limits(configuration.limits)
 
     async def _retire(self, edge: Edge, callers: DaemonServer) -> None:
         self.state = DaemonState.LEAVING
@@ -298,6 +291,10 @@
         await plan.retire(edge, callers, _has_no_pending_work)
         with anyio.move_on_after(seconds_of(_CLOSE_TIMEOUT)):
             await callers.ended.wait()
+        # Otherwise a call would seem lost by its upstream when the connections
+        # to upstreams are closed.
+        callers.abort_all()
+        await self.clock.sleep(_ABORT_TIME)
         _logger.info(
             'stopped',
             extra={
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_servers.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_servers.py
@@ -12,7 +12,7 @@
 _BACKLOG = 4096
 
 
-class _CallerProtocol(HttpToolsProtocol):
+class DaemonProtocol(HttpToolsProtocol):
     """Reads calls from a connection and ignores trailers.
 
     The base class adds trailers to the headers of a call if they arrive before
@@ -46,6 +46,12 @@
         for connection in list(self.server_state.connections):
             connection.shutdown()
 
+    def abort_all(self) -> None:
+        """Close all connections at once, without a response."""
+        for connection in list(self.server_state.connections):
+            if isinstance(connection, HttpToolsProtocol):
+                connection.transport.abort()
+
     def set_idle_timeout(self, seconds: int) -> None:
         """Change the idle timeout, for existing connections as well."""
         self.config.timeout_keep_alive = seconds
@@ -60,19 +66,23 @@
 
 
 def make_server(
-    app: Any, address: str, keep_alive_seconds: int
+    app: Any,
+    address: str,
+    keep_alive_seconds: int,
+    protocol: Any = DaemonProtocol,
 ) -> DaemonServer:
     """Return a server for an ASGI application.
 
     :param address: the address to listen on, ``host:port``.
     :param keep_alive_seconds: the idle timeout of connections.
+    :param protocol: makes the protocol of a connection.
     """
     host, _, port = address.rpartition(':')
     config = uvicorn.Config(
         app,
         host=host,
         port=int(port),
-        http=_CallerProtocol,
+        http=protocol,
         ws='none',
         lifespan='off',
         access_log=False,
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
@@ -12,6 +12,7 @@
     NotRunReason,
     SendMetadata,
 )
+from cowslippond_core._dialect import encode_remaining
 from cowslippond_core._headers import RELAYED
 
 from cowslippond_daemon.platform._credentials import (
@@ -54,7 +55,7 @@
     def request_headers(self, metadata: SendMetadata) -> HeaderList:
         """Return the remaining time, the target VM and the workspace."""
         headers = (
-            (_DEADLINE, b'%d' % max(metadata.remaining, 0)),
+            *encode_remaining(_DEADLINE, metadata.remaining),
             (_TARGET_VM, metadata.vm.encode()),
         )
         if metadata.workspace is None:
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
@@ -13,7 +13,7 @@
 from cowslippond_core import Clock, Millis, seconds_of
 
 from cowslippond_standins._address import Address
-from cowslippond_standins._serving import AppServer, Endpoint, make_server
+from cowslippond_standins._serving import Endpoint, make_server
 from cowslippond_standins.fleet._backend import Backend
 from cowslippond_standins.fleet._store_app import StoreApp
 from cowslippond_standins.harness import _http
@@ -69,13 +69,14 @@
         self.proxy = FaultProxy(self.processes)
         self.store = StoreApp(self.clock)
         self.store_address = Address(_HOST, free_ports(1))
-        self.store_server: AppServer | None = None
         self.backends: list[Backend] = []
         self.nodes: list[Node] = []
         self.id_counter = itertools.count(1)
         # Settings that override those of all services in the configuration.
         self.service_settings: dict[str, float] = {}
         self.version = 0
+        # The limits of configurations that are written from now on.
+        self.limits: dict[str, float] = dict(_LIMITS)
         # Environment variables of the daemons that are started from now on.
         self.environment: dict[str, str] = {}
         self.stack = AsyncExitStack()
@@ -88,7 +89,6 @@
         self.stack.callback(self.tasks.cancel_scope.cancel)
         self.stack.callback(self.processes.kill_all)
         server = make_server(Endpoint(self.store, *self.store_address))
-        self.store_server = server
         self.tasks.start_soon(server.serve)
         return self
 
@@ -185,7 +185,7 @@
                     name: {**_SERVICE, **self.service_settings}
                     for name in services
                 },
-                'limits': _LIMITS,
+                'limits': self.limits,
                 'base_version': _format_version(self.version - 1),
                 **({} if workspaces is None else {'tenants': dict(workspaces)}),
             },
--- a/tests/workspaces/test_authentication.py
+++ b/tests/workspaces/test_authentication.py
@@ -107,31 +107,33 @@
 
 
 class TestRouter:
-    def test_bad_key_is_refused_and_counted(self) -> None:
+    async def test_bad_key_is_refused_and_counted(self) -> None:
         router = make_router({'w': WORKSPACE})
         for keys in ((), (b'bad',), (KEY, KEY)):
-            refusal = router.check_call(make_call(*keys))
+            refusal = await router.serve_call(make_call(*keys))
             assert isinstance(refusal, CallRefusal)
             assert refusal.reason is RefusalReason.UNAUTHENTICATED
         assert router.metrics.totals['refusals.unauthenticated'] == 3
-        assert router.check_call(make_call(KEY)) is None
+        assert await router.check_head(make_call(KEY)) is None
 
-    def test_no_key_is_needed_on_public_routes_or_without_workspaces(
+    async def test_no_key_is_needed_on_public_routes_or_without_workspaces(
         self,
     ) -> None:
         public = make_router({'w': WORKSPACE}, ROUTE._replace(is_public=True))
         for router in (public, make_router(None)):
-            assert router.check_call(make_call()) is None
+            assert await router.check_head(make_call()) is None
 
-    def test_unknown_route_is_left_to_the_later_refusal(self) -> None:
+    async def test_unknown_route_is_not_found_whatever_the_key(self) -> None:
         router = make_router(
             {'w': WORKSPACE}, ROUTE._replace(match=RouteMatch('b', '/'))
         )
-        assert router.check_call(make_call()) is None
+        refusal = await router.check_head(make_call())
+        assert refusal is not None
+        assert refusal.reason is RefusalReason.NO_SERVICE
 
     async def test_key_revoked_while_the_body_is_read_is_refused(self) -> None:
         router = make_router({'w': WORKSPACE})
-        assert router.check_call(make_call(KEY)) is None
+        assert await router.check_head(make_call(KEY)) is None
         router.log.keys.update({})
         reply = await router.serve_call(make_call(KEY))
         assert isinstance(reply, CallRefusal)
@@ -140,19 +142,19 @@
 
 class TestEdge:
     @pytest.mark.parametrize(
-        ('header', 'is_closed'),
+        ('headers', 'is_closed'),
         [
-            ((b'content-length', b'65536'), False),
-            ((b'content-length', b'65537'), True),
-            ((b'transfer-encoding', b'chunked'), True),
-            ((b'expect', b'100-continue'), True),
+            ([(b'content-length', b'65536')], False),
+            ([(b'content-length', b'65537')], True),
+            ([(b'transfer-encoding', b'chunked')], True),
+            ([(b'content-length', b'9'), (b'expect', b'100-continue')], True),
         ],
     )
     async def test_body_of_a_refused_call_is_not_read(
-        self, header: tuple[bytes, bytes], is_closed: bool
+        self, headers: list[tuple[bytes, bytes]], is_closed: bool
     ) -> None:
         router = make_router({'w': WORKSPACE})
-        edge = Edge(router, 5, check_call=router.check_call)
+        edge = Edge(router, 5)
         sent: list[Any] = []
         call = make_call(b'bad')
         scope = {
@@ -161,7 +163,7 @@
             'path': '/x',
             'raw_path': b'/x',
             'query_string': b'',
-            'headers': [*call.headers, header],
+            'headers': [*call.headers, *headers],
         }
 
         async def receive(messages: list[Any]) -> Any:
@@ -172,6 +174,6 @@
 
         await edge(scope, partial(receive, []), send)
         assert sent[0]['status'] == 401
-        headers = dict(sent[0]['headers'])
-        assert headers[b'www-authenticate'] == b'Token'
-        assert (headers.get(b'connection') == b'close') is is_closed
+        answered = dict(sent[0]['headers'])
+        assert answered[b'www-authenticate'] == b'Token'
+        assert (answered.get(b'connection') == b'close') is is_closed
