Grant quotas at once when the whole fleet has started together

Cause: an owner grants nothing for 2.5 s after it joins, so that owners that it displaces have heard of it. Ruled out: unreachable owners; all answered, with an epoch of 0. Change: a daemon whose peers have all just started as well, by the digests that tell whether a peer is settled, does not wait. Buckets still start empty, and shares are still scaled by the part of the fleet that the list contains.

--- a/packages/cowslippond-core/src/cowslippond_core/_fleet_size.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_fleet_size.py
@@ -53,14 +53,21 @@
         self.count_known = count_known
         self.reported = 0
         self.reported_at: Millis = -math.inf
-        self.settled_at = clock.now()
+        self.started_at = clock.now()
+        self.settled_at = self.started_at
         if has_peers:
             self.settled_at += _DISCOVERY_TIME
+        self.has_heard_peer = False
+        self.has_heard_settled_peer = False
 
     def is_settled(self) -> bool:
         """Return whether this daemon has discovered the fleet."""
         return self.clock.now() >= self.settled_at
 
+    def is_joint_start(self) -> bool:
+        """Return whether all peers heard so far have just started as well."""
+        return self.has_heard_peer and not self.has_heard_settled_peer
+
     def record_report(self, daemons: int, *, is_settled: bool = False) -> None:
         """Record how many daemons a peer has in its list.
 
@@ -68,7 +75,9 @@
         :param is_settled: whether the peer has discovered the fleet; its number
             then replaces the assumed one.
         """
+        self.has_heard_peer |= daemons > 0
         if is_settled and daemons > 0:
+            self.has_heard_settled_peer = True
             self.settled_at = min(self.settled_at, self.clock.now())
         daemons = min(daemons, MAX_DAEMONS)
         if daemons < self._valid_report():
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_quotas.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_quotas.py
@@ -31,7 +31,7 @@
 _RETRY_INTERVAL: Millis = 2000
 
 # Daemons that start together know each other after this time.
-_FIRST_START_TIME: Millis = 3000
+_JOINT_START_TIME: Millis = 3000
 
 _GAUGE_PREFIX = 'quota.workspace.'
 _UNUSABLE = re.compile(r'\W')
@@ -83,10 +83,8 @@
             fleet.gossip_table(QUOTA_TABLE), fleet.membership, clock
         )
         self.changed = anyio.Event()
-        if settings.is_first_start:
-            self.limiter.ownership.is_first_until = (
-                clock.now() + _FIRST_START_TIME
-            )
+        self.started_at = clock.now()
+        self.is_first_start = settings.is_first_start
         log.listeners.append(self._notify)
 
     async def run(self) -> None:
@@ -138,6 +136,16 @@
             return None
         return current.workspaces.get(name)
 
+    def _joint_start_time(self) -> Millis:
+        """Return for how long owners need not wait until others have stopped.
+
+        If the whole fleet has started together, for the first time or after a
+        loss of power, no owner can still grant tokens by an older list.
+        """
+        if self.is_first_start or self.fleet.size.is_joint_start():
+            return _JOINT_START_TIME
+        return 0
+
     def _has_limits(self) -> bool:
         current = self.log.current
         if current is None or current.workspaces is None:
@@ -165,6 +173,7 @@
         known = self.fleet.size.largest_known()
         supposed = self.fleet.size.estimate()
         ownership = self.limiter.ownership
+        ownership.is_first_until = self.started_at + self._joint_start_time()
         ownership.assumed_size = supposed if supposed > known else 1
         self.limiter.update(
             self.participants.domains(), known, self.participants.leaving()
--- a/tests/core/test_fleet_size.py
+++ b/tests/core/test_fleet_size.py
@@ -53,6 +53,16 @@
         assert size.estimate() == 3
         assert size.is_settled()
 
+    def test_joint_start_ends_with_the_first_settled_peer(self) -> None:
+        """Owners of quotas need not wait for others that start with them."""
+        size = FleetSize(FakeClock(1000), lambda: 1)
+        assert not size.is_joint_start()
+        size.record_report(2)
+        assert size.is_joint_start()
+        size.record_report(3, is_settled=True)
+        size.record_report(4)
+        assert not size.is_joint_start()
+
     def test_a_daemon_without_peers_assumes_none(self) -> None:
         size = FleetSize(FakeClock(1000), lambda: 1, has_peers=False)
         assert size.estimate() == 1
--- a/tests/quotas/test_quota_faults.py
+++ b/tests/quotas/test_quota_faults.py
@@ -17,6 +17,8 @@
 # Owners of a fleet that just started grant tokens, and have full buckets, after
 # this time. Faults follow soon, while the burst counts in the same window.
 SETTLE_SECONDS = 5
+JOINT_START_MS = 3000
+ASSUMED_DAEMONS = 24
 FAULT_SECONDS = 0.5
 
 # What the users allow: at least this share of the calls below the limit is
@@ -130,6 +132,59 @@
 
         run_virtual(run)
 
+    @pytest.mark.parametrize('seed', SEEDS)
+    def test_a_joint_start_needs_no_wait_for_displaced_owners(
+        self, seed: int
+    ) -> None:
+        """After a loss of power, all calls were refused for 2.5 s."""
+
+        async def run() -> None:
+            scenario = Scenario(seed)
+            fleet = scenario.fleet
+            async with anyio.create_task_group() as tasks:
+                await scenario.start(tasks, USUAL, 12)
+                for daemon in fleet.daemons.values():
+                    daemon.start()
+                    daemon.limiter.ownership.is_first_until = (
+                        fleet.clock.now() + JOINT_START_MS
+                    )
+                restarted_at = fleet.clock.now()
+                await anyio.sleep(1)
+                served = [at for at in fleet.runs['large'] if at > restarted_at]
+            fleet.assert_bounds()
+            assert len(served) > LARGE.rate * USUAL * 0.8
+
+        run_virtual(run)
+
+    @pytest.mark.parametrize('seed', SEEDS)
+    def test_a_joint_start_with_short_lists_stays_within_the_bound(
+        self, seed: int
+    ) -> None:
+        """Each daemon that knows only itself owns every share."""
+
+        async def run() -> None:
+            scenario = Scenario(seed)
+            fleet = scenario.fleet
+            async with anyio.create_task_group() as tasks:
+                await scenario.start(tasks, FLOOD, 14)
+                addresses = list(fleet.daemons)
+                for daemon in fleet.daemons.values():
+                    daemon.start()
+                    daemon.listed = set()
+                    daemon.supposed_size = ASSUMED_DAEMONS
+                    daemon.limiter.ownership.is_first_until = (
+                        fleet.clock.now() + JOINT_START_MS
+                    )
+                for count in range(len(addresses)):
+                    await anyio.sleep(2 / len(addresses))
+                    for daemon in fleet.daemons.values():
+                        daemon.listed = set(fleet.rng.sample(addresses, count))
+                for daemon in fleet.daemons.values():
+                    daemon.listed = None
+            fleet.assert_bounds()
+
+        run_virtual(run)
+
     @pytest.mark.parametrize('seed', SEEDS)
     def test_daemons_join_and_hear_of_each_other_late(self, seed: int) -> None:
         """Owners that are displaced go on granting until they know it."""
