Take a health answer without the warm-up header for that of a warm upstream

Cause: when an evacuation ends, the upstreams of the domain are presumed cold. Ruled out: a missing probe; presumed upstreams are asked. Change: a health answer that was requested after the presumption began and does not say ends it. What an upstream itself has said still holds until its time is over.

--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_warm_ups.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_warm_ups.py
@@ -94,6 +94,9 @@
     ) -> None:
         """Apply what an upstream says in an answer.
 
+        A health answer that does not say ends a warm-up that was only presumed:
+        warm upstreams may leave the header out.
+
         :param remaining: for how much longer it is cold, in milliseconds, or
             ``None`` if the answer does not say.
         :param sent_at: when the request was sent. A paused daemon receives the
@@ -104,7 +107,8 @@
             return
         now = self.clock.now()
         if remaining is None and state.is_cold(now):
-            return
+            if not state.is_presumed or sent_at < state.presumed_at:
+                return
         state.told_at = sent_at
         if remaining:
             self._begin(upstream, state, remaining, 'answer')
@@ -231,6 +235,7 @@
         ends_at = now + min(remaining, _MAX_WARM_UP)
         if not was_cold:
             state.is_presumed = True
+            state.presumed_at = now
         if source != 'answer' and was_cold:
             ends_at = max(ends_at, state.cold_until)
         state.cold_until = ends_at
--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
@@ -146,7 +146,7 @@
                 'version': 'v1',
                 'slots': backend.slots,
                 'state': state,
-                'warmup_left_ms': int(backend.warm_up_left()),
+                'warmup_left_ms': int(_warm_up_of(backend)),
                 'sequence': 1,
                 'born': 1,
             },
@@ -307,6 +307,11 @@
     }
 
 
+def _warm_up_of(backend: object) -> Millis:
+    """Return for how much longer a back end is cold; only some ever are."""
+    return backend.warm_up_left() if isinstance(backend, Backend) else 0
+
+
 def _format_version(version: int) -> str:
     return format(version, '08x')
 
--- a/tests/dispatch/test_warm_ups.py
+++ b/tests/dispatch/test_warm_ups.py
@@ -223,6 +223,22 @@
         one.read(None)
         assert one.state.is_cold(one.clock.now())
 
+    def test_answer_that_does_not_say_ends_what_was_only_presumed(
+        self,
+    ) -> None:
+        """Warm upstreams of a domain stayed limited for 3 s after its evacuation.
+
+        Their health answers have no header, as that of a warm one needs none.
+        """
+        one = OneDaemon()
+        one.daemon.limits.warm_ups.presume([one.daemon.upstream])
+        one.read(None, age=50)
+        assert one.state.is_cold(one.clock.now())
+        one.clock.advance(60)
+        one.read(None)
+        assert not one.state.is_cold(one.clock.now())
+        assert one.may_send()
+
     def test_upstream_without_the_header_is_usable(self) -> None:
         one = OneDaemon()
         one.read(None)
