Count tokens of calls by sends that may have run

Cause: the quota's gate and the check before the first send asked how often a call was sent, refused sends included. A call that an upstream had refused (421, 503 with a promise, no connection) then waited in the queue for any time with its old token, and ran in one window with later calls. A call without a connection here that a peer then relayed kept its token here and took another at the peer. Ruled out: refusing such calls, which are within the quota when they arrive. Change: both ask whether a send may have run. A renewed token counts from its renewal. The fake dispatch of test_gate.py has the new property; its cases are the same.

--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -67,9 +67,15 @@
         self.relay = CallRelay(ctx, service, call)
         self.grants: dict[Attempt, Grant] = {}
         self.best_result: Answered | AnswerLost | None = None
-        # Decides whether a call that had to wait may still be sent.
+        # Decides whether a call that had to wait may still be sent. It applies
+        # until a send may have run.
         self.check_first_send: FirstSendCheck | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a send may have run at an upstream."""
+        return self.retries.runs > 0
+
     async def run(self) -> Reply:
         """Send the call, with retries, and return the answer or a refusal.
 
@@ -171,7 +177,8 @@
         try:
             result = await self._await_result(attempt, grant)
         except BaseException:
-            self._abandon(attempt)
+            attempt.end()
+            self.service.placer.notify_capacity_change()
             raise
         if result is None:
             result = AnswerLost(ExchangeFault.TIMEOUT)
@@ -292,10 +299,6 @@
         if isinstance(self.best_result, Answered):
             self.best_result.attempt.end()
 
-    def _abandon(self, attempt: Attempt) -> None:
-        attempt.end()
-        self.service.placer.notify_capacity_change()
-
     def refuse(self, outcome: Outcome, reason: RefusalReason) -> CallRefusal:
         """Return a refusal of the call, and log it."""
         placer = self.service.placer
@@ -345,7 +348,7 @@
     check = dispatch.check_first_send
     if isinstance(grant, RefusalReason) or check is None:
         return grant
-    if dispatch.send_count > 0:
+    if dispatch.may_have_run:
         return grant
     refusal = await check()
     if refusal is None:
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_uploads.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_uploads.py
@@ -91,9 +91,9 @@
         self.admitted: Dispatch | None = None
 
     @property
-    def send_count(self) -> int:
-        """How often the call was sent."""
-        return 0 if self.admitted is None else self.admitted.send_count
+    def may_have_run(self) -> bool:
+        """Whether a send may have run at an upstream."""
+        return self.admitted is not None and self.admitted.may_have_run
 
     async def run(self) -> CallAnswer | CallRefusal:
         """Return the answer of an upstream, or a refusal.
--- a/packages/cowslippond-core/src/cowslippond_core/quotas/_gate.py
+++ b/packages/cowslippond-core/src/cowslippond_core/quotas/_gate.py
@@ -80,10 +80,10 @@
         try:
             reply = await self.dispatch.run()
         except BaseException:
-            has_run = self.dispatch.send_count > 0
+            has_run = self.dispatch.may_have_run
             raise
         else:
-            has_run = self.dispatch.send_count > 0 and not _is_not_run(reply)
+            has_run = self.dispatch.may_have_run and not _is_not_run(reply)
         finally:
             if not has_run:
                 self._give_back()
@@ -103,6 +103,7 @@
             _log_refusal(self.dispatch, self.workspace, decision)
             return RefusalReason.OVER_QUOTA
         self.token = decision
+        self.taken_at = self.limiter.clock.now()
         return None
 
     def _give_back(self) -> None:
--- a/tests/dispatch/test_dispatch.py
+++ b/tests/dispatch/test_dispatch.py
@@ -23,12 +23,15 @@
     SendingHooks,
     WeightedService,
 )
+from cowslippond_core._attempt import NotRun
+from cowslippond_core._dialect import NotRunReason
 from cowslippond_core._exchange import ExchangeFault
 from cowslippond_core._failures import FailureRate
 from cowslippond_core._reach import ServiceReach
 from cowslippond_core._upstreams import LoadState
 from cowslippond_core.dispatch import _dispatch
 from cowslippond_core.placing import Grant
+from cowslippond_core.quotas import QuotaGate, Token
 from fakes import FakeClock
 
 pytestmark = pytest.mark.anyio
@@ -54,6 +57,7 @@
         self.upstream = upstream
         self.request = request
         self.sent_at = 0
+        self.is_reused = False
         self.connection = None
         self.answer_metadata = AnswerMetadata()
 
@@ -85,6 +89,7 @@
         vm=SimpleNamespace(name='u1'),
         failures=FailureRate(),
         load_state=LoadState(),
+        connections=SimpleNamespace(open=()),
         reach=ServiceReach(tuple, 's'),
     )
 
@@ -94,7 +99,11 @@
     service = SimpleNamespace(
         upstreams=SimpleNamespace(by_address={}),
         estimator=SimpleNamespace(service_time=60),
-        budget=SimpleNamespace(record_call=lambda: None),
+        budget=SimpleNamespace(
+            record_call=lambda: None,
+            can_retry=lambda: True,
+            spend=lambda: None,
+        ),
         placer=SimpleNamespace(
             acquire=acquire,
             notify_capacity_change=lambda: None,
@@ -145,3 +154,67 @@
         assert reply.outcome is Outcome.NOT_RUN
         assert reply.reason is RefusalReason.OVER_QUOTA
         assert dispatch.send_count == 0
+
+    async def test_applies_until_a_send_may_have_run(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Calls that an upstream had refused waited in the queue with old tokens.
+
+        They ran in one window with calls that arrived later.
+        """
+        results = [NotRun(NotRunReason.OTHER_VM), NotRun(NotRunReason.OTHER_VM)]
+        checks: list[int] = []
+
+        async def start(_: LosingAttempt) -> NotRun:
+            return results.pop(0)
+
+        monkeypatch.setattr(LosingAttempt, 'start', start)
+        async with anyio.create_task_group() as tasks:
+            dispatch = make_dispatch(tasks)
+
+            async def check() -> RefusalReason | None:
+                checks.append(dispatch.send_count)
+                return None if results else RefusalReason.OVER_QUOTA
+
+            dispatch.check_first_send = check
+            reply = await dispatch.run()
+        assert isinstance(reply, CallRefusal)
+        assert reply.reason is RefusalReason.OVER_QUOTA
+        assert checks == [0, 1, 2]
+
+
+class TestQuotaOfRelayedCall:
+    async def test_is_not_taken_twice(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A call that found no connection here kept a token, as at the peer."""
+        results: list[AnswerLost | None] = [
+            None,
+            AnswerLost(ExchangeFault.CLOSED),
+        ]
+        token = Token('shop', 'owner', 1, 0)
+        given_back: list[Token] = []
+
+        async def start(_: LosingAttempt) -> NotRun:
+            return NotRun(NotRunReason.CONNECT_FAILED)
+
+        async def relay() -> AnswerLost | None:
+            return results.pop(0)
+
+        async def take(_: str) -> Token:
+            return token
+
+        monkeypatch.setattr(LosingAttempt, 'start', start)
+        limiter: Any = SimpleNamespace(
+            take=take, give_back=given_back.append, clock=FakeClock()
+        )
+        async with anyio.create_task_group() as tasks:
+            dispatch = make_dispatch(tasks)
+            request = dispatch.call.request._replace(workspace='shop')
+            dispatch.call = dispatch.call._replace(request=request)
+            monkeypatch.setattr(dispatch.relay, 'run', relay)
+            reply = await QuotaGate(limiter, random.Random(1)).run(dispatch)
+        assert isinstance(reply, CallRefusal)
+        assert reply.outcome is Outcome.UNKNOWN
+        assert dispatch.send_count == 1
+        assert given_back == [token]
--- a/tests/quotas/test_gate.py
+++ b/tests/quotas/test_gate.py
@@ -54,7 +54,7 @@
 
 
 class FakeDispatch:
-    """A dispatch with a known end; ``sends`` counts sends to upstreams."""
+    """A dispatch with a known end; ``sends`` counts sends that may have run."""
 
     def __init__(
         self,
@@ -65,7 +65,7 @@
         self.call = FakeCall(workspace)
         self.reply = reply
         self.sends = sends
-        self.send_count = 0
+        self.may_have_run = False
         self.has_started = False
         self.wait_in_queue: Callable[[], object] = int
         self.check_first_send: (
@@ -80,7 +80,7 @@
             refusal = await self.check_first_send()
             if refusal is not None:
                 return CallRefusal(Outcome.NOT_RUN, refusal, 100)
-        self.send_count = self.sends
+        self.may_have_run = self.sends > 0
         if isinstance(self.reply, type):
             raise self.reply
         return self.reply
@@ -173,7 +173,7 @@
         reply = await run(limiter, dispatch)
         assert isinstance(reply, CallRefusal)
         assert reply.reason is RefusalReason.OVER_QUOTA
-        assert dispatch.send_count == 0
+        assert not dispatch.may_have_run
         assert limiter.given_back == [TOKEN]
 
     async def test_calls_without_a_workspace_take_no_token(self) -> None:
