Keep no keys that a repeated name hides

Cause: a configuration text was kept as it was if its decoded form had no keys. Of a name that is repeated in a JSON object only the last value is decoded, so the keys of an earlier one stayed in the text that daemons keep and pass to peers. Ruled out: rejecting repeated names, which the decoder does not report. Change: a text that mentions keys, or has workspaces and escapes, is encoded anew. Measured: four new cases of test_workspace_decoding.py fail before and pass now.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_workspaces.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_workspaces.py
@@ -38,7 +38,10 @@
     if not isinstance(table, dict):
         # Not a configuration; anything in it might be a key.
         return Ok('null')
-    if not digest_keys(table):
+    # A name that is repeated in an object hides the earlier value, whose keys are
+    # still in the text.
+    may_hide_keys = _KEYS in text or (_WORKSPACES in table and r'\u' in text)
+    if not digest_keys(table) and not may_hide_keys:
         return Ok(text)
     return Ok(orjson.dumps(table).decode())
 
--- a/tests/platform/test_workspace_decoding.py
+++ b/tests/platform/test_workspace_decoding.py
@@ -152,6 +152,21 @@
         assert replace_keys(f'{{"tenants": "{KEY}').is_error()
         assert KEY not in replace_keys(f'["tenants", "{KEY}"]').ok
 
+    @pytest.mark.parametrize(
+        'text',
+        [
+            '{"tenants":{"w":%s},"tenants":{}}',
+            '{"tenants":{"w":%s},"tenants":null}',
+            '{"tenants":{"w":%s,"w":{"priority":2}}}',
+            r'{"tenants":{"w":%s,"\u0077":{}}}',
+        ],
+    )
+    def test_repeated_name_hides_no_key(self, text: str) -> None:
+        """The last value counted, and the text was kept with the keys of both."""
+        kept = replace_keys(text % orjson.dumps(entry(KEY)).decode()).ok
+        assert KEY not in kept
+        assert replace_keys(kept).ok is kept
+
 
 class TestCredentials:
     @pytest.mark.parametrize(
