Correct state of quotas across restarts, reloads and late returns

An owner that was paused answered those of the earlier run, which were for other workspaces, and the new run took these tokens for its own requests. - An owner dropped the bucket of a removed workspace at once. A reload that brought it back started with a full bucket: a second burst within a window. - The return of a call admitted without contact freed the place of the latest such call, also if its own was older than the window. - The wait of an answer was not limited, so a malformed one silenced an owner. Ruled out: numbers from the generator that chooses owners, which would change the sequences of all seeded fault tests. Change: numbers start at the epoch of the run; buckets of removed workspaces stay for 10 s after their last use; a return removes its own time; waits are limited to 1,000 ms on arrival as they are on sending.

--- a/packages/cowslippond-core/src/cowslippond_core/quotas/_limiter.py
+++ b/packages/cowslippond-core/src/cowslippond_core/quotas/_limiter.py
@@ -69,13 +69,14 @@
         self.clock = clock
         self.metrics = metrics
         self.ownership = Ownership(own_address, clock.now())
+        epoch = rng.getrandbits(_EPOCH_BITS) + 1
         self.ledger = ShareLedger(
             self.ownership,
             find_workspace,
             bounds,
-            rng.getrandbits(_EPOCH_BITS) + 1,
+            epoch,
         )
-        self.requests = OwnerRequests(send, clock, rng, metrics)
+        self.requests = OwnerRequests(send, clock, rng, metrics, epoch)
         self.uses: dict[str, WorkspaceUse] = {}
 
     def update(
@@ -137,7 +138,7 @@
         if use is not None:
             use.admitted -= 1
             if not token.owner:
-                use.undo_fallback()
+                use.undo_fallback(token.expires_at)
             elif token.expires_at > self.clock.now():
                 use.tokens.append(token)
                 return
--- a/packages/cowslippond-core/src/cowslippond_core/quotas/_messages.py
+++ b/packages/cowslippond-core/src/cowslippond_core/quotas/_messages.py
@@ -12,6 +12,9 @@
 _MAX_COUNT = 64
 _MAX_BYTES = 512
 
+#: The longest time, in milliseconds, for which a daemon is told not to ask again.
+MAX_WAIT = 1000
+
 _REQUEST = 'q'
 _ANSWER = 'a'
 _RETURN = 'r'
@@ -97,15 +100,15 @@
         return QuotaAnswer(
             read_number(first),
             _read_count(second),
-            read_number(third),
+            min(read_number(third), MAX_WAIT),
             read_number(further[0]),
         )
     raise WireError(f'unknown quota message: {kind!r}')
 
 
-def round_wait(wait: Millis, longest: Millis) -> int:
+def round_wait(wait: Millis) -> int:
     """Limit a wait and round it to the whole milliseconds of a message."""
-    return round(min(wait, longest))
+    return round(min(wait, MAX_WAIT))
 
 
 def _read_count(field: Any) -> int:
--- a/packages/cowslippond-core/src/cowslippond_core/quotas/_owner_requests.py
+++ b/packages/cowslippond-core/src/cowslippond_core/quotas/_owner_requests.py
@@ -48,6 +48,9 @@
     :param clock: the clock of all times.
     :param rng: chooses owners.
     :param metrics: counts requests.
+    :param first_number: where the numbers of requests start. It differs between
+        runs, as an owner that was paused may answer requests of an earlier run
+        of this daemon, which were for other workspaces.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         clock: Clock,
         rng: random.Random,
         metrics: Metrics,
+        first_number: int,
     ) -> None:
         self.send = send
         self.clock = clock
@@ -63,7 +67,7 @@
         self.metrics = metrics
         self.contacts = OwnerContacts()
         self.pending: dict[int, PendingRequest] = {}
-        self.request_count = 0
+        self.last_number = first_number
 
     def candidates(
         self, use: WorkspaceUse, owners: Mapping[str, str], domain: str
@@ -118,10 +122,10 @@
         pending = PendingRequest(
             use, owner, self.clock.now(), has_waiter=has_waiter
         )
-        self.request_count += 1
-        self.pending[self.request_count] = pending
+        self.last_number += 1
+        self.pending[self.last_number] = pending
         self.metrics.count(Metric.QUOTA_REQUESTS)
-        self.send(owner, QuotaRequest(self.request_count, use.name, ahead))
+        self.send(owner, QuotaRequest(self.last_number, use.name, ahead))
         return pending
 
     def receive(self, sender: str, answer: QuotaAnswer) -> None:
--- a/packages/cowslippond-core/src/cowslippond_core/quotas/_share_ledger.py
+++ b/packages/cowslippond-core/src/cowslippond_core/quotas/_share_ledger.py
@@ -5,7 +5,11 @@
 
 from cowslippond_core._clock import Millis, seconds_of
 from cowslippond_core.quotas._bounds import QuotaBounds
-from cowslippond_core.quotas._messages import QuotaAnswer, round_wait
+from cowslippond_core.quotas._messages import (
+    MAX_WAIT,
+    QuotaAnswer,
+    round_wait,
+)
 from cowslippond_core.quotas._owners import Ownership
 from cowslippond_core.quotas._token_bucket import TokenBucket
 from cowslippond_core.workspaces import Workspace
@@ -15,9 +19,6 @@
 # Tokens are granted ahead of need only while the bucket is at least this full.
 _PLENTY = 0.5
 
-# The longest time for which a daemon is told not to ask again.
-_MAX_WAIT: Millis = 1000
-
 # A bucket is dropped this long after its last use, but not before it is full.
 _IDLE_TIME: Millis = 10_000
 
@@ -36,7 +37,10 @@
     def is_idle(self, now: Millis) -> bool:
         self.bucket.refill(now)
         is_full = self.bucket.tokens >= self.bucket.capacity
-        return is_full and now - self.used_at > _IDLE_TIME
+        return is_full and self.is_unused(now)
+
+    def is_unused(self, now: Millis) -> bool:
+        return now - self.used_at > _IDLE_TIME
 
     def grant(self, ahead: int, now: Millis) -> int:
         """Take a token and some ahead of need; return how many."""
@@ -56,7 +60,7 @@
         self.backlog = max(self.backlog - served, 0)
         self.backlog_at = now
         wait = self.bucket.wait(self.backlog)
-        if wait < _MAX_WAIT:
+        if wait < MAX_WAIT:
             self.backlog += 1
         return wait
 
@@ -92,7 +96,7 @@
         if share is None:
             return QuotaAnswer(number, 0, 0, 0)
         granted = share.grant(ahead, now)
-        wait = 0 if granted else round_wait(share.queue_up(now), _MAX_WAIT)
+        wait = 0 if granted else round_wait(share.queue_up(now))
         return QuotaAnswer(number, granted, wait, self.epoch)
 
     def put_back(self, name: str, count: int, epoch: int) -> None:
@@ -106,7 +110,9 @@
         for name, share in tuple(self.shares.items()):
             workspace = self.find_workspace(name)
             if workspace is None or not workspace.rate:
-                self._drop(name, 'removed')
+                # A workspace that returns soon would start with a full bucket.
+                if share.is_unused(now):
+                    self._drop(name, 'removed')
                 continue
             since = self.ownership.granting_since(name, workspace.rate)
             if since is None:
--- a/packages/cowslippond-core/src/cowslippond_core/quotas/_workspace_use.py
+++ b/packages/cowslippond-core/src/cowslippond_core/quotas/_workspace_use.py
@@ -138,10 +138,13 @@
         self.fallback += 1
         return Token(self.name, '', 0, now)
 
-    def undo_fallback(self) -> None:
-        """Take back the admission of a call that did not run."""
-        if self.fallback_times:
-            self.fallback_times.pop()
+    def undo_fallback(self, admitted_at: Millis) -> None:
+        """Take back the admission of a call that did not run.
+
+        It may be older than the window, and no longer counted.
+        """
+        if admitted_at in self.fallback_times:
+            self.fallback_times.remove(admitted_at)
 
     def forget_owners(self, owners: tuple[str, ...]) -> None:
         """Drop what is known of daemons that are no longer owners."""
--- a/tests/quotas/test_messages.py
+++ b/tests/quotas/test_messages.py
@@ -55,3 +55,8 @@
         """A datagram cannot take all tokens of a large workspace."""
         message = decode_quota_message(b'["q",1,"shop",100000]')
         assert message == QuotaRequest(1, 'shop', 64)
+
+    def test_wait_is_limited(self) -> None:
+        """An owner was never asked again after a wrong answer."""
+        message = decode_quota_message(b'["a",1,0,9000000000000000,7]')
+        assert message == QuotaAnswer(1, 0, 1000, 7)
