Pass on ends of evacuations that only a read of the whole table shows

Cause: a daemon that restarted and read the table after the row was removed made a tombstone for the evacuation that a peer offered, but kept the peer's revision. Equal revisions exchange nothing, so the peers stayed evacuated. After a restore of the store, such a daemon also ended an evacuation that the copy lacked at once, and for the whole fleet as its tombstone is of the newer era; the operator had no time to write the row again.

Ruled out: the read of the table itself; a daemon that knew the evacuation before the read defers its end and advances the revision.

Change: the tombstone advances the revision to that of the read. An entry of an earlier era that is offered within the grace period of the read is put in force, and its end is pending for that period.

A daemon that restarted while a newer evacuation is in the table still advances lagging peers past an end that they have not heard of; this is not mended here.

--- a/packages/cowslippond-core/src/cowslippond_core/evacuations/_evacuation_log.py
+++ b/packages/cowslippond-core/src/cowslippond_core/evacuations/_evacuation_log.py
@@ -1,12 +1,13 @@
 """The evacuated failure domains, replicated from the store and from peers."""
 
 import logging
+import math
 from collections.abc import Callable, Iterable
 
 from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._document import AcceptedDocument
 from cowslippond_core._platform_store import StoreRows
-from cowslippond_core._store_era import StoreEra
+from cowslippond_core._store_era import StoreEra, era_of
 from cowslippond_core._versions import Versions
 
 _logger = logging.getLogger(__name__)
@@ -55,6 +56,7 @@
         self.store_back_at: Millis | None = None
         self.newest_revision = 0
         self.whole_revision = 0
+        self.whole_read_at: Millis = -math.inf
         self.whole_domains: frozenset[str] = frozenset()
 
     def apply_rows(
@@ -88,6 +90,7 @@
             entries.append(self._make_entry(domain, text, row.revision))
         if is_whole:
             self.whole_revision = rows.revision
+            self.whole_read_at = self.clock.now()
             self.whole_domains = frozenset(present)
             missing = dict.fromkeys(self.domains - present, rows.revision)
             self.pending_removals.update(missing)
@@ -122,16 +125,27 @@
 
         A peer may offer an evacuation that had ended before this daemon read
         the whole table, so that it knows no tombstone. It then makes one, from
-        which the peer learns of the end.
+        which the peer learns of the end. After a restore of the store, the
+        operator is given time to write the row again before.
         """
         is_newer = super()._is_newer(accepted)
-        if is_newer and self._has_ended(accepted):
-            domain = accepted.service
-            self.latest[domain] = self._make_entry(
-                domain, '', self.whole_revision
+        if not is_newer or not self._has_ended(accepted):
+            return is_newer
+        domain = accepted.service
+        if self._may_be_rewritten(accepted):
+            known = self.store_back_at
+            self.store_back_at = (
+                self.whole_read_at
+                if known is None
+                else max(known, self.whole_read_at)
             )
-            return False
-        return is_newer
+            self.pending_removals[domain] = self.whole_revision
+            return True
+        self.latest[domain] = self._make_entry(domain, '', self.whole_revision)
+        # A peer that is at the same revision would not get the tombstone.
+        self.newest_revision = max(self.newest_revision, self.whole_revision)
+        self._advance_revision()
+        return False
 
     def _has_ended(self, accepted: AcceptedDocument) -> bool:
         """Return whether the last read of the whole table lacked an entry."""
@@ -141,16 +155,26 @@
         is_covered = accepted.revision <= self.whole_revision
         return is_covered and domain not in self.whole_domains
 
-    def _put_all(self, entries: Iterable[AcceptedDocument]) -> None:
-        """Apply entries of the store.
+    def _may_be_rewritten(self, accepted: AcceptedDocument) -> bool:
+        """Return whether a restored copy may have lacked a missing row."""
+        if era_of(accepted.revision) >= era_of(self.whole_revision):
+            return False
+        return self.clock.now() < self.whole_read_at + _GRACE_PERIOD
 
-        The revision only advances to that of an entry, since other changes of
-        the store concern no peer, and not beyond the first pending removal.
-        """
+    def _put_all(self, entries: Iterable[AcceptedDocument]) -> None:
+        """Apply entries of the store."""
         batch = tuple(entries)
         self.offer_all(batch)
         revisions = (entry.revision for entry in batch)
         self.newest_revision = max(self.newest_revision, *revisions, 0)
+        self._advance_revision()
+
+    def _advance_revision(self) -> None:
+        """Advance the revision, but not beyond the first pending removal.
+
+        It only advances to that of an entry, since other changes of the store
+        concern no peer.
+        """
         first_pending = min(
             self.pending_removals.values(), default=self.newest_revision + 1
         )
--- a/tests/evacuations/test_evacuation_log.py
+++ b/tests/evacuations/test_evacuation_log.py
@@ -76,6 +76,39 @@
         log.apply_pending_removals()
         assert log.domains == set()
 
+    def test_restarted_reader_gives_an_evacuation_time_to_return(self) -> None:
+        """A reader started after the restore ended the evacuation at once."""
+        peer = Log()
+        peer.apply(evacuation('north', combine_era(1, 9)), revision=9)
+        log = Log()
+        log.store_era.observe(2, 'store')
+        log.apply(revision=combine_era(2, 4), is_whole=True)
+        log.fake_clock.advance(200)
+        log.offer_all(peer.newer_than(log.revision))
+        log.advance(peer.revision)
+        log.fake_clock.advance(1500)
+        log.apply_pending_removals()
+        assert log.domains == {'north'}
+        peer.offer_all(log.newer_than(peer.revision))
+        assert peer.domains == {'north'}
+        log.fake_clock.advance(1000)
+        log.apply_pending_removals()
+        assert log.domains == set()
+        assert log.revision > peer.revision
+
+    def test_evacuation_of_an_earlier_era_ends_long_after_the_restore(
+        self,
+    ) -> None:
+        """A peer that returns late must not evacuate the domain again."""
+        peer = Log()
+        peer.apply(evacuation('north', combine_era(1, 9)), revision=9)
+        log = Log()
+        log.store_era.observe(2, 'store')
+        log.apply(revision=combine_era(2, 4), is_whole=True)
+        log.fake_clock.advance(2500)
+        log.offer_all(peer.newer_than(log.revision))
+        assert log.domains == set()
+
 
 class TestStore:
     def test_row_evacuates_until_it_is_removed(self) -> None:
@@ -191,6 +224,19 @@
         lagging.offer_all(log.newer_than(lagging.revision))
         assert lagging.domains == set()
 
+    def test_end_that_no_daemon_saw_reaches_the_peers(self) -> None:
+        """Both had the same revision, so the end was never passed on."""
+        peer = Log()
+        peer.apply(evacuation('north', 4), revision=4)
+        log = Log()
+        log.apply(revision=9, is_whole=True)
+        log.offer_all(peer.newer_than(log.revision))
+        log.advance(peer.revision)
+        # Peers exchange entries only if their revisions differ.
+        assert log.revision > peer.revision
+        peer.offer_all(log.newer_than(peer.revision))
+        assert peer.domains == set()
+
     @pytest.mark.parametrize('seed', range(20))
     def test_all_orders_of_arrival_converge(self, seed: int) -> None:
         rng = random.Random(seed)
