Date what upstreams say of their warm-up by other news and by pauses

Cause: an answer that said warm, requested before a peer or an entry said cold, ended the warm-up, and its row ended it at all peers. An answer that said cold and arrived after a pause counted in full from its receipt, as the upstream's own word: a daemon without a part did not ask a warm upstream for that time, and the peers were told as well.

Ruled out: the bound of calls while each daemon asks first; a call still needs an answer of at most 100 ms then, or 400 ms without probes.

Change: an answer that says warm is ignored if it was requested before the news. One that says cold and is older than the warm-up that it tells, and than 500 ms, only lets the daemon presume that the upstream is cold.

--- a/packages/cowslippond-core/src/cowslippond_core/_warm_up.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_warm_up.py
@@ -36,7 +36,8 @@
     clock. While ``is_presumed`` is set, the upstream itself has not told this
     daemon that it is cold. ``told_at`` is when the last reading that said
     something was requested, and ``warm_at`` the same for the last one by which it
-    was warm. ``limit`` holds from the begin of a warm-up until calls have
+    was warm. ``presumed_at`` is when another source last said that it is cold.
+    ``limit`` holds from the begin of a warm-up until calls have
     returned to their usual rate. ``listed_at`` is the date of the entry that has
     been applied. ``has_warm_peers`` tells whether other upstreams of the service
     are warm.
@@ -49,6 +50,7 @@
         self.cold_until: Millis = -math.inf
         self.ended_at: Millis = -math.inf
         self.is_presumed = False
+        self.presumed_at: Millis = -math.inf
         self.told_at: Millis = -math.inf
         self.warm_at: Millis = -math.inf
         self.limit: RateLimit | None = None
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_warm_ups.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_warm_ups.py
@@ -50,6 +50,11 @@
 # A longer warm-up is taken for a mistake; the upstream then says so again.
 _MAX_WARM_UP: Millis = 600_000
 
+# An answer that says that an upstream is cold may have expired if it arrives
+# after that time. Answers on slow links with a short rest of the warm-up are
+# still believed, as the rate would jump at the end otherwise.
+_MIN_EXPIRED_AGE: Millis = 500
+
 # Peers hear again of a warm-up whose end has moved by more than this.
 _MIN_CHANGE: Millis = 500
 _END_ROW_LIFE: Millis = 5000
@@ -105,7 +110,15 @@
         now = self.clock.now()
         if remaining is None and state.is_cold(now):
             return
+        # The upstream may have turned cold since, and all peers would be told
+        # that it is warm.
+        if not remaining and sent_at < state.presumed_at:
+            return
         state.told_at = sent_at
+        if remaining and now - sent_at >= max(remaining, _MIN_EXPIRED_AGE):
+            if not state.is_cold(now):
+                self._begin(upstream, state, remaining, 'expired answer')
+            return
         if remaining:
             self._begin(upstream, state, remaining, 'answer')
             state.is_presumed = False
@@ -231,6 +244,8 @@
         ends_at = now + min(remaining, _MAX_WARM_UP)
         if not was_cold:
             state.is_presumed = True
+        if state.is_presumed and source != 'answer':
+            state.presumed_at = now
         if source != 'answer' and was_cold:
             ends_at = max(ends_at, state.cold_until)
         state.cold_until = ends_at
--- a/tests/dispatch/test_warm_ups.py
+++ b/tests/dispatch/test_warm_ups.py
@@ -211,6 +211,25 @@
         one.read(0, age=3000)
         assert not one.may_send()
 
+    def test_answer_that_expired_during_a_pause_is_asked_again(self) -> None:
+        """A daemon without a part refused the calls to a warm upstream."""
+        one = OneDaemon()
+        one.read(3000, age=10_000)
+        assert not one.may_send()
+        assert one.state.wait(0, one.clock.now()) == 0
+        assert one.daemon.table.text_of('cold 10.9.0.1:80 1') is None
+        one.read(0)
+        assert one.may_send()
+
+    def test_expired_answer_does_not_prolong_a_warm_up(self) -> None:
+        one = OneDaemon()
+        one.clock.advance(5000)
+        one.read(500, age=5000)
+        ends_at = one.state.cold_until
+        one.clock.advance(100)
+        one.read(500, age=5000)
+        assert one.state.cold_until == ends_at
+
     def test_late_answer_does_not_replace_a_newer_one(self) -> None:
         one = OneDaemon()
         one.read(3000)
@@ -273,6 +292,17 @@
         one.read(0)
         assert one.may_send()
 
+    def test_answer_from_before_the_news_does_not_end_it(self) -> None:
+        """A delayed answer cancelled the news at all daemons."""
+        one = OneDaemon()
+        one.clock.advance(300)
+        one.tell('cold')
+        one.read(0, age=50)
+        assert one.state.is_cold(one.clock.now())
+        assert one.daemon.table.text_of('cold 10.9.0.1:80 1') == 'cold'
+        one.read(0)
+        assert one.may_send()
+
     def test_end_that_a_peer_tells_does_not_replace_the_own_reading(
         self,
     ) -> None:
