Choose an upstream again if the check of the first send took long

Cause: a call that waited more than 300 ms exchanges its quota token after it was given an upstream, and may ask other daemons for that. It was then sent on what was known before: a token of a cold upstream used late, a warm upstream's word older than 100 ms, or a domain evacuated since. Calls wait that long mainly while upstreams are cold.

Ruled out: the time to connect, which is at most 250 ms, is not covered here.

Change: after more than 50 ms, a call to an upstream with a warm-up or in an evacuated domain is placed again. The exchange dates the new token, so that it is not repeated at once.

Measured: of the three cases of the new test, the two that place again fail before and pass after; the other tests of dispatch, gate and placer pass.

Conclusion: mended for the check. A process stopped between placement and send is not covered.

--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -42,6 +42,10 @@
 _MIN_RETRY_AFTER: Millis = 50
 _MAX_RETRY_AFTER: Millis = 3000
 
+# If a call is sent later than this after it was placed, what allowed it to go to
+# a cold or warm upstream no longer holds: that is known for 100 ms.
+_MAX_GRANT_AGE: Millis = 50
+
 Reply: TypeAlias = CallAnswer | CallRefusal
 FirstSendCheck: TypeAlias = Callable[[], Awaitable[RefusalReason | None]]
 
@@ -101,8 +105,7 @@
             if relayed is not None:
                 self._keep_result(relayed)
                 return _relay_refusal_reason(relayed, self.relay.refusal)
-            grant = await self.service.placer.acquire(self._pending_call())
-            grant = await _check_first_send(self, grant)
+            grant = await _place(self, self._pending_call())
             if isinstance(grant, RefusalReason):
                 if self.relay.is_next_after(grant):
                     continue
@@ -338,6 +341,24 @@
     return cause
 
 
+async def _place(
+    dispatch: Dispatch, pending: PendingCall
+) -> Grant | RefusalReason:
+    """Choose an upstream; again if the check of the first send took long."""
+    while True:
+        grant = await dispatch.service.placer.acquire(pending)
+        placed_at = dispatch.clock.now()
+        grant = await _check_first_send(dispatch, grant)
+        age = dispatch.clock.now() - placed_at
+        if isinstance(grant, RefusalReason) or age <= _MAX_GRANT_AGE:
+            return grant
+        upstream = grant.upstream
+        is_evacuated = upstream.failure_domain in dispatch.ctx.evacuated
+        if upstream.load_state.warm_up is None and not is_evacuated:
+            return grant
+        dispatch.service.placer.notify_capacity_change()
+
+
 async def _check_first_send(
     dispatch: Dispatch, grant: Grant | RefusalReason
 ) -> Grant | RefusalReason:
--- a/packages/cowslippond-core/src/cowslippond_core/quotas/_gate.py
+++ b/packages/cowslippond-core/src/cowslippond_core/quotas/_gate.py
@@ -103,6 +103,7 @@
             _log_refusal(self.dispatch, self.workspace, decision)
             return RefusalReason.OVER_QUOTA
         self.token = decision
+        self.taken_at = self.limiter.clock.now()
         return None
 
     def _give_back(self) -> None:
--- a/tests/dispatch/test_dispatch.py
+++ b/tests/dispatch/test_dispatch.py
@@ -27,6 +27,7 @@
 from cowslippond_core._failures import FailureRate
 from cowslippond_core._reach import ServiceReach
 from cowslippond_core._upstreams import LoadState
+from cowslippond_core._warm_up import WarmUp, WarmUpPolicy
 from cowslippond_core.dispatch import _dispatch
 from cowslippond_core.placing import Grant
 from fakes import FakeClock
@@ -132,6 +133,19 @@
         assert checked == ['10.0.0.1:80']
 
 
+class SlowCheck:
+    """Allows a send; the first answer takes 400 ms."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        self.clock = clock
+        self.calls = 0
+
+    async def __call__(self) -> None:
+        self.calls += 1
+        if self.calls == 1:
+            self.clock.advance(400)
+
+
 class TestFirstSendCheck:
     async def test_call_that_may_no_longer_be_sent_is_refused(self) -> None:
         async def refuse() -> RefusalReason:
@@ -145,3 +159,28 @@
         assert reply.outcome is Outcome.NOT_RUN
         assert reply.reason is RefusalReason.OVER_QUOTA
         assert dispatch.send_count == 0
+
+    @pytest.mark.parametrize(
+        ('warm_up', 'evacuated', 'checks'),
+        [
+            (WarmUp(WarmUpPolicy(3.9, 3000)), frozenset(), 2),
+            (None, frozenset(('north',)), 2),
+            (None, frozenset(), 1),
+        ],
+    )
+    async def test_upstream_is_chosen_again_after_a_slow_check(
+        self, warm_up: WarmUp | None, evacuated: frozenset[str], checks: int
+    ) -> None:
+        """The upstream had turned cold, or was evacuated, in the meantime."""
+        async with anyio.create_task_group() as tasks:
+            dispatch = make_dispatch(tasks)
+            dispatch.ctx = dispatch.ctx._replace(evacuated=evacuated)
+            grant = await dispatch.service.placer.acquire(None)
+            grant.upstream.load_state.warm_up = warm_up
+            grant.upstream.failure_domain = 'north'
+            check = SlowCheck(dispatch.clock)
+            dispatch.check_first_send = check
+            await dispatch.run()
+            tasks.cancel_scope.cancel()
+        assert check.calls == checks
+        assert dispatch.send_count == 1
