Refuse revisions of the store that do not fit beside its era

Cause: a row_version was cut to 40 bits. -1 became the highest revision of the era, so that every later row was older and was ignored by all daemons until the next restore. One of 41 bits and more went back to a low revision.

Ruled out: other malformed fields, which already make the response unreadable.

Change: a response with such a revision is unreadable, and is read again.

Measured: six new cases fail before and pass after; tests/platform passes.

Conclusion: mended for responses of the store.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_store.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_store.py
@@ -203,7 +203,7 @@
         answer = response.fields
         try:
             rows = tuple(self._decode_rows(answer['rows'], response.era))
-            revision = combine_era(response.era, int(answer['row_version']))
+            revision = _decode_revision(answer, response.era)
             return Ok(StoreRows(rows, revision))
         except (KeyError, TypeError, ValueError) as error:
             return _fail(StoreFault.UNREADABLE, repr(error))
@@ -213,7 +213,7 @@
     ) -> list[StoreRow]:
         decoded = []
         for row in rows:
-            revision = combine_era(era, int(row['row_version']))
+            revision = _decode_revision(row, era)
             if self.translate_key is None:
                 text = _decode_text(row)
                 decoded.append(StoreRow(row['key'], revision, text))
@@ -225,6 +225,18 @@
         return decoded
 
 
+def _decode_revision(fields: Mapping[str, Any], era: int) -> int:
+    """Return the revision of a row or response, combined with the era.
+
+    One that does not fit would be taken for another, possibly for the highest
+    of the era, after which no change would be applied.
+    """
+    revision = int(fields['row_version'])
+    if plain_revision(revision) != revision:
+        raise ValueError(f'row_version out of range: {revision}')
+    return combine_era(era, revision)
+
+
 def _decode_text(row: dict[str, Any]) -> str | None:
     if row.get('deleted'):
         return None
