--- a/packages/cowslippond-core/src/cowslippond_core/_warm_up.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_warm_up.py
@@ -34,12 +34,12 @@
 
     ``cold_until`` is when it ends and ``ended_at`` when it ended, both on the
     clock. While ``is_presumed`` is set, the upstream itself has not told this
-    daemon that it is cold, which it has believed since ``presumed_at``. ``told_at`` is when the last reading that said
-    something was requested, and ``warm_at`` the same for the last one by which it
-    was warm. ``limit`` holds from the begin of a warm-up until calls have
-    returned to their usual rate. ``listed_at`` is the date of the entry that has
-    been applied. ``has_warm_peers`` tells whether other upstreams of the service
-    are warm.
+    daemon that it is cold; ``presumed_at`` is when another source last said so.
+    ``told_at`` is when the last reading that said something was requested, and
+    ``warm_at`` the same for the last one by which it was warm. ``limit`` holds from
+    the begin of a warm-up until calls have returned to their usual rate.
+    ``listed_at`` is the date of the entry that has been applied.
+    ``has_warm_peers`` tells whether other upstreams of the service are warm.
 
     :param policy: how the service's upstreams warm up.
     """
