Leave needless work out of the path of all calls at the edge

Cause: no single function explains the higher cost of calls without a body. The profile of an edge shows small costs spread over the reader, the writer and the protocol of callers.

Ruled out: skipping the read of an empty body. It answers "Expect: 100-continue" and notices a caller that has disconnected before the call is dispatched.

Change: one context manager counts all calls, and the ID of a call is known when the call is created.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge.py
@@ -106,7 +106,7 @@
         self.encode_retry_after = encode_retry_after
         self.is_leaving = False
         self.refuses_calls = False
-        self.active_calls = 0
+        self.running = _RunningCalls()
         self.body_limits = BodyLimits()
         self.advertise_keep_alive(keep_alive_seconds)
 
@@ -116,20 +116,20 @@
             b'timeout=%d' % seconds, self.encode_retry_after
         )
 
+    @property
+    def active_calls(self) -> int:
+        """The number of calls that are being served."""
+        return self.running.count
+
     async def __call__(
         self, scope: Message, receive: Receive, send: Send
     ) -> None:
         """Serve one call."""
         if scope['type'] != 'http':
             return
-        self.active_calls += 1
-        with contextlib.ExitStack() as stack:
-            stack.callback(self._end_call)
+        with self.running:
             await self._serve(scope, receive, send)
 
-    def _end_call(self) -> None:
-        self.active_calls -= 1
-
     async def _serve(
         self, scope: Message, receive: Receive, send: Send
     ) -> None:
@@ -255,8 +255,8 @@
     target: bytes = scope['raw_path']
     if scope['query_string']:
         target = b'%b?%b' % (target, scope['query_string'])
-    call = IncomingCall(
-        request_id='',
+    return IncomingCall(
+        request_id=_find_request_id(headers),
         method=scope['method'],
         path=scope['path'],
         target=target,
@@ -265,11 +265,30 @@
         rest=None,
         arrived_at=arrived_at,
     )
-    supplied_id = call.get_header(_REQUEST_ID)
-    request_id = (
-        supplied_id.decode('latin-1') if supplied_id else uuid.uuid4().hex
-    )
-    return call._replace(request_id=request_id)
+
+
+def _find_request_id(headers: HeaderList) -> str:
+    """Return the ID that the caller supplied, or a new one."""
+    for name, text in headers:
+        if name == _REQUEST_ID:
+            return text.decode('latin-1') if text else uuid.uuid4().hex
+    return uuid.uuid4().hex
+
+
+class _RunningCalls:
+    """Counts the calls that are being served.
+
+    One object serves all calls: an exit stack for each costs 1 to 2 us.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def __enter__(self) -> None:
+        self.count += 1
+
+    def __exit__(self, *_: object) -> None:
+        self.count -= 1
 
 
 class _DisconnectWatch:
