Answer calls that arrive as a planned stop closes idle connections

Cause: the stop closed each connection whose last call was answered, including those with bytes of a next call unread or with headers partly read. The caller got a reset or an end of stream instead of a response.

Ruled out: closing one direction first and answering later calls. A caller that sees the end of the stream discards the connection.

Change: a connection on which bytes have arrived stays open for that call, which is refused with the promise that it did not run. It closes after the response, or at once if the bytes begin no call. A connection that lingers after a response is left to its own timer. The headers' time-out and the stop time still apply.

Conclusion: a call still in transit when its connection closes is not answered, which a server cannot avoid.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_caller_protocol.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_caller_protocol.py
@@ -72,6 +72,7 @@
         self.limits = limits
         self.is_reading_head = False
         self.is_lingering = False
+        self.is_shutting_down = False
         self.has_begun = False
         self.read_bytes = 0
         self.framing_bytes = 0
@@ -102,7 +103,7 @@
             return
         if self.has_begun and self.is_reading_head:
             # The bytes before the call in the same read are not its own.
-            self.framing_bytes = min(self.framing_bytes, self._head_size())
+            self.framing_bytes = min(self.framing_bytes, _head_size(self))
         if self.framing_bytes > self.limits.size:
             self._refuse(RefusalReason.HEAD_TOO_LARGE)
             return
@@ -124,7 +125,7 @@
         """
         self.is_reading_head = False
         if self.framing_bytes > self.limits.size:
-            if self._head_size() > self.limits.size:
+            if _head_size(self) > self.limits.size:
                 self.refusal = RefusalReason.HEAD_TOO_LARGE
                 raise httptools.HttpParserError
         self.framing_bytes = 0
@@ -169,6 +170,17 @@
         self.transport.abort()
         return True
 
+    def shutdown(self) -> None:
+        """Close the connection after its call, or now if there is none.
+
+        A call of which bytes have arrived still gets its response. Closing a
+        connection with unread bytes resets it, and the caller could not tell
+        whether the call has run.
+        """
+        self.is_shutting_down = True
+        if _is_busy(self) or not _has_input(self):
+            super().shutdown()
+
     def linger(self) -> None:
         """Close the connection once its caller has had time to read.
 
@@ -192,9 +204,12 @@
             self._start_head_timer()
             return
         self._stop_head_timer()
-        is_busy = self.cycle is not None and not self.cycle.response_complete
-        if not is_busy and self.timeout_keep_alive_task is None:
-            # The rest of a body has arrived after the response.
+        if _is_busy(self):
+            return
+        # The rest of a body has arrived after the response.
+        if self.is_shutting_down:
+            self.transport.close()
+        elif self.timeout_keep_alive_task is None:
             self._start_idle_timer()
 
     def _start_idle_timer(self) -> None:
@@ -217,14 +232,6 @@
         self.head_timer = None
         self._refuse(RefusalReason.HEAD_TIMEOUT)
 
-    def _head_size(self) -> int:
-        size = sum(
-            len(name) + len(text) + _HEADER_OVERHEAD
-            for name, text in self.headers
-        )
-        method = self.parser.get_method()
-        return size + len(method) + len(self.url) + _REQUEST_LINE_OVERHEAD
-
     def _refuse(self, reason: RefusalReason) -> None:
         """Refuse a call that has not begun, and close the connection."""
         self.limits.on_refused(reason)
@@ -263,6 +270,31 @@
         self.protocol.close_after_response()
 
 
+def _is_busy(protocol: CallerProtocol) -> bool:
+    return protocol.cycle is not None and not protocol.cycle.response_complete
+
+
+def _has_input(protocol: CallerProtocol) -> bool:
+    """Tell whether bytes have arrived that are yet to be handled."""
+    if protocol.is_reading_head or protocol.is_lingering:
+        return True
+    raw_socket = protocol.transport.get_extra_info('socket')
+    if protocol.transport.is_closing() or raw_socket is None:
+        return False
+    poll = select.poll()
+    poll.register(raw_socket.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def _head_size(protocol: CallerProtocol) -> int:
+    size = sum(
+        len(name) + len(text) + _HEADER_OVERHEAD
+        for name, text in protocol.headers
+    )
+    method = protocol.parser.get_method()
+    return size + len(method) + len(protocol.url) + _REQUEST_LINE_OVERHEAD
+
+
 def _limit_receive_buffer(protocol: CallerProtocol) -> None:
     """Keep the system from buffering megabytes of a large body."""
     length = declared_length(tuple(protocol.scope['headers']))
