Limit the calls that wait for earlier ones on a connection

Cause: the server queues calls that arrive before the response to an earlier one, and stops reading only until the next response or the next wait for the end of the call. Each response admits another read of up to 256 KB, which holds some ten thousand short calls, so the queue grows without bound.

Ruled out: the limits on headers, which count each call on its own.

Change: with 16 calls waiting, a further one and the bytes after it are dropped. The calls before it are answered, and the connection closes after the last response, once the caller has had time to read.

Conclusion: a connection can no longer fill the memory in this way. A caller that pipelines more than 17 calls has to send the rest again.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_caller_protocol.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_caller_protocol.py
@@ -42,6 +42,10 @@
 _HEADER_OVERHEAD = 4
 _REQUEST_LINE_OVERHEAD = 12
 
+# Calls of one connection that may wait for the response to an earlier one. Each
+# takes about 2 KB, and one read of the server can hold some ten thousand.
+_MAX_PIPELINED = 16
+
 # Methods of calls that have no body, whose connections need not linger.
 _BODILESS_METHODS = frozenset(('GET', 'HEAD'))
 
@@ -121,9 +125,15 @@
     def on_headers_complete(self) -> None:
         """Start a call unless its headers are too large.
 
-        :raises HttpParserError: if they are.
+        If too many calls wait for an earlier one, this call and the bytes after
+        it are dropped, and the connection closes after the last response.
+
+        :raises HttpParserError: in both cases.
         """
         self.is_reading_head = False
+        if len(self.pipeline) >= _MAX_PIPELINED:
+            self.refusal = RefusalReason.QUEUE_FULL
+            raise httptools.HttpParserError
         if self.framing_bytes > self.limits.size:
             if _head_size(self) > self.limits.size:
                 self.refusal = RefusalReason.HEAD_TOO_LARGE
@@ -193,8 +203,9 @@
         self.loop.call_later(seconds_of(_LINGER_TIME), self.transport.close)
 
     def close_after_response(self) -> None:
-        """Close the connection, but linger if more of a body may arrive."""
-        if self.transport.is_closing() or not self.cycle.more_body:
+        """Close the connection, but linger if more bytes may arrive."""
+        has_more = self.cycle.more_body or self.is_lingering
+        if self.transport.is_closing() or not has_more:
             self.transport.close()
             return
         self.linger()
@@ -246,6 +257,7 @@
         if self.cycle is not None and not self.cycle.response_complete:
             # The response to an earlier call, or to this one, is not complete.
             self.cycle.keep_alive = False
+            self.cycle.transport = _LingeringTransport(self)  # type: ignore[assignment]
             if self.cycle.more_body:
                 self.transport.close()
             self.is_lingering = True
