Bound the test of a planned stop by time instead of pauses

Cause: after the stop signal the test sent 109 more calls with pauses of 20 ms, 2.2 s in all if no pause is prolonged, and the daemon serves for 2500 ms. On a busy machine the pauses take longer, and the last calls come after the time for which the daemon promises to serve.

Ruled out for the reproduced failure: a call cut by the stop. With pauses of 26 ms the test fails at load 3: all calls up to 3.5 s are good, then one is refused with 503, and 13 cannot connect as the process has exited. These are the verdicts "not run" and "closed" that were seen at load 12.

Change: the test sends until 2250 ms after the signal by the clock, about as long as before, and still expects a good response to every call.

Not run under load.

Conclusion: the entry in KNOWN-RED.txt stays until the test has passed under load, as the verdicts of that first failure were not kept.

--- a/tests/fleet/test_serving.py
+++ b/tests/fleet/test_serving.py
@@ -161,6 +161,9 @@
 
 # Equals ``grace_s`` in the deployment's settings.
 DRAIN_GRACE_MS = 6000
+# The front balancer stops sending after two failed checks, one second apart. The
+# daemon serves for 2500 ms, which 110 pauses exceed if each takes 26 ms.
+BALANCER_SENDING_MS = 2250
 # What a busy machine may take longer for the exit of a process.
 EXIT_SLACK_MS = 500
 
@@ -183,13 +186,18 @@
     async def test_planned_stop_interrupts_no_request(
         self, fleet: FleetDeployment
     ) -> None:
+        """Calls were cut that the front balancer still sends to the daemon."""
         node, _ = await start_shop(fleet, nodes=2)
         caller = make_caller(fleet, node)
         async with anyio.create_task_group() as tasks:
-            for number in range(150):
+            for number in range(40):
+                tasks.start_soon(caller.send_request, f'p{number}', '/prints/1')
+                await anyio.sleep(0.02)
+            node.child.terminate()
+            stops_at = fleet.clock.now() + BALANCER_SENDING_MS
+            while fleet.clock.now() < stops_at:
+                number += 1
                 tasks.start_soon(caller.send_request, f'p{number}', '/prints/1')
-                if number == 40:
-                    node.child.terminate()
                 await anyio.sleep(0.02)
         assert {call_result.verdict for call_result in caller.call_results} == {
             Verdict.GOOD
