--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_workspaces.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_workspaces.py
@@ -21,6 +21,12 @@
 
 _DEFAULT_PRIORITY = 9
 
+# A longer name does not fit into the datagrams about quotas.
+_MAX_NAME_BYTES = 200
+
+# Calls per second, and calls. Sums of higher limits could become infinite.
+_MAX_LIMIT = 1_000_000_000
+
 
 def replace_keys(text: str) -> Result[str, str]:
     """Return a configuration text with digests in place of keys.
@@ -83,6 +89,10 @@
         workspace_reader = FieldReader(entry, path, reader.findings)
         if not _is_header_text(name):
             reader.findings.append(f'{path}: name cannot be sent in a header')
+        if len(name.encode()) > _MAX_NAME_BYTES:
+            reader.findings.append(
+                f'{path}: name is longer than {_MAX_NAME_BYTES} bytes'
+            )
         workspace = _decode_workspace(name, workspace_reader)
         workspaces[name] = workspace
         for digest in workspace.key_digests:
@@ -96,12 +106,20 @@
     return Workspace(
         name,
         priority=int(reader.number('priority', _DEFAULT_PRIORITY)),
-        rate=reader.number('rate_per_s', 0),
-        burst=reader.number('burst', 0),
+        rate=_decode_limit(reader, 'rate_per_s'),
+        burst=_decode_limit(reader, 'burst'),
         key_digests=_decode_digests(reader),
     )
 
 
+def _decode_limit(reader: FieldReader, name: str) -> float:
+    limit = reader.number(name, 0)
+    if limit > _MAX_LIMIT:
+        reader.reject(name, f'expected at most {_MAX_LIMIT}')
+        return 0
+    return limit
+
+
 def _decode_digests(reader: FieldReader) -> frozenset[bytes]:
     found = reader.table.get(_DIGESTS, [])
     if not isinstance(found, list):
--- a/tests/evacuations/test_evacuation_log.py
+++ b/tests/evacuations/test_evacuation_log.py
@@ -46,6 +46,14 @@
         self.apply_rows(StoreRows(rows, revision), is_whole, was_lost, 0)
 
 
+def exchange(one: Log, other: Log) -> None:
+    """Let two daemons send each other what is newer than the other's revision."""
+    for giver, taker in ((one, other), (other, one)):
+        if giver.revision > taker.revision:
+            taker.offer_all(giver.newer_than(taker.revision))
+            taker.advance(giver.revision)
+
+
 class TestRestoredStore:
     def test_evacuation_that_the_copy_lacks_stays_until_it_is_rewritten(
         self,
@@ -237,6 +245,21 @@
         peer.offer_all(log.newer_than(peer.revision))
         assert peer.domains == set()
 
+    def test_end_reaches_a_peer_that_a_restarted_reader_updated(self) -> None:
+        """The peer got the reader's revision without the removal that it lacked."""
+        peer, witness, reader = Log(), Log(), Log()
+        for log in (peer, witness):
+            log.apply(evacuation('north', 4), revision=4)
+        witness.apply(
+            evacuation('north', 8, None), evacuation('east', 9), revision=9
+        )
+        reader.apply(evacuation('east', 9), revision=9, is_whole=True)
+        for _ in range(5):
+            exchange(reader, peer)
+            exchange(witness, peer)
+            exchange(reader, witness)
+        assert peer.domains == {'east'}
+
     @pytest.mark.parametrize('seed', range(20))
     def test_all_orders_of_arrival_converge(self, seed: int) -> None:
         rng = random.Random(seed)
--- a/tests/platform/test_workspace_decoding.py
+++ b/tests/platform/test_workspace_decoding.py
@@ -12,6 +12,7 @@
     replace_keys,
 )
 
+LONG_NAME = 'w' * 201
 KEY = 'key-3f9d0c11'
 OTHER = 'key-77aa01fe'
 BASE = MappingProxyType(
@@ -74,6 +75,18 @@
     @pytest.mark.parametrize(
         ('workspaces', 'finding'),
         [
+            (
+                {LONG_NAME: entry(KEY)},
+                f'tenants.{LONG_NAME}: name is longer than 200 bytes',
+            ),
+            (
+                {'w': entry(KEY, rate_per_s=1e308)},
+                'tenants.w.rate_per_s: expected at most 1000000000',
+            ),
+            (
+                {'w': entry(KEY, burst=1.79e308)},
+                'tenants.w.burst: expected at most 1000000000',
+            ),
             (
                 {'v': entry(KEY), 'w': entry(OTHER, KEY)},
                 'tenants.w.api_keys: contains a key of v',
--- a/tests/quotas/test_quota_faults.py
+++ b/tests/quotas/test_quota_faults.py
@@ -318,7 +318,7 @@
 
 
 class TestLists:
-    @pytest.mark.parametrize('seed', SEEDS)
+    @pytest.mark.parametrize('seed', (*SEEDS, 9, 24))
     def test_each_daemon_lacks_some_others(self, seed: int) -> None:
         async def run() -> None:
             scenario = Scenario(seed)
