--- a/packages/cowslippond-core/src/cowslippond_core/placing/_upload_gate.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_upload_gate.py
@@ -16,8 +16,8 @@
 # Bounds the memory of a daemon: an upload takes about half a megabyte.
 _MAX_UPLOADS = 64
 
-# A short call takes turns on the link with each upload that uses it. On 5 Mbit/s
-# it took 233 ms beside 48 uploads and 41 ms beside 8.
+# A short call takes turns on the link with each upload that uses it, so more would
+# delay short calls on a link of 5 Mbit/s by hundreds of milliseconds.
 _MAX_FAST_UPLOADS = 8
 
 # Eight uploads at this speed use half of a link of 5 Mbit/s. Slower ones wait for
