Refuse calls in a test of quotas however slowly they are answered

The test sent one call after the other until the quota refused one, but calls that take longer than 25 ms come more slowly than the quota of 40 a second, so none of 1,000 was refused and the last answer was a 200. Ruled out: a fault of the quota. Change: a flood of twice the quota runs beside the single calls, which end at the first refusal. The checks of the refusal and of the story are unchanged.

--- a/tests/fleet/test_quotas.py
+++ b/tests/fleet/test_quotas.py
@@ -114,6 +114,30 @@
     return {line['message'] for line in outcome.record.get('lines', ())}
 
 
+async def send_until_refused(address: str) -> tuple[httpcore.Response, str]:
+    """Send calls one after the other until the quota refuses one.
+
+    :return: its answer and its request id.
+    """
+    async with httpcore.AsyncConnectionPool() as pool:
+        for number in itertools.count():
+            request_id = f'story-{number}'
+            answer = await pool.request(
+                'GET',
+                f'http://{address}/limited/1',
+                headers={
+                    'host': 'shop.example',
+                    'x-request-id': request_id,
+                    'authorization': f'Token {KEYS["limited"]}',
+                    # Does not exempt from the quota if it is forged.
+                    'x-relayed': '1',
+                },
+            )
+            if answer.status == TOO_MANY_REQUESTS:
+                break
+    return answer, request_id
+
+
 class TestQuotas:
     async def test_flood_stays_within_the_quota_and_harms_no_other(
         self, fleet: FleetDeployment
@@ -163,26 +187,16 @@
     ) -> None:
         shop = Shop(fleet)
         await shop.start()
-        # Few enough that no log lines are dropped.
-        await shop.send_calls(RATE * 2, 4, shop.callers[:1], 'limited')
-        address = shop.nodes[0].caller_address
-        url = f'http://{address}/limited/1'
-        async with httpcore.AsyncConnectionPool() as pool:
-            for number in range(1000):
-                request_id = f'story-{number}'
-                answer = await pool.request(
-                    'GET',
-                    url,
-                    headers={
-                        'host': 'shop.example',
-                        'x-request-id': request_id,
-                        'authorization': f'Token {KEYS["limited"]}',
-                        # Does not exempt from the quota if it is forged.
-                        'x-relayed': '1',
-                    },
+        async with anyio.create_task_group() as tasks:
+            # Keeps the quota used up, however slowly the single calls are
+            # answered; few enough that no log lines are dropped.
+            tasks.start_soon(
+                shop.send_calls, RATE * 2, 4, shop.callers[:1], 'limited'
+            )
+            with anyio.fail_after(30):
+                answer, request_id = await send_until_refused(
+                    shop.nodes[0].caller_address
                 )
-                if answer.status == TOO_MANY_REQUESTS:
-                    break
         headers = dict(answer.headers)
         assert headers[b'x-outcome'] == b'not-run'
         assert headers[b'x-reason'] == b'over_quota'
