Count a service as out of reach only if upstreams of each domain fail

Its daemons try upstreams of their own domain first, find four dead ones in a row and take all upstreams to be out of reach, though those of two other domains answer: 3,300 such warnings in 5 s, 1,161 calls refused as out_of_reach or sent through peers. Ruled out: daemons that are cut off. Each warning was followed by 'within reach again' within some 5 to 80 ms, and 60 daemons of other domains were affected for single calls only. Change: the upstreams that failed in a row must include one of each failure domain that has upstreams of the service and is not evacuated.

--- a/packages/cowslippond-core/src/cowslippond_core/_reach.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reach.py
@@ -6,13 +6,14 @@
 """
 
 import logging
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Mapping
 
 _logger = logging.getLogger(__name__)
 
 # So many different upstreams, or all of a smaller service, have failed in a row
-# before the service counts as out of reach. Some fail at a time when a rack or
-# a failure domain is lost.
+# before the service counts as out of reach. Some fail at a time when a rack is
+# lost. All of a failure domain fail when it loses power, and those of a daemon's
+# own domain are tried first, so upstreams of each domain must have failed.
 _MIN_FAILED_UPSTREAMS = 4
 
 # So many failures in a row, as one or two upstreams fail more easily at a time.
@@ -22,18 +23,19 @@
 class Evidence:
     """The upstreams that failed since one last succeeded.
 
-    :param list_addresses: returns the addresses of the service's upstreams.
+    :param list_domains: returns the failure domains of the service's upstreams
+        by address.
     :param service: the name of the service, for the log.
     :param kind: what the upstreams fail to do, for the log.
     """
 
     def __init__(
         self,
-        list_addresses: Callable[[], Collection[str]],
+        list_domains: Callable[[], Mapping[str, str]],
         service: str,
         kind: str,
     ) -> None:
-        self.list_addresses = list_addresses
+        self.list_domains = list_domains
         self.service = service
         self.kind = kind
         self.failed: set[str] = set()
@@ -55,11 +57,10 @@
         """Record that an upstream has not done so."""
         self.failed.add(address)
         self.failure_count += 1
-        known = self.list_addresses()
-        required = min(_MIN_FAILED_UPSTREAMS, len(known))
         if self.is_cut or self.failure_count < _MIN_FAILURES:
             return
-        if len(self.failed.intersection(known)) < required:
+        known = self.list_domains()
+        if not _covers(self.failed, known):
             return
         self.is_cut = True
         _logger.warning(
@@ -79,15 +80,16 @@
     ``on_cut`` is called with each failure while the service is out of reach, and
     when peers are needed for another reason.
 
-    :param list_addresses: returns the addresses of the service's upstreams.
+    :param list_domains: returns the failure domains of the service's upstreams
+        by address.
     :param service: the name of the service, for the log.
     """
 
     def __init__(
-        self, list_addresses: Callable[[], Collection[str]], service: str
+        self, list_domains: Callable[[], Mapping[str, str]], service: str
     ) -> None:
-        self.connects = Evidence(list_addresses, service, 'connect')
-        self.answers = Evidence(list_addresses, service, 'answer')
+        self.connects = Evidence(list_domains, service, 'connect')
+        self.answers = Evidence(list_domains, service, 'answer')
         self.on_cut: Callable[[], None] = _ignore
 
     def is_cut(self, *, needs_connection: bool) -> bool:
@@ -128,5 +130,14 @@
             self.on_cut()
 
 
+def _covers(failed: set[str], domains: Mapping[str, str]) -> bool:
+    """Tell whether failed upstreams show that all are out of reach."""
+    relevant = failed.intersection(domains)
+    if len(relevant) < min(_MIN_FAILED_UPSTREAMS, len(domains)):
+        return False
+    failed_domains = {domains[address] for address in relevant}
+    return failed_domains.issuperset(domains.values())
+
+
 def _ignore() -> None:
     """Do nothing; the daemon has no peers."""
--- a/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstreams.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 from collections.abc import Set as AbstractSet
 from typing import NamedTuple
 
@@ -132,7 +132,9 @@
         reach: ServiceReach | None = None,
     ) -> None:
         self.vm = vm
-        self.reach = reach or ServiceReach(lambda: (vm.address,), vm.service)
+        self.reach = reach or ServiceReach(
+            lambda: {vm.address: vm.failure_domain}, vm.service
+        )
         self.address = vm.address
         self.failure_domain = vm.failure_domain
         self.connections = connections
@@ -186,7 +188,7 @@
         # Upstreams in these failure domains get no calls, so that they cannot show
         # whether the service is within reach.
         self.evacuated: AbstractSet[str] = frozenset()
-        self.reach = ServiceReach(self._list_addresses, service)
+        self.reach = ServiceReach(self._list_domains, service)
 
     def update(self, vms: Iterable[Vm]) -> None:
         """Replace the upstreams by the live VMs of the VM list.
@@ -245,14 +247,12 @@
             upstream.load_state.warm_up = WarmUp(self.warm_up_policy)
         return upstream
 
-    def _list_addresses(self) -> Collection[str]:
-        if not self.evacuated:
-            return self.by_address.keys()
-        return [
-            address
+    def _list_domains(self) -> dict[str, str]:
+        return {
+            address: upstream.failure_domain
             for address, upstream in self.by_address.items()
             if upstream.failure_domain not in self.evacuated
-        ]
+        }
 
 
 def _retire(upstream: Upstream) -> None:
--- a/tests/core/test_reach.py
+++ b/tests/core/test_reach.py
@@ -1,12 +1,19 @@
 """Telling a daemon without a path to its upstreams from failing upstreams."""
 
+from collections.abc import Sequence
+
 import pytest
 from cowslippond_core._reach import ServiceReach
 
+DOMAINS = ('north', 'east', 'south')
+
 
-def make_reach(count: int) -> ServiceReach:
-    addresses = [f'u{number}' for number in range(count)]
-    return ServiceReach(lambda: addresses, 'shop')
+def make_reach(count: int, domains: Sequence[str] = ('north',)) -> ServiceReach:
+    """Return the reach of upstreams that are in failure domains in turn."""
+    by_address = {
+        f'u{number}': domains[number % len(domains)] for number in range(count)
+    }
+    return ServiceReach(lambda: by_address, 'shop')
 
 
 def fail(reach: ServiceReach, numbers: range) -> None:
@@ -23,6 +30,20 @@
         fail(reach, range(3))
         assert not reach.is_cut(needs_connection=True)
 
+    def test_a_lost_failure_domain_is_no_cut(self) -> None:
+        """Its daemons refused calls beside idle upstreams of other domains.
+
+        Upstreams of a daemon's own domain are tried first, so that many fail
+        before one of another domain answers.
+        """
+        reach = make_reach(30, DOMAINS)
+        fail(reach, range(0, 30, 3))
+        assert not reach.is_cut(needs_connection=True)
+        fail(reach, range(1, 30, 3))
+        assert not reach.is_cut(needs_connection=True)
+        fail(reach, range(2, 3))
+        assert reach.is_cut(needs_connection=False)
+
     @pytest.mark.parametrize('count', [1, 2, 3, 16])
     def test_silence_of_all_is_a_cut_until_one_answers(
         self, count: int
@@ -52,10 +73,11 @@
         assert not reach.is_cut(needs_connection=False)
 
     def test_upstreams_that_were_removed_do_not_count(self) -> None:
-        addresses = {'u0', 'u1', 'u2', 'u3'}
-        reach = ServiceReach(lambda: addresses, 'shop')
+        domains = dict.fromkeys(('u0', 'u1', 'u2', 'u3'), 'north')
+        reach = ServiceReach(lambda: domains, 'shop')
         fail(reach, range(3))
-        addresses -= {'u0', 'u1', 'u2'}
-        addresses |= {'v0', 'v1', 'v2'}
+        for number in range(3):
+            domains.pop(f'u{number}')
+            domains[f'v{number}'] = 'north'
         fail(reach, range(3, 4))
         assert not reach.is_cut(needs_connection=True)
--- a/tests/dispatch/test_dispatch.py
+++ b/tests/dispatch/test_dispatch.py
@@ -91,7 +91,7 @@
         failures=FailureRate(),
         load_state=LoadState(),
         connections=SimpleNamespace(open=()),
-        reach=ServiceReach(tuple, 's'),
+        reach=ServiceReach(dict, 's'),
     )
 
     async def acquire(_: Any) -> Grant:
--- a/tests/fleet/test_partitioned_daemons.py
+++ b/tests/fleet/test_partitioned_daemons.py
@@ -199,3 +199,38 @@
         assert [run.request_id for run in runs].count('lost') == 1
         assert answer.status == 504
         assert dict(answer.headers)[b'x-outcome'] == b'unknown'
+
+
+class TestLostFailureDomain:
+    async def test_upstreams_of_other_domains_stay_in_use(
+        self, fleet: FleetDeployment
+    ) -> None:
+        """Daemons of the lost domain took all upstreams to be out of reach.
+
+        They try upstreams of their own domain first, found several dead ones in
+        a row, and refused calls or sent them through peers.
+        """
+        lost = [
+            await fleet.add_backend('catalogue', domain=DOMAINS[0])
+            for _ in range(8)
+        ]
+        for domain in DOMAINS[1:]:
+            for _ in range(2):
+                await fleet.add_backend('catalogue', domain=domain)
+        fleet.configure({'prints': route('catalogue')})
+        nodes = [await fleet.add_node(DOMAINS[0]) for _ in range(2)]
+        callers = [
+            Caller(one.name, one.caller_address, fleet.tasks, fleet.clock)
+            for one in nodes
+        ]
+        for backend in lost:
+            backend.kill()
+        async with anyio.create_task_group() as tasks:
+            for number in range(80):
+                for caller in callers:
+                    name = f'{caller.node}-{number}'
+                    tasks.start_soon(caller.send_request, name, '/prints/1')
+                await anyio.sleep(INTERVAL_SECONDS)
+        assert [await relayed_calls(node) for node in nodes] == [0, 0]
+        verdicts = [one.verdict for one in first_tries(callers, 0)]
+        assert verdicts.count(Verdict.NOT_RUN) == 0
