Pass on what a read of the evacuations found, held back after a restore

Cause: a reader that restarted reads the whole table, which has no row for an evacuation that ended, and raises lagging peers to its revision. They never ask for older entries and keep the evacuation.

Ruled out: passing the list on at once, which after a restore hides evacuations that wait to be written again: the reader's revision is above that of the peers, so it does not ask them. Holding only the revision below that of the read has the same effect (trial: the reader lacked the domain in the new test).

Change: the domains that a read found are an entry of the log with an empty key and text, which the previous release passes on without effect. It is held back for 2.3 s after the first read of an era and after an outage; until then, the log's revision contains no era, so peers with an earlier era are asked.

For removed upstreams the cause is the same and remains.

--- a/packages/cowslippond-core/src/cowslippond_core/evacuations/_evacuation_log.py
+++ b/packages/cowslippond-core/src/cowslippond_core/evacuations/_evacuation_log.py
@@ -7,8 +7,13 @@
 from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._document import AcceptedDocument
 from cowslippond_core._platform_store import StoreRows
-from cowslippond_core._store_era import StoreEra, era_of
+from cowslippond_core._store_era import StoreEra, era_of, plain_revision
 from cowslippond_core._versions import Versions
+from cowslippond_core._whole_read import (
+    WHOLE_READ_KEY,
+    keys_of,
+    make_whole_read,
+)
 
 _logger = logging.getLogger(__name__)
 
@@ -38,6 +43,12 @@
     same object. ``watchers`` are called with the domains whose evacuation began
     and those whose evacuation ended.
 
+    The last read of the whole table is an entry as well, so that peers learn of
+    ends for which nobody that they hear of has a tombstone. While the table may
+    lack what operators are about to write again, the entry is held back and the
+    revision stays low: this daemon would not ask peers with a lower one for
+    what they still have.
+
     :param clock: the clock of the grace period.
     :param era: the era of the store.
     """
@@ -58,6 +69,8 @@
         self.whole_revision = 0
         self.whole_read_at: Millis = -math.inf
         self.whole_domains: frozenset[str] = frozenset()
+        # When the table was first read whole in its era.
+        self.era_read_at: Millis = -math.inf
 
     def apply_rows(
         self,
@@ -89,17 +102,18 @@
             text = '' if row.text is None else _EVACUATED
             entries.append(self._make_entry(domain, text, row.revision))
         if is_whole:
-            self.whole_revision = rows.revision
-            self.whole_read_at = self.clock.now()
-            self.whole_domains = frozenset(present)
             missing = dict.fromkeys(self.domains - present, rows.revision)
             self.pending_removals.update(missing)
+            self._record_whole_read(rows.revision, frozenset(present))
         self._put_all(entries)
         self.apply_pending_removals()
 
     def apply_pending_removals(self) -> None:
-        """End the evacuations whose rows are missing, after the grace period."""
-        if not self.pending_removals or self._is_in_grace_period():
+        """End the evacuations whose rows are missing, after the grace period.
+
+        A read of the whole table that was held back is passed on.
+        """
+        if self._is_in_grace_period():
             return
         removals = self.pending_removals
         self.pending_removals = {}
@@ -113,6 +127,8 @@
     def put_in_force(self, accepted: AcceptedDocument) -> bool:
         """Begin or end an evacuation."""
         domain = accepted.service
+        if domain == WHOLE_READ_KEY:
+            return self._end_missing(accepted)
         if not accepted.text:
             self.domains.discard(domain)
             self._trim_tombstones()
@@ -128,7 +144,11 @@
         which the peer learns of the end. After a restore of the store, the
         operator is given time to write the row again before.
         """
+        revision = self.revision
         is_newer = super()._is_newer(accepted)
+        if self._is_read_held():
+            # The next revision may be that of the read.
+            self.revision = revision
         if not is_newer or not self._has_ended(accepted):
             return is_newer
         domain = accepted.service
@@ -147,6 +167,44 @@
         self._advance_revision()
         return False
 
+    def _record_whole_read(
+        self, revision: int, present: frozenset[str]
+    ) -> None:
+        """Remember a read of the whole table, unless a later one is known."""
+        if revision < self.whole_revision:
+            return
+        now = self.clock.now()
+        if era_of(revision) > era_of(self.whole_revision):
+            self.era_read_at = now
+        self.whole_revision = revision
+        self.whole_read_at = now
+        self.whole_domains = present
+
+    def _end_missing(self, read: AcceptedDocument) -> bool:
+        """End the evacuations that a peer's read of the whole table lacked.
+
+        The peer has given operators time to write them again.
+        """
+        present = keys_of(read)
+        if present is None:
+            _logger.warning(
+                'unreadable list of evacuations from a peer',
+                extra={'revision': read.revision},
+            )
+            return False
+        for domain in self.domains - present:
+            if self.latest[domain].revision > read.revision:
+                continue
+            self.pending_removals.pop(domain, None)
+            self.latest[domain] = self._make_entry(domain, '', read.revision)
+            self.domains.discard(domain)
+        if read.revision > self.whole_revision:
+            self.whole_revision = read.revision
+            self.whole_read_at = -math.inf
+            self.whole_domains = present
+            self.era_read_at = -math.inf
+        return True
+
     def _has_ended(self, accepted: AcceptedDocument) -> bool:
         """Return whether the last read of the whole table lacked an entry."""
         domain = accepted.service
@@ -167,18 +225,56 @@
         self.offer_all(batch)
         revisions = (entry.revision for entry in batch)
         self.newest_revision = max(self.newest_revision, *revisions, 0)
+        self._pass_on_read()
         self._advance_revision()
 
+    def _pass_on_read(self) -> None:
+        """Make an entry of the last read of the whole table.
+
+        Without other entries, the revision is below that of any peer that has
+        an evacuation, so that the peer offers it to this daemon.
+        """
+        has_read = self.whole_revision > 0
+        if not has_read or not self.latest or self._is_read_held():
+            return
+        self.offer(
+            make_whole_read(
+                self.whole_revision, self.whole_domains, self.clock.wall()
+            )
+        )
+        self.newest_revision = max(self.newest_revision, self.whole_revision)
+
+    def _is_read_held(self) -> bool:
+        """Return whether the last read is not to be passed on yet.
+
+        A daemon that started after a restore of the store does not know of it,
+        so the first read of an era is always held back.
+        """
+        known = self.latest.get(WHOLE_READ_KEY)
+        known_revision = 0 if known is None else known.revision
+        if known_revision >= self.whole_revision:
+            return False
+        if self._is_in_grace_period():
+            return True
+        if not era_of(self.whole_revision):
+            # A store without eras is never restored.
+            return False
+        return self.clock.now() < self.era_read_at + _GRACE_PERIOD
+
     def _advance_revision(self) -> None:
         """Advance the revision, but not beyond the first pending removal.
 
         It only advances to that of an entry, since other changes of the store
-        concern no peer.
+        concern no peer. While a read is held back, the revision contains no
+        era: daemons that know nothing get the entries, and those that know of
+        an earlier era offer theirs.
         """
-        first_pending = min(
-            self.pending_removals.values(), default=self.newest_revision + 1
-        )
-        self.advance(min(self.newest_revision, first_pending - 1))
+        newest = self.newest_revision
+        first_missing = min(self.pending_removals.values(), default=newest + 1)
+        if self._is_read_held():
+            newest = plain_revision(newest)
+            first_missing = min(first_missing, self.whole_revision)
+        self.advance(min(newest, first_missing - 1))
 
     def _notify(self) -> None:
         """Call the watchers once for all changes since the last call."""
--- a/tests/evacuations/test_evacuation_log.py
+++ b/tests/evacuations/test_evacuation_log.py
@@ -5,12 +5,14 @@
 import pytest
 from cowslippond_core import (
     EVACUATION_PREFIX,
+    AcceptedDocument,
     EvacuationLog,
     StoreEra,
     StoreRow,
     StoreRows,
 )
 from cowslippond_core._store_era import combine_era
+from cowslippond_core._whole_read import make_whole_read
 from cowslippond_daemon.platform import operator_key
 from fakes import FakeClock
 
@@ -54,6 +56,87 @@
             taker.advance(giver.revision)
 
 
+class OlderLog(Log):
+    """A log of the previous release, for which all entries are domains."""
+
+    def put_in_force(self, accepted: AcceptedDocument) -> bool:
+        if accepted.text:
+            self.domains.add(accepted.service)
+        else:
+            self.domains.discard(accepted.service)
+        return True
+
+
+class TestListOfARead:
+    @pytest.mark.parametrize('is_rewritten', [False, True])
+    def test_copy_with_other_rows_hides_no_evacuation(
+        self, *, is_rewritten: bool
+    ) -> None:
+        """The list of the read ended what the operator was to write again."""
+        peer, reader = Log(), Log()
+        for log in (peer, reader):
+            log.store_era.observe(2, 'store')
+        peer.apply(
+            evacuation('east', combine_era(1, 2)),
+            evacuation('north', combine_era(1, 9)),
+            revision=combine_era(1, 9),
+        )
+        east = evacuation('east', combine_era(2, 2))
+        reader.apply(east, revision=combine_era(2, 2), is_whole=True)
+        for _ in range(11):
+            exchange(reader, peer)
+            assert reader.domains == {'east', 'north'}
+            assert peer.domains == {'east', 'north'}
+            for log in (reader, peer):
+                log.fake_clock.advance(200)
+                log.apply_pending_removals()
+        if is_rewritten:
+            reader.apply(
+                evacuation('north', combine_era(2, 3)),
+                revision=combine_era(2, 3),
+            )
+        for log in (reader, peer):
+            log.fake_clock.advance(200)
+            log.apply_pending_removals()
+        exchange(reader, peer)
+        expected = {'east', 'north'} if is_rewritten else {'east'}
+        assert (reader.domains, peer.domains) == (expected, expected)
+
+    def test_list_of_a_read_is_held_back_after_an_outage(self) -> None:
+        """Peers ended at once what had time to return at the reader."""
+        peer, reader = Log(), Log()
+        for log in (peer, reader):
+            log.apply(evacuation('east', 3), evacuation('north', 4), revision=4)
+        reader.apply(
+            evacuation('east', 3), revision=9, is_whole=True, was_lost=True
+        )
+        exchange(reader, peer)
+        assert peer.domains == {'east', 'north'}
+        for log in (reader, peer):
+            log.fake_clock.advance(2300)
+            log.apply_pending_removals()
+        exchange(reader, peer)
+        assert peer.domains == {'east'}
+
+    def test_revision_stays_below_a_read_that_is_held_back(self) -> None:
+        """A peer at the revision of the read would never get its list."""
+        started, peer, reader = Log(), Log(), Log()
+        peer.apply(
+            evacuation('north', combine_era(1, 4)), revision=combine_era(1, 4)
+        )
+        east = evacuation('east', combine_era(1, 9))
+        reader.apply(east, revision=combine_era(1, 9), is_whole=True)
+        exchange(reader, started)
+        assert started.domains == {'east'}
+        reader.revision = combine_era(1, 8)
+        reader.offer_all([reader.latest['east']])
+        assert reader.revision == combine_era(1, 8)
+        reader.fake_clock.advance(2300)
+        reader.apply_pending_removals()
+        exchange(reader, peer)
+        assert peer.domains == {'east'}
+
+
 class TestRestoredStore:
     def test_evacuation_that_the_copy_lacks_stays_until_it_is_rewritten(
         self,
@@ -260,6 +343,44 @@
             exchange(reader, witness)
         assert peer.domains == {'east'}
 
+    def test_end_passes_through_a_peer_of_an_older_release(self) -> None:
+        """It passes on the list of the read, which means nothing to it."""
+        older, peer, reader = OlderLog(), Log(), Log()
+        for log in (older, peer):
+            log.apply(evacuation('north', 4), revision=4)
+        reader.apply(evacuation('east', 9), revision=9, is_whole=True)
+        exchange(reader, older)
+        exchange(older, peer)
+        assert older.domains == {'north', 'east'}
+        assert peer.domains == {'east'}
+
+    def test_evacuation_that_began_after_the_read_stays(self) -> None:
+        peer, reader = Log(), Log()
+        peer.apply(evacuation('north', 12), revision=12)
+        reader.apply(evacuation('east', 9), revision=9, is_whole=True)
+        peer.offer_all(reader.newer_than(0))
+        assert peer.domains == {'north', 'east'}
+
+    def test_end_is_passed_on_once_a_later_row_raises_the_revision(
+        self,
+    ) -> None:
+        """The table was empty when it was read, so there was no entry."""
+        peer, reader = Log(), Log()
+        peer.apply(evacuation('north', 4), revision=4)
+        reader.apply(revision=9, is_whole=True)
+        assert reader.revision == 0
+        reader.apply(evacuation('east', 15), revision=15)
+        exchange(reader, peer)
+        assert peer.domains == {'east'}
+
+    @pytest.mark.parametrize('listed', ['', '{', '{}', '[1]', '\x00'])
+    def test_unreadable_list_of_a_read_ends_nothing(self, listed: str) -> None:
+        log = Log()
+        log.apply(evacuation('north', 4), revision=4)
+        entry = make_whole_read(9, (), 0)._replace(author=listed)
+        log.offer_all([entry])
+        assert log.domains == {'north'}
+
     @pytest.mark.parametrize('seed', range(20))
     def test_all_orders_of_arrival_converge(self, seed: int) -> None:
         rng = random.Random(seed)
