Let no late call wait for an announced rate limit that others use up

Cause: test_calls_beyond_the_limits_of_all_upstreams_are_refused_at_once failed three times under load. With announced limits, a call that missed its objective waited for the next token, a timely call overtook it, and it was refused after about 500 ms. For cold upstreams, late calls have not waited for 3 s after one was overtaken since; the rule was left out for announced limits. Ruled out: delays of the processes alone: the daemons' logs show each of these calls as given up after 200 to 540 ms with the reason rate_limited, while all other refusals took 1 ms. Change: the rule applies to announced limits as well, and its 3 s start again while a timely call comes that would have overtaken a late one. A call that no other overtakes waits as before.

--- a/packages/cowslippond-core/src/cowslippond_core/placing/_limited_waits.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_limited_waits.py
@@ -9,7 +9,7 @@
 _PLACING_TIME: Millis = 100
 
 # Once timely calls have taken the turn of a late one, late calls do not wait for
-# cold upstreams for this time: most of them would be refused after their wait.
+# this time: most of them would be refused after their wait.
 _OVERTAKING_MEMORY: Millis = 3000
 
 
@@ -24,6 +24,8 @@
         self.queue = queue
         self.selector = selector
         self.overtaken_until: Millis = 0
+        # Until when a late call that was not allowed to wait would be waiting.
+        self.spared_until: Millis = 0
 
     def is_refused(self, call: PendingCall, ahead: int, now: Millis) -> bool:
         """Tell whether pauses and limits delay a call for too long.
@@ -39,7 +41,15 @@
         if self.queue.is_too_long(wait + _PLACING_TIME, call, now):
             return True
         may_be_overtaken = ahead > 0 or now < self.overtaken_until
-        return may_be_overtaken and self.queue.is_late(call, now + wait)
+        if not may_be_overtaken:
+            return False
+        if self.queue.is_late(call, now + wait):
+            self.spared_until = max(self.spared_until, now + wait)
+            return True
+        if now < self.spared_until:
+            # The spared call would have lost its turn to this one.
+            self.overtaken_until = now + _OVERTAKING_MEMORY
+        return False
 
     def refused_calls(self, now: Millis) -> list[PendingCall]:
         """Return the waiting calls that are delayed for too long."""
@@ -48,7 +58,7 @@
             for ahead, call in enumerate(self.queue.service_order(now))
             if self.is_refused(call, ahead, now)
         ]
-        if refused and self.selector.upstreams.warm_up_policy is not None:
+        if refused:
             self.overtaken_until = now + _OVERTAKING_MEMORY
         return refused
 
