Try a hedge again while a call has no answer

The logs show the process of the back ends held up for 75 ms; after it, six calls and two hedges of six daemons went to one back end of two slots and four places, since each had read it as free, and it dropped one. The daemon wanted to hedge that call after about 55 ms, but the only hedge got no upstream, because other calls were waiting, and none was tried for the other 1.9 s, in which the daemon sent some 25 later calls to the idle upstreams. Ruled out: the warm-up limit: the call went to a warm upstream, and the cold one had tokens. The retry budget: six hedges in 500 calls. Change: a hedge that got no upstream is tried again every 50 ms until the first send has a result. The sender of the company's calls is unchanged.

--- a/packages/cowslippond-core/src/cowslippond_core/_race.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_race.py
@@ -1,6 +1,6 @@
 """Hedging: the first good answer wins, the others are cancelled."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 
@@ -11,6 +11,7 @@
     AttemptResult,
     NotRun,
 )
+from cowslippond_core._clock import Millis, seconds_of
 from cowslippond_core._observations import is_error
 
 _MAX_HEDGE_ATTEMPTS = 3
@@ -23,6 +24,8 @@
     :param make_hedge: returns a further attempt, or ``None`` if no upstream
         may be sent one.
     :param wait: waits for an attempt's result until the call's deadline.
+    :param pauses: after each of these times without a hedge, another one is
+        tried, as long as the first attempt has no result.
     """
 
     def __init__(
@@ -30,9 +33,12 @@
         first: Attempt,
         make_hedge: Callable[[], Awaitable[Attempt | None]],
         wait: Callable[[Attempt], Awaitable[AttemptResult | None]],
+        pauses: Iterable[Millis] = (),
     ) -> None:
         self.make_hedge = make_hedge
         self.wait = wait
+        self.pauses = iter(pauses)
+        self.first_ended = anyio.Event()
         self.attempts = [first]
         self.scope = anyio.CancelScope()
         self.results: list[AttemptResult] = []
@@ -62,10 +68,11 @@
 
     async def _run_first(self) -> None:
         self._add_result(await self.wait(self.attempts[0]))
+        self.first_ended.set()
 
     async def _run_hedges(self) -> None:
         for _ in range(_MAX_HEDGE_ATTEMPTS):
-            hedge = await self.make_hedge()
+            hedge = await self._find_hedge()
             if hedge is None:
                 return
             self.attempts.append(hedge)
@@ -74,6 +81,19 @@
                 self._add_result(result)
                 return
 
+    async def _find_hedge(self) -> Attempt | None:
+        hedge = await self.make_hedge()
+        while hedge is None:
+            pause = next(self.pauses, None)
+            if pause is None:
+                return None
+            with anyio.move_on_after(seconds_of(pause)):
+                await self.first_ended.wait()
+            if self.first_ended.is_set():
+                return None
+            hedge = await self.make_hedge()
+        return hedge
+
     def _add_result(self, result: AttemptResult | None) -> None:
         if result is None:
             return
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from functools import partial
+from itertools import repeat
 from typing import TypeAlias
 
 from cowslippond_core._attempt import (
@@ -36,6 +37,10 @@
 # at its upstream; service times vary by a third.
 _HEDGE_FACTOR = 1.8
 
+# A hedge that got no upstream is tried again after this time. A full upstream
+# drops calls, so the first send may never be answered.
+_HEDGE_PAUSE: Millis = 50
+
 # Random jitter of the retry-after time, as a fraction of it, so that callers
 # that were refused together do not return together.
 _RETRY_AFTER_JITTER = 0.5
@@ -205,7 +210,12 @@
             return result
         if not self.retries.can_hedge():
             return await self._wait(attempt, self.call.effective_deadline)
-        race = Race(attempt, self._make_hedge, self._wait_until_deadline)
+        race = Race(
+            attempt,
+            self._make_hedge,
+            self._wait_until_deadline,
+            repeat(_HEDGE_PAUSE),
+        )
         winner = await race.run()
         if isinstance(winner, Answered):
             self._record_losers(race, winner.attempt)
