Let workspaces take turns among the waiting calls of a daemon

Ruled out: equal weights. Change: start-time fair queueing by expected work in FairOrder. The weight is the rate of a workspace's quota, which states its size; without one it counts as the largest. Priority and lateness still go first, and the order within a workspace is kept. Logs of sends and of calls given up name the workspace.

--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -159,6 +159,8 @@
             excluded=self._excluded(),
             is_hedge=is_hedge,
             is_revoked=access.is_revoked if access else None,
+            workspace=access.workspace.name if access else None,
+            weight=access.workspace.rate if access else 0,
         )
 
     def _excluded(self) -> set[str]:
@@ -271,6 +273,7 @@
                 'reading_age_ms': grant.reading_age
                 and round(grant.reading_age, 1),
                 'waited_ms': round(waited, 1),
+                **_describe_workspace(self.call),
                 **_describe_warm_up(grant.upstream, self.clock.now()),
             },
         )
@@ -319,6 +322,7 @@
                 'work_ms': round(self.service.estimator.service_time, 1),
                 'upstreams': len(self.service.upstreams.by_address),
                 'expected_wait_ms': round(min(wait, _MAX_RETRY_AFTER), 1),
+                **_describe_workspace(self.call),
             },
         )
         return CallRefusal(outcome, reason, delay)
@@ -378,6 +382,11 @@
     return refusal
 
 
+def _describe_workspace(call: Call) -> dict[str, str]:
+    name = call.request.workspace
+    return {} if name is None else {'workspace': name}
+
+
 def _describe_warm_up(upstream: Upstream, now: Millis) -> dict[str, bool]:
     warm_up = upstream.load_state.warm_up
     return {} if warm_up is None else {'is_cold': warm_up.is_cold(now)}
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_results.py
@@ -69,6 +69,9 @@
         # The time of a streamed call is mostly that of its body.
         if not is_failure and attempt.request.rest is None:
             service.estimator.record_service_time(took, grant.slowdown)
+            service.placer.queue.fair_order.record_work(
+                attempt.request.workspace, took / max(grant.slowdown, 1)
+            )
         record_send_end(ctx.hooks.quarantine, attempt)
     elif isinstance(result, AnswerLost):
         _record_loss(ctx, service, attempt, grant, result)
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_pending_call.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_pending_call.py
@@ -16,6 +16,9 @@
     ``is_hedge`` marks a second send of a call whose first send is still in
     flight: it gets a free upstream immediately or none at all. ``is_revoked``
     tells whether the caller's key was revoked, in which case the call is refused.
+    ``workspace`` is the name of the call's workspace, if it has one, and
+    ``weight`` its part of the slots relative to other workspaces: the rate of its
+    quota, or 0 if it has none.
     """
 
     request_id: str
@@ -26,6 +29,8 @@
     excluded: Container[str]
     is_hedge: bool = False
     is_revoked: Callable[[], bool] | None = None
+    workspace: str | None = None
+    weight: float = 0
 
 
 class Grant(NamedTuple):
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
@@ -135,7 +135,7 @@
             if best is not None and self.queue.accepts(
                 call, best.slowdown, now
             ):
-                return self._record_grant(best, now)
+                return self._record_grant(call, best, now)
         return await self._wait(call)
 
     def notify_capacity_change(self) -> None:
@@ -266,9 +266,8 @@
             return
         call = self.queue.match(upstream.address, slowdown, now)
         if call is not None:
-            self._settle(
-                call, self._record_grant(Grant(upstream, slowdown, 0), now)
-            )
+            grant = Grant(upstream, slowdown, 0)
+            self._settle(call, self._record_grant(call, grant, now))
 
     def _assign_slots(self) -> None:
         """Assign the best available slots to the calls that accept them."""
@@ -278,7 +277,7 @@
             if best is None:
                 continue
             if self.queue.accepts(call, best.slowdown, now):
-                self._settle(call, self._record_grant(best, now))
+                self._settle(call, self._record_grant(call, best, now))
 
     def _best_for(self, call: PendingCall, now: Millis) -> Grant | None:
         best = self.selector.best(call, now)
@@ -308,7 +307,10 @@
             return False
         return not self.selector.lacks_readings(now)
 
-    def _record_grant(self, grant: Grant, now: Millis) -> Grant:
+    def _record_grant(
+        self, call: PendingCall, grant: Grant, now: Millis
+    ) -> Grant:
+        self.queue.record_grant(call)
         grant.upstream.load_state.record_grant(now)
         grant.upstream.chosen_at = now
         return grant
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_queue.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_queue.py
@@ -6,6 +6,7 @@
 
 from cowslippond_core._clock import Millis
 from cowslippond_core._reasons import RefusalReason
+from cowslippond_core.placing._fair_order import FairOrder
 from cowslippond_core.placing._pending_call import PendingCall
 from cowslippond_core.placing._service_time import ServiceTimeEstimator
 from cowslippond_core.placing._slowdown import GOOD_SLOWDOWN
@@ -36,6 +37,7 @@
     def __init__(self, estimator: ServiceTimeEstimator) -> None:
         self.estimator = estimator
         self.pending: list[PendingCall] = []
+        self.fair_order = FairOrder()
 
     def check_admission(
         self, call: PendingCall, now: Millis
@@ -60,6 +62,7 @@
     def add(self, call: PendingCall) -> None:
         """Add a call to the queue."""
         self.pending.append(call)
+        self.fair_order.record_call(call)
 
     def remove(self, call: PendingCall) -> None:
         """Remove a call from the queue, if it is still there."""
@@ -71,9 +74,10 @@
         Within a priority, calls that can still meet their objective precede
         those that cannot, and the latest objective comes first. With the
         oldest call first, each call would be answered just too late under
-        overload.
+        overload. Workspaces take turns among the calls that share priority and
+        lateness.
         """
-        return sorted(
+        ordered = sorted(
             self.pending,
             key=lambda call: (
                 call.priority,
@@ -81,6 +85,17 @@
                 -call.objective_at,
             ),
         )
+        return self.fair_order.arrange(
+            ordered,
+            lambda call: (call.priority, self.is_late(call, now)),
+            self.estimator.service_time,
+        )
+
+    def record_grant(self, call: PendingCall) -> None:
+        """Charge the workspace of a call that got a slot."""
+        self.fair_order.record_grant(
+            call, self.pending, self.estimator.service_time
+        )
 
     def match(
         self, address: str, slowdown: float, now: Millis
