Give the fake service of a test the order between workspaces

Ruled out: the daemon: the error is an attribute that the fake lacks. Change: the fake has a FairOrder, and its reach lists failure domains. Measured: tests/dispatch/test_hedges.py, 3 of 4 failed before, all pass after; tests/placing, dispatch, evacuations: 299 others pass.

--- a/tests/dispatch/test_hedges.py
+++ b/tests/dispatch/test_hedges.py
@@ -29,6 +29,7 @@
 from cowslippond_core._reach import ServiceReach
 from cowslippond_core._upstreams import LoadState
 from cowslippond_core.placing import Grant
+from cowslippond_core.placing._fair_order import FairOrder
 from cowslippond_standins.model._virtual_time import (
     VirtualClock,
     backend_options,
@@ -94,7 +95,7 @@
             failures=FailureRate(),
             load_state=LoadState(),
             connections=SimpleNamespace(open=()),
-            reach=ServiceReach(tuple, 's'),
+            reach=ServiceReach(dict, 's'),
             answered_at=0,
         )
 
@@ -136,7 +137,7 @@
             acquire=placements.acquire,
             notify_capacity_change=lambda: None,
             limited_waits=SimpleNamespace(retry_after=lambda _: 50),
-            queue=SimpleNamespace(pending=()),
+            queue=SimpleNamespace(pending=(), fair_order=FairOrder()),
         ),
     )
     now = clock.now()
