Bound the shares of a quota while lists of daemons lack others

Cause: daemons whose lists lack different others choose different owners. The number that own a share varies by chance, and each scaled its share by the mean.

Change: an owner divides the quota by the mean number of owners plus four standard deviations of it, as far as the slack for lists does not cover them. Daemons that no peer in contact knows, as in a partition, are scaled as before.

--- a/packages/cowslippond-core/src/cowslippond_core/quotas/_bounds.py
+++ b/packages/cowslippond-core/src/cowslippond_core/quotas/_bounds.py
@@ -48,6 +48,18 @@
         """
         return self._excess(workspace) * _PURPOSE_PART
 
+    def share_excess(self, workspace: Workspace) -> float:
+        """Return the factor by which the shares may exceed their usual sum.
+
+        Owners exceed it while their lists of daemons differ. Tokens that are
+        used late need the same part of the slack.
+        """
+        late = workspace.rate * seconds_of(LEASE_TIME)
+        spare = max(self._excess(workspace) * _PURPOSE_PART - late, 0)
+        rate = workspace.rate * (1 + self.reserve(workspace))
+        burst = workspace.burst + self.extra_burst(workspace)
+        return 1 + spare / (rate * seconds_of(self.window) + burst)
+
     def _excess(self, workspace: Workspace) -> float:
         calls = workspace.rate * seconds_of(self.window) + workspace.burst
         return calls * self.overshoot + self.slack
--- a/packages/cowslippond-core/src/cowslippond_core/quotas/_owners.py
+++ b/packages/cowslippond-core/src/cowslippond_core/quotas/_owners.py
@@ -35,6 +35,15 @@
 
 _HASH_BITS = 64
 
+# Daemons whose lists lack different others choose different owners. The number
+# of daemons that then own a share varies by chance; shares are small enough for
+# this many standard deviations above the mean.
+_OWNER_DEVIATIONS = 4
+
+# The variance of the number of owners, in standard deviations of the rank of
+# the last one. It is 1 / sqrt(pi) if each rank is decided independently.
+_RANK_FACTOR = 1 / math.sqrt(math.pi)
+
 
 class DaemonList:
     """The daemons that take part in quotas, as this daemon knows them.
@@ -97,6 +106,8 @@
     ) -> None:
         self.own_address = own_address
         self.periods = [_Period(now, DaemonList({}))]
+        # How many daemons run, as far as any daemon in contact knows.
+        self.known_size = 1
         self.peak_size = 1
         self.peak_until: Millis = now
         # The least size to suppose while daemons discover each other.
@@ -142,6 +153,24 @@
         """Return the part of the fleet that the list contains."""
         return len(self.daemons.domains) / self.supposed_size()
 
+    def share(self, workspace: str, rate: float, excess: float) -> float:
+        """Return the part of a workspace's quota that each owner grants.
+
+        Daemons that the fleet has lost lack the same others as this one, so
+        that each side of a partition has the wanted number of owners. Daemons
+        in contact whose lists differ have more.
+
+        :param excess: the factor by which all shares together may exceed the
+            quota while lists differ.
+        """
+        owners = len(self.daemons.owners(workspace, rate))
+        listed = len(self.daemons.domains)
+        known = max(self.known_size, listed)
+        usual = owners * known / listed
+        most = usual + _OWNER_DEVIATIONS * _deviation(owners, listed / known)
+        expected = min(max(usual, most / excess), known)
+        return self.completeness() * known / listed / expected
+
     def granting_since(self, workspace: str, rate: float) -> Millis | None:
         """Return since when this daemon may grant tokens of a workspace.
 
@@ -168,6 +197,7 @@
         self.peak_size -= len(leaving - self.leaving)
         self.leaving = leaving
         size = max(fleet_size - len(leaving), listed)
+        self.known_size = size
         if size >= self.peak_size or now >= self.peak_until:
             self.peak_size = size
             self.peak_until = now + _PEAK_TIME
@@ -178,6 +208,18 @@
     return _hash(workspace, address) < math.ldexp(share, _HASH_BITS)
 
 
+def _deviation(wanted: int, completeness: float) -> float:
+    """Return the standard deviation of the number of owners.
+
+    The rank of the last owner in a list that lacks others at random has a
+    negative binomial distribution.
+
+    :param completeness: the part of the daemons in contact that a list has.
+    """
+    of_rank = math.sqrt(wanted * (1 - completeness)) / completeness
+    return math.sqrt(of_rank * _RANK_FACTOR)
+
+
 def _owner_count(rate: float) -> int:
     return min(max(round(rate / _RATE_PER_OWNER), _MIN_OWNERS), _MAX_OWNERS)
 
--- a/packages/cowslippond-core/src/cowslippond_core/quotas/_share_ledger.py
+++ b/packages/cowslippond-core/src/cowslippond_core/quotas/_share_ledger.py
@@ -140,9 +140,11 @@
 
     def _size_of(self, workspace: Workspace) -> tuple[float, float]:
         """Return the rate and the capacity of a share."""
-        ownership = self.ownership
-        owners = ownership.daemons.owners(workspace.name, workspace.rate)
-        part = ownership.completeness() / len(owners)
+        part = self.ownership.share(
+            workspace.name,
+            workspace.rate,
+            self.bounds.share_excess(workspace),
+        )
         rate = workspace.rate * (1 + self.bounds.reserve(workspace)) * part
         burst = workspace.burst + self.bounds.extra_burst(workspace)
         return rate, max(burst * part, 1)
