Pass on which upstreams a read of all rows found

Cause: the same as for evacuations in: a reader that restarted raises a lagging peer to the revision of its read of all rows, which tells nothing of an upstream that was removed before, and the peer keeps it.

Ruled out: holding the revision back as the evacuations do: joins and drains would reach other daemons up to 2.3 s late after each start of all readers. Sending the keys in the log `upstreams` as well: daemons before eras gain nothing, and tests/core/test_store_era.py counts its entries.

Change: the keys of the read are an entry of the log `upstreams.era`, shared with the first change of the store once 2.3 s have passed since the first read of the era and no removal is deferred. A peer that gets it makes tombstones.

Measured: pytest tests/core/test_upstream_registry.py: 5 of 6 new tests fail without the change, all pass with it.

Conclusion: the removal reaches the peer with the next change of the store; until then, it keeps the upstream.

--- a/packages/cowslippond-core/src/cowslippond_core/_plain_log.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_plain_log.py
@@ -9,6 +9,7 @@
     plain_revision,
 )
 from cowslippond_core._versions import Versions
+from cowslippond_core._whole_read import WHOLE_READ_KEY
 
 
 class PlainLog(Versions):
@@ -67,6 +68,7 @@
         return [
             _with_revision(entry, plain_revision(entry.revision))
             for entry in self.entries.newer_than(above)
+            if entry.service != WHOLE_READ_KEY
         ]
 
 
--- a/packages/cowslippond-core/src/cowslippond_core/_upstream_registry.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstream_registry.py
@@ -14,6 +14,12 @@
 )
 from cowslippond_core._versions import Versions
 from cowslippond_core._vm import Vm, VmState
+from cowslippond_core._whole_read import (
+    WHOLE_READ_KEY,
+    KeySharing,
+    make_whole_read,
+    removals_of,
+)
 
 _logger = logging.getLogger(__name__)
 
@@ -46,6 +52,9 @@
     had ended or announced its end after the copy was made is found again as it
     was before; it keeps its later state until the store has a newer row.
 
+    After a read of all rows, their keys are an entry as well, from which peers
+    learn of removals for which nobody that they hear of has a tombstone.
+
     :param clock: the clock of the grace period.
     :param decode: returns the VM of an entry, or ``None`` if it has none.
     :param era: the era of the store.
@@ -68,6 +77,7 @@
         self.pending_removals: dict[str, int] = {}
         self.read_revision = 0
         self.store_back_at: Millis | None = None
+        self.key_sharing = KeySharing(clock, _GRACE_PERIOD)
 
     def vms(self) -> tuple[Vm, ...]:
         """Return the VMs that have an entry."""
@@ -104,7 +114,11 @@
             present = {entry.key for entry in rows.rows}
             missing = set(self.by_key) - present
             removed.update(dict.fromkeys(missing, rows.revision))
+            self.key_sharing.record_read(era_of(rows.revision))
         self.offer_all([*offered, *self._accept_removals(removed)])
+        # A peer asks for the keys only if the revision is new to it.
+        if rows.revision > self.read_revision:
+            self._share_keys(rows.revision)
         self.read_revision = max(self.read_revision, rows.revision)
         self._advance_revision()
 
@@ -126,7 +140,11 @@
 
     def offer_all(self, batch: Iterable[AcceptedDocument]) -> None:
         """Put the newer entries in force, except those from a copy."""
-        super().offer_all([self._reconcile(accepted) for accepted in batch])
+        entries = list(batch)
+        for read in tuple(entries):
+            if read.service == WHOLE_READ_KEY:
+                entries.extend(removals_of(read, self.by_key))
+        super().offer_all([self._reconcile(entry) for entry in entries])
 
     def put_in_force(self, accepted: AcceptedDocument) -> bool:
         """Put a newer entry of an upstream in force."""
@@ -146,9 +164,14 @@
         self.changes.append(accepted)
         return True
 
-    def _is_restored(self, revision: int) -> bool:
-        """Return whether a revision is the first one of a new era."""
-        return 0 < era_of(self.revision) < era_of(revision)
+    def _share_keys(self, revision: int) -> None:
+        """Make an entry of the keys that were read, unless more may return."""
+        may_return = self.pending_removals or self._is_in_grace_period()
+        if may_return or not self.key_sharing.is_due():
+            return
+        self.key_sharing.has_unshared = False
+        at = self.clock.wall()
+        self.offer(make_whole_read(revision, self.by_key, at))
 
     def _reconcile(self, accepted: AcceptedDocument) -> AcceptedDocument:
         """Return an entry of a new era with the state that it had reached.
@@ -157,7 +180,7 @@
         they had in the earlier era. Once this daemon has all entries of the new
         era, rows are known to be written in it.
         """
-        if not self._is_restored(accepted.revision):
+        if not 0 < era_of(self.revision) < era_of(accepted.revision):
             return accepted
         known = self.latest.get(accepted.service)
         if known is None or era_of(known.revision) == era_of(accepted.revision):
--- a/packages/cowslippond-core/src/cowslippond_core/evacuations/_evacuation_log.py
+++ b/packages/cowslippond-core/src/cowslippond_core/evacuations/_evacuation_log.py
@@ -187,10 +187,6 @@
         """
         present = keys_of(read)
         if present is None:
-            _logger.warning(
-                'unreadable list of evacuations from a peer',
-                extra={'revision': read.revision},
-            )
             return False
         for domain in self.domains - present:
             if self.latest[domain].revision > read.revision:
--- a/tests/core/test_upstream_registry.py
+++ b/tests/core/test_upstream_registry.py
@@ -9,6 +9,8 @@
     VmState,
 )
 from cowslippond_core._document import AcceptedDocument
+from cowslippond_core._store_era import combine_era
+from cowslippond_core._whole_read import make_whole_read
 from fakes import FakeClock
 
 
@@ -148,3 +150,89 @@
         registry.apply_pending_removals()
         assert registry.revision == 5
         assert [one.text for one in registry.newer_than(1)] == ['']
+
+
+def pull(taker: DecodingRegistry, giver: DecodingRegistry) -> None:
+    """Send a daemon what is newer than its revision."""
+    if giver.revision > taker.revision:
+        taker.offer_all(giver.newer_than(taker.revision))
+        taker.advance(giver.revision)
+
+
+class TestKeysOfARead:
+    """A reader that restarted knows no tombstone of an earlier removal."""
+
+    @pytest.fixture
+    def peer(self, clock: FakeClock) -> DecodingRegistry:
+        """A daemon that missed the removal of one of two upstreams."""
+        peer = DecodingRegistry(clock)
+        peer.read(4, StoreRow('kept', 3, 'live'), StoreRow('gone', 4, 'live'))
+        return peer
+
+    def test_removal_reaches_a_peer_that_a_restarted_reader_updated(
+        self, registry: DecodingRegistry, peer: DecodingRegistry
+    ) -> None:
+        """The peer got the reader's revision and kept the upstream."""
+        registry.read(9, StoreRow('kept', 3, 'live'), is_whole=True)
+        pull(peer, registry)
+        assert set(peer.states()) == {'kept'}
+
+    def test_removal_passes_through_the_log_of_an_older_release(
+        self, registry: DecodingRegistry, peer: DecodingRegistry
+    ) -> None:
+        registry.read(9, StoreRow('kept', 3, 'live'), is_whole=True)
+        entries = {one.service: one for one in registry.newer_than(4)}
+        assert [one.text for one in entries.values()] == ['']
+        peer.offer_all(entries.values())
+        assert set(peer.states()) == {'kept'}
+
+    def test_upstream_that_joined_after_the_read_stays(
+        self, registry: DecodingRegistry, peer: DecodingRegistry
+    ) -> None:
+        peer.read(12, StoreRow('joined', 12, 'live'))
+        registry.read(9, StoreRow('kept', 3, 'live'), is_whole=True)
+        peer.offer_all(registry.newer_than(4))
+        assert set(peer.states()) == {'kept', 'joined'}
+
+    def test_keys_are_not_shared_while_entries_may_return(
+        self,
+        clock: FakeClock,
+        registry: DecodingRegistry,
+        peer: DecodingRegistry,
+    ) -> None:
+        """Peers removed at once what was registered again after an outage."""
+        kept = StoreRow('kept', 3, 'live')
+        registry.read(9, kept, is_whole=True, was_lost=True)
+        pull(peer, registry)
+        assert set(peer.states()) == {'kept', 'gone'}
+        clock.advance(2300)
+        registry.read(11, StoreRow('kept', 11, 'live'))
+        pull(peer, registry)
+        assert set(peer.states()) == {'kept'}
+
+    def test_restarted_reader_gives_what_a_copy_lacks_time_to_return(
+        self,
+        clock: FakeClock,
+        registry: DecodingRegistry,
+        peer: DecodingRegistry,
+    ) -> None:
+        """The reader does not know that the store was restored."""
+        kept = StoreRow('kept', combine_era(2, 3), 'live')
+        registry.read(combine_era(2, 3), kept, is_whole=True)
+        clock.advance(2200)
+        kept = kept._replace(revision=combine_era(2, 4))
+        registry.read(combine_era(2, 4), kept)
+        pull(peer, registry)
+        assert set(peer.states()) == {'kept', 'gone'}
+        clock.advance(100)
+        kept = kept._replace(revision=combine_era(2, 5))
+        registry.read(combine_era(2, 5), kept)
+        pull(peer, registry)
+        assert set(peer.states()) == {'kept'}
+
+    def test_unreadable_keys_remove_nothing(
+        self, peer: DecodingRegistry
+    ) -> None:
+        entry = make_whole_read(9, (), 0)
+        peer.offer_all([entry._replace(author='{"kept": 1}')])
+        assert set(peer.states()) == {'kept', 'gone'}
