--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,10 @@
 """Shared fixtures and options, and the expected failures of KNOWN-RED.txt."""
 
 import pathlib
+from collections.abc import Generator
 
 import pytest
+from daemon_logs import excerpts
 from hypothesis import settings
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -46,6 +48,23 @@
             item.add_marker(pytest.mark.xfail(reason='listed in KNOWN-RED.txt'))
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(
+    item: pytest.Item, call: pytest.CallInfo[None]
+) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    """Add excerpts of the daemons' logs to the report of a failed test.
+
+    Their folder is overwritten by later runs, and CI does not keep it.
+    """
+    report = yield
+    folder = getattr(item, 'funcargs', {}).get('tmp_path')
+    if call.excinfo is not None and folder is not None:
+        shown = excerpts(folder)
+        if shown:
+            report.sections.append(('Logs of the daemons', shown))
+    return report
+
+
 @pytest.fixture
 def anyio_backend() -> tuple[str, dict[str, bool]]:
     """The event loop of the daemons."""
