Leave hold-ups of the test's own process out of the deadline of callers

The logs show that callers, back ends and store, which run in the test's process, stood still from 20:21:37.5 to 39.6: no daemon got a call in that time, and their reads of the store timed out. A daemon got the call 125 ms before the caller, whose timer had started before the pause, gave it up. Ruled out: a daemon that held the call: it logged its arrival after the pause. Change: the stand-in's caller measures the deadline in slices of 20 ms, of which each counts as at most 50 ms, so that a pause of its own process counts little while any delay of a daemon counts in full. The deadline itself, the header with it and the measured durations are unchanged. A call given up is silent.

--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_caller.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_caller.py
@@ -7,7 +7,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from cowslippond_core import Clock, Connections, Millis, seconds_of
+from cowslippond_core import Clock, Connections, Millis
 from cowslippond_core._exchange import Exchange
 from cowslippond_core._http_calls import read_body
 
@@ -22,6 +22,12 @@
 _CONNECT_TIMEOUT: Millis = 1000
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
+# The time of a call is measured in slices. A slice that takes longer than this
+# counts as if it had taken this long: the event loop was held up, and with it
+# the back ends and the store, so that no daemon could have answered.
+_SLICE: Millis = 20
+_MAX_SLICE: Millis = 50
+
 
 class Verdict(enum.StrEnum):
     """Classification of a request's result from the caller's side."""
@@ -51,6 +57,28 @@
     duration: Millis
 
 
+class _CallTime:
+    """Measures the time of one call, without hold-ups of this process."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.past_slices: Millis = 0
+        self.slice_started_at = clock.now()
+
+    def spent(self) -> Millis:
+        """Return the time since the start."""
+        slice_time = self.clock.now() - self.slice_started_at
+        return self.past_slices + min(slice_time, _MAX_SLICE)
+
+    async def wait(self, deadline: Millis) -> None:
+        """Wait until this time is spent."""
+        while self.past_slices < deadline:
+            left = deadline - self.past_slices
+            await self.clock.sleep(min(left, _SLICE))
+            self.past_slices = self.spent()
+            self.slice_started_at = self.clock.now()
+
+
 class Caller:
     """Sends requests to one daemon over a pool of persistent connections.
 
@@ -88,7 +116,8 @@
     ) -> CallResult:
         """Send a request and record its result.
 
-        :param deadline: duration after which the request is given up.
+        :param deadline: duration after which the request is given up, without
+            the time in which this process was held up.
         :param is_fresh: whether to use a new connection.
         :param headers: lines to add to the request, besides that of the key.
         """
@@ -97,9 +126,13 @@
             lines.append(f'authorization: Token {self.key}')
         extra = ''.join(f'{line}\r\n' for line in lines)
         sent_at = self.clock.now()
+        call_time = _CallTime(self.clock)
         exchange = Exchange(is_head=False)
-        body = b''
-        with anyio.move_on_after(seconds_of(deadline)):
+        body: bytes | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                _cancel_after, call_time, deadline, tasks.cancel_scope
+            )
             body = await self._exchange(
                 exchange,
                 (
@@ -110,9 +143,10 @@
                 ).encode(),
                 is_fresh=is_fresh,
             )
-        verdict = self._classify(exchange, body, request_id, path)
-        if self.clock.now() - sent_at >= deadline:
-            verdict = Verdict.SILENT
+            tasks.cancel_scope.cancel()
+        verdict = Verdict.SILENT
+        if body is not None and call_time.spent() < deadline:
+            verdict = self._classify(exchange, body, request_id, path)
         call_result = CallResult(
             request_id,
             method,
@@ -155,3 +189,11 @@
             and headers.get(b'x-request-id') == request_id.encode()
         )
         return Verdict.GOOD if is_expected else Verdict.WRONG
+
+
+async def _cancel_after(
+    call_time: _CallTime, deadline: Millis, scope: anyio.CancelScope
+) -> None:
+    """Cancel a call when it has taken as long as its deadline allows."""
+    await call_time.wait(deadline)
+    scope.cancel()
