Show workspaces and evacuations in cowslippondctl status

Cause: an operator had to read /status of each daemon to see a workspace's limit, demand and refusals. The command could not show them: it finds daemons by the VM list and the table of the daemons of service documents, which have no workspaces, and rejects the status of the platform's daemons. Ruled out: the table and the VM list as sources, which the platform lacks. Workspaces in make demo: its daemons are those of service documents (cowslippond_daemon, harness/_deployment.py) and have neither keys nor quotas, so the demo is unchanged. A daemon that does not answer is named and the exit code is 4. Not run against a process of the platform's daemon.

--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_daemons.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_daemons.py
@@ -90,7 +90,8 @@
     vm: Vm,
     timeout: Millis,
 ) -> None:
-    fetched = await _fetch_status(pool, vm.admin_address, timeout)
+    record = await fetch_record(pool, vm.admin_address, timeout)
+    fetched = record.bind(_parse_status)
     observed[index] = ObservedDaemon(
         vm=vm.name,
         failure_domain=vm.failure_domain,
@@ -101,9 +102,14 @@
     )
 
 
-async def _fetch_status(
+async def fetch_record(
     pool: httpcore.AsyncConnectionPool, address: str, timeout: Millis
-) -> Result[DaemonStatus, str]:
+) -> Result[Any, str]:
+    """Return the status that a daemon reports, as decoded JSON.
+
+    :param address: the admin address of the daemon.
+    :param timeout: maximum wait, in milliseconds.
+    """
     try:
         with anyio.fail_after(seconds_of(timeout)):
             response = await pool.request('GET', f'http://{address}/status')
@@ -111,12 +117,15 @@
         return Error(f'no answer ({type(error).__name__})')
     if response.status != _OK_STATUS:
         return Error(f'answered with status {response.status}')
-    return _parse_status(response.content)
+    try:
+        return Ok(orjson.loads(response.content))
+    except ValueError:
+        return Error('answered with an unknown form of status')
 
 
-def _parse_status(text: bytes) -> Result[DaemonStatus, str]:
+def _parse_status(record: Any) -> Result[DaemonStatus, str]:
     try:
-        return Ok(_status_of(orjson.loads(text)))
+        return Ok(_status_of(record))
     except _PARSE_ERRORS:
         return Error('answered with an unknown form of status')
 
--- a/packages/cowslippond-ctl/src/cowslippond_ctl/_program.py
+++ b/packages/cowslippond-ctl/src/cowslippond_ctl/_program.py
@@ -9,7 +9,7 @@
 
 import anyio
 import defopt
-from cowslippond_core import Clock, DynamoTable, Table
+from cowslippond_core import Clock, DynamoTable, Millis, Table
 
 from cowslippond_ctl._apply import DocumentApplier
 from cowslippond_ctl._check import check_files, findings_outcome
@@ -29,12 +29,14 @@
 )
 from cowslippond_ctl._status import StatusReader
 from cowslippond_ctl._story import show_story
+from cowslippond_ctl._workspaces import show_workspaces
 
 _INTERRUPTED_MESSAGE = (
     'interrupted; a change that was being applied may have been accepted, '
     'see "cowslippondctl history SERVICE"\n'
 )
 _MILLIS_PER_SECOND = 1000
+_STATUS_TIMEOUT: Millis = 2000
 _DEFAULT_HISTORY_LIMIT = 20
 _MAX_AUTHOR_CHARS = 128
 
@@ -148,20 +150,29 @@
 def status(
     *,
     wait: float = 0,
+    daemon: list[str] | None = None,
     platform: pathlib.Path | None = None,
     json: bool = False,
 ) -> int:
     """Show which versions daemons have in force, and which daemons lag.
 
+    With addresses of daemons, show the limit, the demand, and the admitted and
+    refused calls of each workspace, and the evacuated failure domains.
+
     Exits with 0 if the newest versions are in force everywhere, 6 if they are
     not, and 4 if the platform cannot be reached.
 
     :param wait: maximum time in seconds to wait until the newest versions are
         in force everywhere.
+    :param daemon: admin addresses of daemons of the users' platform, as
+        ip:port; the platform settings file is then not used.
     :param platform: platform settings file; by default the path in the
         environment variable COWSLIPPOND_PLATFORM.
     :param json: print a single JSON object instead of text.
     """
+    if daemon:
+        outcome = anyio.run(show_workspaces, daemon, _STATUS_TIMEOUT)
+        return _finish(outcome, is_json=json)
     return _run(partial(_status, wait), platform, is_json=json)
 
 
