--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 SOURCES := packages tests
+# Processes that run the tests; 0 runs them one after the other.
+WORKERS ?= 0
 
 .PHONY: install test lint demo bench soak
 
@@ -18,7 +20,7 @@
 install: $(VENV)/installed
 
 test: install
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS)
 
 lint: install
 	$(BIN)/ruff format --check $(SOURCES)
