--- a/packages/cowslippond-core/src/cowslippond_core/placing/_pending_call.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_pending_call.py
@@ -18,7 +18,8 @@
     tells whether the caller's key was revoked, in which case the call is refused.
     ``workspace`` is the name of the call's workspace, if it has one, and
     ``weight`` its part of the slots relative to other workspaces: the rate of its
-    quota, or 0 if it has none.
+    quota, or 0 if it has none. ``is_excess`` marks a call beyond its workspace's
+    share.
     """
 
     request_id: str
@@ -31,6 +32,7 @@
     is_revoked: Callable[[], bool] | None = None
     workspace: str | None = None
     weight: float = 0
+    is_excess: bool = False
 
 
 class Grant(NamedTuple):
