--- a/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/fleet/_deployment.py
@@ -15,6 +15,7 @@
 from cowslippond_standins._address import Address
 from cowslippond_standins._serving import Endpoint, make_server
 from cowslippond_standins.fleet._backend import Backend
+from cowslippond_standins.fleet._hold_ups import HoldUps
 from cowslippond_standins.fleet._store_app import StoreApp
 from cowslippond_standins.harness import _http
 from cowslippond_standins.harness._links import FaultProxy
@@ -62,9 +63,9 @@
     def __init__(
         self, folder: pathlib.Path, bounds: Mapping[str, float] | None = None
     ) -> None:
-        self.folder = folder
         self.bounds = {**_BOUNDS, **(bounds or {})}
         self.clock = Clock()
+        self.hold_ups = HoldUps(self.clock)
         self.processes = Processes(folder)
         self.proxy = FaultProxy(self.processes)
         self.store = StoreApp(self.clock)
@@ -81,6 +82,11 @@
         self.environment: dict[str, str] = {}
         self.stack = AsyncExitStack()
 
+    @property
+    def folder(self) -> pathlib.Path:
+        """The directory of the settings files and the logs."""
+        return self.processes.folder
+
     async def __aenter__(self) -> Self:
         """Start the store."""
         self.tasks = await self.stack.enter_async_context(
@@ -90,6 +96,7 @@
         self.stack.callback(self.processes.kill_all)
         server = make_server(Endpoint(self.store, *self.store_address))
         self.tasks.start_soon(server.serve)
+        self.tasks.start_soon(self.hold_ups.watch)
         return self
 
     async def __aexit__(
