--- a/packages/cowslippond-core/src/cowslippond_core/placing/_slowdown.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_slowdown.py
@@ -1,5 +1,7 @@
 """Estimates how fast an upstream would serve one more call."""
 
+import math
+
 from cowslippond_core._clock import Millis
 from cowslippond_core._upstreams import LoadReading, Upstream
 
@@ -41,10 +43,22 @@
     return reading.running + reading.waiting + uncounted
 
 
-def expected_slowdown(upstream: Upstream, now: Millis) -> float | None:
+def useful_slots(slots: int) -> int:
+    """Return how many slots to take so that most calls are completed.
+
+    Of six slots, four complete more calls per second than six crowded ones.
+    """
+    uncrowded = max(math.floor(slots * _CROWDED_RATIO), 1)
+    return slots if slots / _CROWDED_FACTOR > uncrowded else uncrowded
+
+
+def expected_slowdown(
+    upstream: Upstream, now: Millis, *, keeps_crowded_free: bool = False
+) -> float | None:
     """Return the expected service time of one more call, relative to usual.
 
     :param now: the clock time, in milliseconds.
+    :param keeps_crowded_free: see :class:`OverloadRules`.
     :return: a multiple of the usual service time, or ``None`` if the upstream
         is full or its load is not known.
     """
@@ -52,7 +66,8 @@
     if reading is None or now - reading.received_at > READING_MAX_AGE:
         return None
     running = running_with_grants(upstream, reading)
-    if running >= reading.slots:
+    slots = useful_slots(reading.slots) if keeps_crowded_free else reading.slots
+    if running >= slots:
         return None
     slowdown = 1.0
     if running and running + 1 > reading.slots * _CROWDED_RATIO:
