Revert the early refusals under overload

The merged rule ends waits after a tenth of the objective while at most 0.75 of the readings show a slot that is not crowded. Conclusion: reverted. With two slots one running call counts as crowded, so the rule held at usual load.

--- a/packages/cowslippond-core/src/cowslippond_core/_reasons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reasons.py
@@ -14,7 +14,6 @@
     QUEUE_FULL = 'queue_full'
     NO_UPSTREAM = 'no_upstream'
     UPSTREAMS_FULL = 'upstreams_full'
-    EARLY_RETURN = 'early_return'
     RATE_LIMITED = 'rate_limited'
     UNAUTHENTICATED = 'unauthenticated'
     KEY_REVOKED = 'key_revoked'
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -28,7 +28,6 @@
 from cowslippond_core.dispatch._context import DispatchContext
 from cowslippond_core.dispatch._results import record_abandoned, record_result
 from cowslippond_core.dispatch._retries import CallRetries
-from cowslippond_core.dispatch._return_schedule import Refused
 from cowslippond_core.dispatch._service import Service
 from cowslippond_core.placing import Grant, PendingCall
 
@@ -42,8 +41,11 @@
 # drops calls, so the first send may never be answered.
 _HEDGE_PAUSE: Millis = 50
 
-# Bounds the expected wait in logs, which may be infinite.
-_MAX_LOGGED_WAIT: Millis = 3000
+# Random jitter of the retry-after time, as a fraction of it, so that callers
+# that were refused together do not return together.
+_RETRY_AFTER_JITTER = 0.5
+_MIN_RETRY_AFTER: Millis = 50
+_MAX_RETRY_AFTER: Millis = 3000
 
 # If a call is sent later than this after it was placed, what allowed it to go to
 # a cold or warm upstream no longer holds: that is known for 100 ms.
@@ -267,9 +269,6 @@
             dialect=self.ctx.dialect,
         )
         self.grants[attempt] = grant
-        self.service.returns.early_returns.record_served(
-            _caller_key(self.call), self.clock.now()
-        )
         waited = self.clock.now() - self.call.arrived_at
         self.ctx.record_duration(Metric.QUEUE_MS, waited)
         if grant.reading_age is not None:
@@ -319,20 +318,9 @@
     def refuse(self, outcome: Outcome, reason: RefusalReason) -> CallRefusal:
         """Return a refusal of the call, and log it."""
         placer = self.service.placer
-        now = self.clock.now()
-        wait = placer.limited_waits.retry_after(now)
-        returns = self.service.returns
-        delay = returns.assign(
-            Refused(
-                self.call.priority,
-                wait,
-                self.service.estimator.slot_interval,
-                self.call.effective_deadline - self.call.arrived_at,
-            ),
-            now,
-        )
-        if outcome is Outcome.NOT_RUN:
-            returns.early_returns.record_refusal(_caller_key(self.call), now)
+        wait = placer.limited_waits.retry_after(self.clock.now())
+        jitter = 1 + self.ctx.rng.random() * _RETRY_AFTER_JITTER
+        delay = min(max(wait, _MIN_RETRY_AFTER) * jitter, _MAX_RETRY_AFTER)
         _logger.info(
             'call given up',
             extra={
@@ -343,29 +331,13 @@
                 'waiting': len(placer.queue.pending),
                 'work_ms': round(self.service.estimator.service_time, 1),
                 'upstreams': len(self.service.upstreams.by_address),
-                'expected_wait_ms': round(min(wait, _MAX_LOGGED_WAIT), 1),
-                'retry_after_ms': round(delay, 1),
+                'expected_wait_ms': round(min(wait, _MAX_RETRY_AFTER), 1),
                 **_describe_workspace(self.call),
             },
         )
         return CallRefusal(outcome, reason, delay)
 
 
-def _caller_key(call: Call) -> str:
-    request = call.request
-    return f'{request.workspace} {request.fingerprint}'
-
-
-def _is_early_return(dispatch: Dispatch) -> bool:
-    """Tell whether the caller came back at once during an overload."""
-    service = dispatch.service
-    if dispatch.send_count or not service.placer.queue.is_overloaded:
-        return False
-    return service.returns.early_returns.check(
-        _caller_key(dispatch.call), dispatch.clock.now()
-    )
-
-
 def _find_obstacle(ctx: DispatchContext, call: Call) -> RefusalReason | None:
     """Return why a call must not be sent, or not sent again."""
     if call.request.is_revoked():
@@ -390,8 +362,6 @@
     dispatch: Dispatch, pending: PendingCall
 ) -> Grant | RefusalReason:
     """Choose an upstream; again if the check of the first send took long."""
-    if _is_early_return(dispatch):
-        return RefusalReason.EARLY_RETURN
     while True:
         grant = await dispatch.service.placer.acquire(pending)
         placed_at = dispatch.clock.now()
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_service.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_service.py
@@ -8,7 +8,6 @@
 from cowslippond_core._upstreams import UpstreamSet
 from cowslippond_core.dispatch._budget import FleetRetryBudget
 from cowslippond_core.dispatch._load_prober import LoadProber
-from cowslippond_core.dispatch._return_schedule import ReturnSchedule
 from cowslippond_core.placing import Placer, ServiceTimeEstimator, UploadGate
 
 
@@ -30,8 +29,7 @@
 class Service:
     """The upstreams of one service and the parts that dispatch its calls.
 
-    ``uploads`` limits how many bodies are streamed at once. ``returns`` decides
-    when refused callers are to come back.
+    ``uploads`` limits how many bodies are streamed at once.
 
     :param entry: the service's entry in the configuration in force.
     :param upstreams: the upstreams of the service.
@@ -56,7 +54,6 @@
         self.estimator = estimator
         self.placer = placer
         self.budget = budget
-        self.returns = ReturnSchedule(placer.rng)
         self.uploads = UploadGate(upstreams.count_allowed, placer.clock)
 
     def lacks_share(self, now: Millis) -> bool:
--- a/packages/cowslippond-core/src/cowslippond_core/placing/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/__init__.py
@@ -3,12 +3,6 @@
 from cowslippond_core.placing._limit_division import (
     LimitDivision as LimitDivision,
 )
-from cowslippond_core.placing._overload_rules import (
-    DEFAULT_RULES as DEFAULT_RULES,
-)
-from cowslippond_core.placing._overload_rules import (
-    OverloadRules as OverloadRules,
-)
 from cowslippond_core.placing._pending_call import Grant as Grant
 from cowslippond_core.placing._pending_call import PendingCall as PendingCall
 from cowslippond_core.placing._placer import Placer as Placer
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
@@ -29,6 +29,7 @@
     may_get_call,
 )
 from cowslippond_core.placing._service_time import ServiceTimeEstimator
+from cowslippond_core.placing._slowdown import expected_slowdown
 
 # Probes per round for the first waiting call and for each further one. More
 # would exhaust the probe limit near capacity. If a quarter of the VMs are slow
@@ -44,7 +45,6 @@
 # The delay between two searches, which grows while they place no call. With a
 # dozen upstreams, a slot becomes free about every 10 ms.
 _INITIAL_DELAY: Millis = 8
-_MIN_DELAY: Millis = 1
 _MAX_DELAY: Millis = 40
 _DELAY_GROWTH = 1.5
 
@@ -153,9 +153,6 @@
         self.estimator.update_slots(
             slots, self.fleet.count_daemons(), in_flight
         )
-        self.queue.is_overloaded = self.selector.overload.is_overloaded(
-            self.clock.now()
-        )
         self.estimator.is_fully_loaded = not self.selector.is_mostly_free()
 
     async def _wait(self, call: PendingCall) -> Grant | RefusalReason:
@@ -192,22 +189,18 @@
         for is_local in (*repeat(True, local_rounds), False):
             if self.queue.pending and self.load_source.reports_load:
                 await self._probe_round(is_local)
-                self._expire()
         self._assign_slots()
         return len(self.queue.pending) < waiting
 
     async def _wait_for_change(self, delay: Millis) -> None:
         if not self.queue.pending:
             return
-        until_refusal = self.queue.next_refusal_at() - self.clock.now()
-        delay = max(min(delay, until_refusal), _MIN_DELAY)
         self.capacity_changed = anyio.Event()
         with anyio.move_on_after(seconds_of(delay)):
             await self.capacity_changed.wait()
 
     def _expire(self) -> None:
         now = self.clock.now()
-        self.queue.is_overloaded = self.selector.overload.is_overloaded(now)
         if self.is_bypassed():
             for call in tuple(self.queue.pending):
                 self._settle(call, RefusalReason.OUT_OF_REACH)
@@ -219,7 +212,12 @@
         for limited in self.limited_waits.refused_calls(now):
             self._settle(limited, RefusalReason.RATE_LIMITED)
         for call in self.queue.expired(now):
-            reason = self.queue.expiry_reason(call, now)
+            is_late = self.queue.is_late(call, now)
+            reason = (
+                RefusalReason.UPSTREAMS_FULL
+                if is_late
+                else RefusalReason.DEADLINE
+            )
             self._settle(call, _refusal_of(call, reason))
 
     def _settle(
@@ -267,7 +265,7 @@
         probe_round.record_end(is_over=not self.queue.pending)
 
     def _offer(self, upstream: Upstream, now: Millis) -> None:
-        slowdown = self.selector.slowdown_of(upstream, now)
+        slowdown = expected_slowdown(upstream, now)
         if slowdown is None or not may_get_call(upstream, self.fleet, now):
             return
         call = self.queue.match(upstream.address, slowdown, now)
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_queue.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_queue.py
@@ -4,16 +4,10 @@
 change speed within milliseconds and lose requests beyond their slots.
 """
 
-import math
-
 from cowslippond_core._clock import Millis
 from cowslippond_core._reasons import RefusalReason
 from cowslippond_core.placing._demand_shares import DemandShares
 from cowslippond_core.placing._fair_order import FairOrder
-from cowslippond_core.placing._overload_rules import (
-    DEFAULT_RULES,
-    OverloadRules,
-)
 from cowslippond_core.placing._pending_call import PendingCall
 from cowslippond_core.placing._service_time import ServiceTimeEstimator
 from cowslippond_core.placing._slowdown import GOOD_SLOWDOWN
@@ -39,16 +33,9 @@
     """The calls of one service that wait for a slot in this process.
 
     :param estimator: estimates the service time and the wait.
-    :param rules: tells which calls are refused under overload.
     """
 
-    def __init__(
-        self,
-        estimator: ServiceTimeEstimator,
-        rules: OverloadRules = DEFAULT_RULES,
-    ) -> None:
-        self.rules = rules
-        self.is_overloaded = False
+    def __init__(self, estimator: ServiceTimeEstimator) -> None:
         self.estimator = estimator
         self.pending: list[PendingCall] = []
         self.fair_order = FairOrder()
@@ -65,8 +52,6 @@
         """Return why a new call is refused, or ``None`` if it is admitted."""
         if self._misses_deadline(call, now):
             return RefusalReason.DEADLINE
-        if self._is_unwanted(call, now):
-            return RefusalReason.QUEUE_FULL
         if call.is_hedge:
             return RefusalReason.QUEUE_FULL if self.pending else None
         ahead = sum(
@@ -84,12 +69,6 @@
         """Tell whether a call that has to wait this long is refused."""
         return wait > _MAX_WAIT_RATIO * (call.deadline - now)
 
-    def expiry_reason(self, call: PendingCall, now: Millis) -> RefusalReason:
-        """Return why a call that has waited too long is refused."""
-        if self._has_waited_long(call, now) or self.is_late(call, now):
-            return RefusalReason.UPSTREAMS_FULL
-        return RefusalReason.DEADLINE
-
     def add(self, call: PendingCall) -> None:
         """Add a call to the queue."""
         self.pending.append(call)
@@ -192,14 +171,6 @@
             if self._is_expired(call, has_timely, now)
         ]
 
-    def next_refusal_at(self) -> Millis:
-        """Return when overload will have kept a waiting call for too long."""
-        if not self.is_overloaded:
-            return math.inf
-        return min(
-            map(self.rules.longest_wait_at, self.pending), default=math.inf
-        )
-
     def revoked(self) -> list[PendingCall]:
         """Return the calls whose callers' keys were revoked."""
         return [
@@ -217,8 +188,6 @@
     ) -> bool:
         if self._misses_deadline(call, now):
             return True
-        if self._is_unwanted(call, now) or self._has_waited_long(call, now):
-            return True
         if not self.is_late(call, now):
             return False
         if call.is_hedge or has_timely:
@@ -226,21 +195,6 @@
         waited = now - call.arrived_at
         return waited > _MAX_WAIT_RATIO * (call.deadline - call.arrived_at)
 
-    def _is_unwanted(self, call: PendingCall, now: Millis) -> bool:
-        """Tell whether a late call would take a slot from timely calls.
-
-        They may wait at other daemons, so this daemon's own do not matter.
-        """
-        if not self.is_overloaded or not self.rules.refuses_late:
-            return False
-        if not self.estimator.is_measured:
-            return False
-        return self.is_late(call, now)
-
-    def _has_waited_long(self, call: PendingCall, now: Millis) -> bool:
-        """Tell whether a call has waited as long as overload permits."""
-        return self.is_overloaded and now >= self.rules.longest_wait_at(call)
-
     def _misses_deadline(self, call: PendingCall, now: Millis) -> bool:
         return (
             now + self.estimator.service_time * _MIN_SERVICE_TIME_RATIO
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_selector.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_selector.py
@@ -13,7 +13,6 @@
 from cowslippond_core._clock import Millis
 from cowslippond_core._upstreams import Upstream, UpstreamSet
 from cowslippond_core._warm_up import WARMTH_MAX_AGE
-from cowslippond_core.placing._overload_watch import OverloadWatch
 from cowslippond_core.placing._pending_call import Grant, PendingCall
 from cowslippond_core.placing._slowdown import (
     GRANT_LAG,
@@ -108,10 +107,6 @@
         self.seed = rng.getrandbits(_SEED_BITS)
         self.baseline_updated_at: Millis = -math.inf
         self.free_ratio: float = 1
-        self.overload = OverloadWatch()
-        self.slowdown_of: Callable[[Upstream, Millis], float | None] = (
-            expected_slowdown
-        )
 
     def eligible(self, excluded: Container[str]) -> list[Upstream]:
         """Return the upstreams that a call may get, whatever their load.
@@ -181,7 +176,7 @@
         best: Grant | None = None
         least = math.inf
         for upstream in self._available(call, now, WARMTH_MAX_AGE):
-            slowdown = self.slowdown_of(upstream, now)
+            slowdown = expected_slowdown(upstream, now)
             reading = upstream.load_state.reading
             if slowdown is None or reading is None:
                 continue
@@ -265,7 +260,7 @@
                 continue
             if not accepts_calls(upstream, now):
                 continue
-            if self.slowdown_of(upstream, now) is None:
+            if expected_slowdown(upstream, now) is None:
                 targets.append(upstream)
         targets.sort(key=self._subset_rank)
         targets = targets[: _LOCAL_SUBSET if is_local else _REMOTE_SUBSET]
@@ -279,7 +274,7 @@
         """Record whether a probe was answered, and back off if it was not."""
         if is_answered:
             self.probe_failures.pop(upstream.address, None)
-            self._record_reading(upstream, now)
+            self._record_reading(upstream)
             return
         times, _ = self.probe_failures.get(upstream.address, _NO_PROBE_FAILURES)
         backoff = _INITIAL_BACKOFF * 2 ** min(times, _MAX_DOUBLINGS)
@@ -287,13 +282,12 @@
             times + 1, now + backoff
         )
 
-    def _record_reading(self, upstream: Upstream, now: Millis) -> None:
+    def _record_reading(self, upstream: Upstream) -> None:
         reading = upstream.load_state.reading
         if reading is None:
             return
         is_free = reading.running + reading.waiting < reading.slots
         self.free_ratio += _FREE_RATIO_WEIGHT * (is_free - self.free_ratio)
-        self.overload.record(reading, now)
 
     def _subset_rank(self, upstream: Upstream) -> int:
         """Return a rank that is stable but differs between daemons."""
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_service_time.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_service_time.py
@@ -10,10 +10,6 @@
 # estimate divided by it: outliers say little about other calls.
 _OUTLIER_FACTOR = 3
 
-# The first answered calls bring a wrong initial estimate within a third of the
-# service time. Until then, it must not be a reason to refuse calls.
-_MIN_SAMPLES = 6
-
 # At full load, calls occupy their slots longer than on a free upstream of usual
 # speed by this factor, because upstreams are crowded and some are slow.
 _FULL_LOAD_FACTOR = 1.7
@@ -32,11 +28,6 @@
         self.slots: float = 1
         self.is_fully_loaded = True
 
-    @property
-    def is_measured(self) -> bool:
-        """Whether answered calls have replaced the initial estimate."""
-        return self.sample_count >= _MIN_SAMPLES
-
     @property
     def slot_interval(self) -> Millis:
         """The mean time between free slots for this process at full load."""
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_slowdown.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_slowdown.py
@@ -1,7 +1,5 @@
 """Estimates how fast an upstream would serve one more call."""
 
-import math
-
 from cowslippond_core._clock import Millis
 from cowslippond_core._upstreams import LoadReading, Upstream
 
@@ -43,22 +41,10 @@
     return reading.running + reading.waiting + uncounted
 
 
-def useful_slots(slots: int) -> int:
-    """Return how many slots to take so that most calls are completed.
-
-    Of six slots, four complete more calls per second than six crowded ones.
-    """
-    uncrowded = max(math.floor(slots * _CROWDED_RATIO), 1)
-    return slots if slots / _CROWDED_FACTOR > uncrowded else uncrowded
-
-
-def expected_slowdown(
-    upstream: Upstream, now: Millis, *, keeps_crowded_free: bool = False
-) -> float | None:
+def expected_slowdown(upstream: Upstream, now: Millis) -> float | None:
     """Return the expected service time of one more call, relative to usual.
 
     :param now: the clock time, in milliseconds.
-    :param keeps_crowded_free: see :class:`OverloadRules`.
     :return: a multiple of the usual service time, or ``None`` if the upstream
         is full or its load is not known.
     """
@@ -66,8 +52,7 @@
     if reading is None or now - reading.received_at > READING_MAX_AGE:
         return None
     running = running_with_grants(upstream, reading)
-    slots = useful_slots(reading.slots) if keeps_crowded_free else reading.slots
-    if running >= slots:
+    if running >= reading.slots:
         return None
     slowdown = 1.0
     if running and running + 1 > reading.slots * _CROWDED_RATIO:
--- a/packages/cowslippond-standins/src/cowslippond_standins/model/__init__.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/__init__.py
@@ -10,7 +10,6 @@
 from cowslippond_standins.model._joining import (
     simulate_joining as simulate_joining,
 )
-from cowslippond_standins.model._load import Kind as Kind
 from cowslippond_standins.model._load import Load as Load
 from cowslippond_standins.model._load import Outcome as Outcome
 from cowslippond_standins.model._load import Tally as Tally
@@ -28,10 +27,4 @@
 from cowslippond_standins.model._reading import (
     simulate_reading as simulate_reading,
 )
-from cowslippond_standins.model._scenarios import LOADS as LOADS
-from cowslippond_standins.model._scenarios import RULES as RULES
-from cowslippond_standins.model._scenarios import RuleFigures as RuleFigures
-from cowslippond_standins.model._scenarios import compare_rules as compare_rules
-from cowslippond_standins.model._scenarios import goodput as goodput
-from cowslippond_standins.model._scenarios import shrink as shrink
 from cowslippond_standins.model._simulation import simulate as simulate
