Revert shares of workspaces over all daemons, and mend findings of the review

Cause: a reviewer who did not write the parts found that calls beyond a workspace's share overtake waiting calls of any priority, that a workspace alone on a service, or within its quota, is refused beside idle upstreams, and that a flood spread over 136 daemons is not seen. Quotas already bound what a workspace takes. Change: the merge of shares over all daemons is reverted (it stays in the history); the order within a daemon stays. The revision of evacuations lacks its era only before a log is complete in it. Long waits of daemons that do not read end when they become one of the few that do. Two tests are new; they were not seen to fail first.

--- a/packages/cowslippond-core/src/cowslippond_core/_reach.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reach.py
@@ -132,6 +132,8 @@
 
 def _covers(failed: set[str], domains: Mapping[str, str]) -> bool:
     """Tell whether failed upstreams show that all are out of reach."""
+    if not domains:
+        return False
     relevant = failed.intersection(domains)
     if len(relevant) < min(_MIN_FAILED_UPSTREAMS, len(domains)):
         return False
--- a/packages/cowslippond-core/src/cowslippond_core/_reasons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reasons.py
@@ -29,7 +29,6 @@
     ANSWER_NOT_KEPT = 'answer_not_kept'
     QUARANTINED = 'quarantined'
     OVER_QUOTA = 'over_quota'
-    SHARE_EXCEEDED = 'share_exceeded'
     HEAD_TOO_LARGE = 'head_too_large'
     HEAD_TIMEOUT = 'head_timeout'
     BODY_TOO_LARGE = 'body_too_large'
--- a/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
@@ -170,10 +170,21 @@
         while not self.role.is_reader():
             await self.clock.sleep(_ROLE_CHECK_INTERVAL)
         if self.role.is_chosen():
-            jitter = _DESIGNATED_JITTER
-        else:
-            jitter = max(_MIN_TAKEOVER_JITTER, self._retry_spacing())
-        await self.clock.sleep(self.rng.random() * jitter)
+            await self.clock.sleep(self.rng.random() * _DESIGNATED_JITTER)
+            return
+        jitter = max(_MIN_TAKEOVER_JITTER, self._retry_spacing())
+        await self._sleep_unless_chosen(self.rng.random() * jitter)
+
+    async def _sleep_unless_chosen(self, delay: Millis) -> None:
+        """Sleep until few other daemons read besides this one.
+
+        Delays that are spread over a large fleet take longer than a daemon that
+        has lost its peers may wait.
+        """
+        ends_at = self.clock.now() + delay
+        while self.clock.now() < ends_at and not self.role.is_chosen():
+            left = ends_at - self.clock.now()
+            await self.clock.sleep(min(left, _ROLE_CHECK_INTERVAL))
 
     async def _read_once(self) -> None:
         requested_at = self.clock.now()
@@ -247,9 +258,12 @@
         self.is_store_lost = True
         self.revision = None
         self.role.report_store_lost()
-        max_delay = max(self.retry_delay, self._retry_spacing())
+        own_delay = self.retry_delay
+        max_delay = max(own_delay, self._retry_spacing())
         self.retry_delay = min(self.retry_delay * 2, self._max_retry_delay())
-        await self.clock.sleep(max_delay * (1 + self.rng.random()) / 2)
+        delay = max_delay * (1 + self.rng.random()) / 2
+        await self.clock.sleep(min(delay, own_delay))
+        await self._sleep_unless_chosen(delay - own_delay)
 
     def _choose_wait(self) -> Millis:
         """Return how long the store may wait for a change."""
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/__init__.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/__init__.py
@@ -10,12 +10,6 @@
 from cowslippond_core.dispatch._service import FleetBounds as FleetBounds
 from cowslippond_core.dispatch._service import Service as Service
 from cowslippond_core.dispatch._services import Services as Services
-from cowslippond_core.dispatch._shared_demand import (
-    DEMAND_TABLE as DEMAND_TABLE,
-)
-from cowslippond_core.dispatch._shared_demand import (
-    SharedDemand as SharedDemand,
-)
 from cowslippond_core.dispatch._shared_failures import (
     FAILURE_TABLE as FAILURE_TABLE,
 )
--- a/packages/cowslippond-core/src/cowslippond_core/evacuations/_evacuation_log.py
+++ b/packages/cowslippond-core/src/cowslippond_core/evacuations/_evacuation_log.py
@@ -261,13 +261,14 @@
         """Advance the revision, but not beyond the first pending removal.
 
         It only advances to that of an entry, since other changes of the store
-        concern no peer. While a read is held back, the revision contains no
-        era: daemons that know nothing get the entries, and those that know of
-        an earlier era offer theirs.
+        concern no peer. While the first read of an era is held back, the
+        revision contains no era: daemons that know nothing get the entries, and
+        those that know of an earlier era offer theirs.
         """
         newest = self.newest_revision
         first_missing = min(self.pending_removals.values(), default=newest + 1)
-        if self._is_read_held():
+        era = era_of(self.whole_revision)
+        if self._is_read_held() and era_of(self.revision) != era:
             newest = plain_revision(newest)
             first_missing = min(first_missing, self.whole_revision)
         self.advance(min(newest, first_missing - 1))
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_pending_call.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_pending_call.py
@@ -18,8 +18,7 @@
     tells whether the caller's key was revoked, in which case the call is refused.
     ``workspace`` is the name of the call's workspace, if it has one, and
     ``weight`` its part of the slots relative to other workspaces: the rate of its
-    quota, or 0 if it has none. ``is_excess`` marks a call beyond its workspace's
-    share.
+    quota, or 0 if it has none.
     """
 
     request_id: str
@@ -32,7 +31,6 @@
     is_revoked: Callable[[], bool] | None = None
     workspace: str | None = None
     weight: float = 0
-    is_excess: bool = False
 
 
 class Grant(NamedTuple):
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
@@ -125,21 +125,17 @@
             return RefusalReason.NO_UPSTREAM
         self.selector.update_failure_baseline(now)
         self._update_slots()
-        call = self.queue.classify(call, now)
         refusal = self.queue.check_admission(call, now)
         if refusal is not None:
-            return _refusal_of(call, refusal)
+            return refusal
         if self.limited_waits.is_refused(call, len(self.queue.pending), now):
             return RefusalReason.RATE_LIMITED
-        if not self.queue.pending or self.queue.is_held_back(call):
+        if not self.queue.pending:
             best = self.selector.best(call, now)
             if best is not None and self.queue.accepts(
                 call, best.slowdown, now
             ):
                 return self._record_grant(call, best, now)
-        # Waiting, it would use up the probes of calls within their share.
-        if self.queue.is_held_back(call):
-            return RefusalReason.SHARE_EXCEEDED
         return await self._wait(call)
 
     def notify_capacity_change(self) -> None:
@@ -213,12 +209,12 @@
             self._settle(limited, RefusalReason.RATE_LIMITED)
         for call in self.queue.expired(now):
             is_late = self.queue.is_late(call, now)
-            reason = (
+            self._settle(
+                call,
                 RefusalReason.UPSTREAMS_FULL
                 if is_late
-                else RefusalReason.DEADLINE
+                else RefusalReason.DEADLINE,
             )
-            self._settle(call, _refusal_of(call, reason))
 
     def _settle(
         self, call: PendingCall, outcome: Grant | RefusalReason
@@ -320,10 +316,6 @@
         return grant
 
 
-def _refusal_of(call: PendingCall, reason: RefusalReason) -> RefusalReason:
-    return RefusalReason.SHARE_EXCEEDED if call.is_excess else reason
-
-
 def _never() -> bool:
     return False
 
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_queue.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_queue.py
@@ -6,7 +6,6 @@
 
 from cowslippond_core._clock import Millis
 from cowslippond_core._reasons import RefusalReason
-from cowslippond_core.placing._demand_shares import DemandShares
 from cowslippond_core.placing._fair_order import FairOrder
 from cowslippond_core.placing._pending_call import PendingCall
 from cowslippond_core.placing._service_time import ServiceTimeEstimator
@@ -39,12 +38,6 @@
         self.estimator = estimator
         self.pending: list[PendingCall] = []
         self.fair_order = FairOrder()
-        self.demand = DemandShares()
-
-    def classify(self, call: PendingCall, now: Millis) -> PendingCall:
-        """Return a new call, marked if it exceeds its workspace's share."""
-        work = self.fair_order.expected_work(call, self.estimator.service_time)
-        return self.demand.classify(call, work, now)
 
     def check_admission(
         self, call: PendingCall, now: Millis
@@ -55,10 +48,7 @@
         if call.is_hedge:
             return RefusalReason.QUEUE_FULL if self.pending else None
         ahead = sum(
-            1
-            for other in self.pending
-            if other.priority <= call.priority
-            and other.is_excess <= call.is_excess
+            1 for other in self.pending if other.priority <= call.priority
         )
         wait = self.estimator.expected_wait(ahead)
         if self.is_too_long(wait, call, now):
@@ -92,17 +82,12 @@
             key=lambda call: (
                 call.priority,
                 self.is_late(call, now),
-                call.is_excess,
                 -call.objective_at,
             ),
         )
         return self.fair_order.arrange(
             ordered,
-            lambda call: (
-                call.priority,
-                self.is_late(call, now),
-                call.is_excess,
-            ),
+            lambda call: (call.priority, self.is_late(call, now)),
             self.estimator.service_time,
         )
 
@@ -123,18 +108,10 @@
         if slowdown > GOOD_SLOWDOWN:
             return None
         for call in self.service_order(now):
-            if address in call.excluded or self.is_held_back(call):
-                continue
-            return call
+            if address not in call.excluded:
+                return call
         return None
 
-    def is_held_back(self, call: PendingCall) -> bool:
-        """Tell whether a call leaves slots to calls within their share.
-
-        Other daemons may have such calls while this one has none.
-        """
-        return call.is_excess and self.estimator.is_fully_loaded
-
     def accepts(self, call: PendingCall, slowdown: float, now: Millis) -> bool:
         """Tell whether a call takes the best slot that is available.
 
@@ -145,8 +122,6 @@
             return True
         if call.is_hedge:
             return False
-        if self.is_held_back(call):
-            return False
         finished_at = now + self.estimator.service_time * slowdown
         if finished_at <= call.objective_at:
             return True
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -23,13 +23,10 @@
     share_quarantine,
 )
 from cowslippond_core.dispatch import (
-    DEMAND_TABLE,
     FAILURE_TABLE,
     RelayPeers,
-    SharedDemand,
     SharedFailures,
 )
-from cowslippond_core.workspaces import Workspace
 from expression import Result
 
 from cowslippond_daemon._admin import Admin
@@ -199,15 +196,6 @@
             self.clock,
         )
         tasks.start_soon(run_restarting, self.clock, shared_failures.run)
-        shared_demand = SharedDemand(
-            self.fleet.gossip_table(DEMAND_TABLE),
-            self.fleet.gossip.address,
-            services.by_name.values,
-            self._list_workspaces,
-            self.fleet.size.estimate,
-            self.clock,
-        )
-        tasks.start_soon(run_restarting, self.clock, shared_demand.run)
         tasks.start_soon(
             run_restarting,
             self.clock,
@@ -227,10 +215,6 @@
         apply_warm_up_settings(self.parts.rate_limits.warm_ups, settings)
         self.parts.quotas.apply_settings(settings)
 
-    def _list_workspaces(self) -> Mapping[str, Workspace] | None:
-        configuration = self.parts.configuration_log.current
-        return None if configuration is None else configuration.workspaces
-
     def _update_upstreams(self, services: Services) -> None:
         vms = self.parts.upstream_registry.vms()
         self.fleet.leaving.apply_list(vms)
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_parts.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_parts.py
@@ -22,11 +22,7 @@
     StoreEra,
     UpstreamRegistry,
 )
-from cowslippond_core.dispatch import (
-    DEMAND_TABLE,
-    FAILURE_TABLE,
-    RATE_LIMIT_TABLE,
-)
+from cowslippond_core.dispatch import FAILURE_TABLE, RATE_LIMIT_TABLE
 from cowslippond_core.quotas import QUOTA_TABLE
 
 from cowslippond_daemon._fleet_bounds import apply_warm_up_settings
@@ -76,7 +72,7 @@
             EVACUATION_LOG: evacuations,
         },
         (STORE_READER_TABLE, STORE_LOST_TABLE, RATE_LIMIT_TABLE),
-        (FAILURE_TABLE, QUOTA_TABLE, DEMAND_TABLE),
+        (FAILURE_TABLE, QUOTA_TABLE),
     )
     fleet.gossip.era = era
     fleet.relay_at_once(STORE_LOST_TABLE)
--- a/packages/cowslippond-standins/src/cowslippond_standins/model/_simulation.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/_simulation.py
@@ -43,7 +43,6 @@
     ProbeLimiter,
     ServiceTimeEstimator,
 )
-from cowslippond_core.workspaces import CallAccess
 
 from cowslippond_standins.model._load import Load, Tally
 from cowslippond_standins.model._machine import Machine
@@ -189,13 +188,8 @@
         )
         return True
 
-    async def serve(
-        self, arrived_at: Millis, access: CallAccess | None = None
-    ) -> CallAnswer | CallRefusal:
-        """Dispatch a call and return its response.
-
-        :param access: the call's workspace, if it has one.
-        """
+    async def serve(self, arrived_at: Millis) -> CallAnswer | CallRefusal:
+        """Dispatch a call and return its response."""
         load = self.simulation.load
         request = CallRequest(
             request_id='',
@@ -208,8 +202,6 @@
             deadline=arrived_at + load.deadline,
             attempt=0,
             fingerprint='',
-            workspace=None if access is None else access.workspace.name,
-            access=access,
         )
         call = Call(request, self.simulation.route, arrived_at)
         return await Dispatch(self.ctx, self.service, call).run()
--- a/tests/core/test_reach.py
+++ b/tests/core/test_reach.py
@@ -72,6 +72,12 @@
         assert reach.is_cut(needs_connection=True)
         assert not reach.is_cut(needs_connection=False)
 
+    def test_service_without_upstreams_is_not_cut(self) -> None:
+        """Peers were asked for calls that no daemon could serve."""
+        reach = ServiceReach(dict, 'shop')
+        fail(reach, range(4))
+        assert not reach.is_cut(needs_connection=True)
+
     def test_upstreams_that_were_removed_do_not_count(self) -> None:
         domains = dict.fromkeys(('u0', 'u1', 'u2', 'u3'), 'north')
         reach = ServiceReach(lambda: domains, 'shop')
--- a/tests/evacuations/test_evacuation_log.py
+++ b/tests/evacuations/test_evacuation_log.py
@@ -118,6 +118,30 @@
         exchange(reader, peer)
         assert peer.domains == {'east'}
 
+    def test_reader_that_the_store_keeps_refusing_passes_on_a_new_row(
+        self,
+    ) -> None:
+        """Each error held the log's revision back for another 2.3 s."""
+        peer, reader = Log(), Log()
+        east = evacuation('east', combine_era(1, 3))
+        for log in (peer, reader):
+            log.apply(east, revision=combine_era(1, 3), is_whole=True)
+            log.fake_clock.advance(5000)
+            log.apply(east, revision=combine_era(1, 4), is_whole=True)
+        exchange(reader, peer)
+        north = evacuation('north', combine_era(1, 8))
+        for revision in (9, 10):
+            reader.fake_clock.advance(2000)
+            reader.apply(
+                east,
+                north,
+                revision=combine_era(1, revision),
+                is_whole=True,
+                was_lost=True,
+            )
+            exchange(reader, peer)
+        assert peer.domains == {'east', 'north'}
+
     def test_revision_stays_below_a_read_that_is_held_back(self) -> None:
         """A peer at the revision of the read would never get its list."""
         started, peer, reader = Log(), Log(), Log()
