Review: end all processes of a case when it is interrupted

A script that got SIGTERM or SIGHUP left its daemons and its folder behind (8 of 8 trials), and an interruption or an error of the script itself exited with 1, as if the rule were broken. Now signals end the case with 2, and a guard process ends the daemons if the script is killed. Shown: SIGINT, SIGTERM, SIGHUP and SIGKILL, 0.4 and 3 s after the start of each script, and SIGTERM and SIGKILL between kill and restart in case 2: nothing is left.

--- a/review/lib/platform_standins.py
+++ b/review/lib/platform_standins.py
@@ -16,9 +16,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ('rvk-a', 'rvk-b', 'hfj')
@@ -474,11 +476,52 @@
 
 # ---------------------------------------------------------------- daemons
 
+# Ends the daemons and removes the folder when this process is gone, however it
+# ended: its standard input then ends, too.
+_GUARD = """
+import os, shutil, signal, sys
+running = set()
+for line in sys.stdin:
+    sign, number = line[0], int(line[1:])
+    (running.add if sign == '+' else running.discard)(number)
+for number in running:
+    try:
+        os.kill(number, signal.SIGKILL)
+    except ProcessLookupError:
+        pass
+shutil.rmtree(sys.argv[1], ignore_errors=True)
+"""
+
+
+class Guard:
+    """A process that outlives this one and ends the daemons it left."""
+
+    def __init__(self, folder):
+        self.process = subprocess.Popen(
+            [sys.executable, '-c', _GUARD, str(folder)],
+            stdin=subprocess.PIPE,
+            text=True,
+            start_new_session=True,
+        )
+        self.is_closed = False
+
+    def tell(self, sign, number):
+        self.process.stdin.write(f'{sign}{number}\n')
+        self.process.stdin.flush()
+
+    def close(self):
+        self.is_closed = True
+        self.process.stdin.close()
+        self.process.wait()
+
 
 class Daemon:
     """One process of the system."""
 
-    def __init__(self, name, zone, folder, ip, ports, seeds, store_address):
+    def __init__(
+        self, name, zone, folder, ip, ports, seeds, store_address, guard
+    ):
+        self.guard = guard
         self.name = name
         self.zone = zone
         self.ip = ip
@@ -488,7 +531,6 @@
         self.metrics_port = ports['metrics']
         self.settings = folder / f'{name}.toml'
         self.process = None
-        self.starts = 0
         self.write_settings(ports, seeds, store_address, bootstrap=True)
         self.arguments = (ports, seeds, store_address)
 
@@ -521,9 +563,12 @@
         )
 
     def start(self):
-        if self.starts:
+        """Start the process, again if an earlier one has ended."""
+        if self.guard.is_closed:
+            return
+        if self.process is not None:
+            self.end()
             self.write_settings(*self.arguments, bootstrap=False)
-        self.starts += 1
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         role = deploy['roles']['cowslippond']
         environment = {
@@ -545,6 +590,18 @@
             stdout=log,
             stderr=log,
         )
+        self.guard.tell('+', self.process.pid)
+        log.close()
+
+    def end(self):
+        """End the process, also one that is stopped, and wait for it."""
+        if self.process is None:
+            return
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.guard.tell('-', self.process.pid)
+        self.process = None
 
     async def is_ready(self):
         try:
@@ -571,6 +628,7 @@
     def __init__(self, folder, daemons=3):
         self.record = Record(pathlib.Path(folder) / 'record.txt')
         self.temporary = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
+        self.guard = Guard(self.temporary)
         self.count = daemons
         self.store = Store(self.record)
         self.daemons = []
@@ -590,25 +648,22 @@
             self.daemons.append(
                 Daemon(
                     f'front-{zone}-{number + 1}', zone, self.temporary, ip,
-                    ports, seeds, self.store.address,
+                    ports, seeds, self.store.address, self.guard,
                 )
             )
         return self
 
     async def __aexit__(self, *error):
         for daemon in self.daemons:
-            if daemon.process is not None and daemon.process.poll() is None:
-                daemon.process.send_signal(signal.SIGCONT)
-                daemon.process.kill()
-            if daemon.process is not None:
-                daemon.process.wait()
+            daemon.end()
+        self.guard.is_closed = True
         for listener in Listener.running:
             listener.stop()
         await asyncio.sleep(0.1)
         keep = os.environ.get('KEEP_LOGS')
         if keep:
             shutil.copytree(self.temporary, keep, dirs_exist_ok=True)
-        shutil.rmtree(self.temporary, ignore_errors=True)
+        self.guard.close()
 
     async def add_backend(self, backend):
         await backend.start()
@@ -668,18 +723,36 @@
 
 
 def run_case(case, folder, limit_s=110):
-    """Run a case; exit with 1 if the rule is broken, 0 if not, 2 if neither."""
+    """Run a case; exit with 1 if the rule is broken, 0 if not, 2 if neither.
+
+    A signal that interrupts the case ends all processes that it started.
+    """
     trouble = os.environ.get('TROUBLE', '1') != '0'
 
     async def limited():
+        loop = asyncio.get_running_loop()
+        task = asyncio.current_task()
+        signals = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
+
+        def interrupt():
+            for number in signals:
+                loop.add_signal_handler(number, int)
+            task.cancel()
+
+        for number in signals:
+            loop.add_signal_handler(number, interrupt)
         async with asyncio.timeout(limit_s):
             return await case(folder, trouble)
 
     try:
         findings = asyncio.run(limited())
-    except (CannotRun, TimeoutError, OSError) as error:
-        print(f'the case could not run: {error!r}')
-        raise SystemExit(2) from error
+    except asyncio.CancelledError:
+        print('the case was interrupted')
+        raise SystemExit(2) from None
+    except Exception:
+        traceback.print_exc()
+        print('the case could not run')
+        raise SystemExit(2) from None
     for finding in findings:
         print(finding)
     print('the rule is broken' if findings else 'the rule holds')
