--- a/review/3/case.py
+++ b/review/3/case.py
@@ -22,7 +22,7 @@
 # Two machines in each zone; the settings name the first three as seeds.
 DAEMONS = 6
 SEEDS = 3
-BACKENDS = 5
+BACKENDS = 7
 WORK_S = 0.12
 DEADLINE_MS = 3000
 HEARTBEAT_S = 1.5
@@ -36,6 +36,11 @@
 SERVES_ON_S = 3.5
 SENDING_S = 6.0
 INTERVAL_S = 0.05
+# It is a race, so the same happens more than once, each time with another back
+# end.
+ROUNDS = 4
+# Between the rounds; the readers are the seeds again, and all are calm.
+PAUSE_S = 12.0
 
 
 class WatchedBackend(Backend):
@@ -97,43 +102,55 @@
             }
         )
         await deployment.start_daemons(SETTLE_S)
-        tasks = [asyncio.create_task(send_heartbeats(deployment))]
+        heartbeats = asyncio.create_task(send_heartbeats(deployment))
         await asyncio.sleep(2 * HEARTBEAT_S)
-        seeds = deployment.daemons[:SEEDS]
-        survivors = deployment.daemons[SEEDS:]
-        if trouble:
-            for daemon in seeds:
-                daemon.signal(signal.SIGKILL)
-            names = ', '.join(daemon.name for daemon in seeds)
-            record.line(f'killed: {names}')
-            tasks.append(asyncio.create_task(restart(deployment, seeds)))
-        await asyncio.sleep(REMOVED_S)
-        leaving = deployment.backends[-1]
-        leaving.is_listed = False
-        deployment.store.write('servers', leaving.name, None)
-        gone_at = record.now()
-        record.line(f'the store acknowledges that {leaving.name} is gone')
-        tasks.append(asyncio.create_task(end(leaving)))
-        requests = []
-        for number in range(int(SENDING_S / INTERVAL_S)):
-            daemon = survivors[number % len(survivors)]
-            requests.append(
-                asyncio.create_task(
-                    send_request(
-                        record, daemon.front, f'order-{number}',
-                        f'/orders/{number}', method='POST',
-                        deadline_ms=DEADLINE_MS, body=b'x' * 200,
-                    )
+        findings = []
+        for number in range(ROUNDS):
+            if number:
+                await asyncio.sleep(PAUSE_S)
+            findings += await play_round(deployment, number, trouble)
+        heartbeats.cancel()
+        return findings
+
+
+async def play_round(deployment, number, trouble):
+    """Remove the entry of a back end, and return what reaches it too late."""
+    record = deployment.record
+    seeds = deployment.daemons[:SEEDS]
+    survivors = deployment.daemons[SEEDS:]
+    tasks = []
+    if trouble:
+        for daemon in seeds:
+            daemon.signal(signal.SIGKILL)
+        names = ', '.join(daemon.name for daemon in seeds)
+        record.line(f'killed: {names}')
+        tasks.append(asyncio.create_task(restart(deployment, seeds)))
+    await asyncio.sleep(REMOVED_S)
+    leaving = deployment.backends[-1 - number]
+    leaving.is_listed = False
+    deployment.store.write('servers', leaving.name, None)
+    gone_at = record.now()
+    record.line(f'the store acknowledges that {leaving.name} is gone')
+    tasks.append(asyncio.create_task(end(leaving)))
+    requests = []
+    for index in range(int(SENDING_S / INTERVAL_S)):
+        daemon = survivors[index % len(survivors)]
+        order = f'order-{number}-{index}'
+        requests.append(
+            asyncio.create_task(
+                send_request(
+                    record, daemon.front, order, f'/orders/{index}',
+                    method='POST', deadline_ms=DEADLINE_MS, body=b'x' * 200,
                 )
             )
-            await asyncio.sleep(INTERVAL_S)
-        answers = await asyncio.gather(*requests)
-        for task in tasks:
-            task.cancel()
-        return judge(record, leaving, gone_at, answers)
+        )
+        await asyncio.sleep(INTERVAL_S)
+    answers = await asyncio.gather(*requests)
+    await asyncio.gather(*tasks)
+    return judge(record, number, leaving, gone_at, answers)
 
 
-def judge(record, leaving, gone_at, answers):
+def judge(record, round_number, leaving, gone_at, answers):
     """Return the requests that reach the back end too late.
 
     The orders that end without an answer of theirs are recorded, too; they are
@@ -141,7 +158,9 @@
     """
     for number, answer in enumerate(answers):
         if answer.status != 200:
-            record.line(f'order-{number} is not served: {answer}')
+            record.line(
+                f'order-{round_number}-{number} is not served: {answer}'
+            )
     bound_s = BOUNDS['drain_timeout_ms'] / 1000
     findings = []
     for at, request_id in leaving.arrivals:
