Pass on the keys of a reader's first read at once

After the daemons that read the store were killed and started again, the others sent orders to an upstream for up to 3.4 s after its entry was removed, where 2 s are allowed; orders at work there got 504. Cause: a restarted reader has no tombstone of the removal, and the keys of its first read were held back for 2.3 s in each era and until the next change, as a restored copy may lack rows. That holds for entries of an earlier era only. Change: the keys are passed on with the read, as provisional. They end entries of the same era; a daemon that knows of an outage ignores them. Entries that a lagging peer offers are compared with the keys. Daemons of an earlier release take provisional keys for unreadable and go on as before.

--- a/packages/cowslippond-core/src/cowslippond_core/_upstream_registry.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstream_registry.py
@@ -6,6 +6,7 @@
 from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._document import AcceptedDocument
 from cowslippond_core._platform_store import StoreRows
+from cowslippond_core._shared_keys import SharedKeys
 from cowslippond_core._store_era import (
     StoreEra,
     era_of,
@@ -14,12 +15,7 @@
 )
 from cowslippond_core._versions import Versions
 from cowslippond_core._vm import Vm, VmState
-from cowslippond_core._whole_read import (
-    WHOLE_READ_KEY,
-    KeySharing,
-    make_whole_read,
-    removals_of,
-)
+from cowslippond_core._whole_read import WHOLE_READ_KEY
 
 _logger = logging.getLogger(__name__)
 
@@ -53,7 +49,8 @@
     was before; it keeps its later state until the store has a newer row.
 
     After a read of all rows, their keys are an entry as well, from which peers
-    learn of removals for which nobody that they hear of has a tombstone.
+    learn of removals for which nobody that they hear of has a tombstone. What a
+    lagging peer offers later is compared with them, too.
 
     :param clock: the clock of the grace period.
     :param decode: returns the VM of an entry, or ``None`` if it has none.
@@ -77,7 +74,7 @@
         self.pending_removals: dict[str, int] = {}
         self.read_revision = 0
         self.store_back_at: Millis | None = None
-        self.key_sharing = KeySharing(clock, _GRACE_PERIOD)
+        self.shared_keys = SharedKeys(clock, _GRACE_PERIOD)
 
     def vms(self) -> tuple[Vm, ...]:
         """Return the VMs that have an entry."""
@@ -114,7 +111,7 @@
             present = {entry.key for entry in rows.rows}
             missing = set(self.by_key) - present
             removed.update(dict.fromkeys(missing, rows.revision))
-            self.key_sharing.record_read(era_of(rows.revision))
+            self.shared_keys.record_read(era_of(rows.revision))
         self.offer_all([*offered, *self._accept_removals(removed)])
         # A peer asks for the keys only if the revision is new to it.
         if rows.revision > self.read_revision:
@@ -142,13 +139,25 @@
         """Put the newer entries in force, except those from a copy."""
         entries = list(batch)
         for read in tuple(entries):
-            if read.service == WHOLE_READ_KEY:
-                entries.extend(removals_of(read, self.by_key))
+            if read.service != WHOLE_READ_KEY:
+                continue
+            entries.extend(
+                self.shared_keys.find_removals(
+                    read,
+                    {key: self.latest[key] for key in self.by_key},
+                    may_return=self._is_in_grace_period(),
+                )
+            )
         super().offer_all([self._reconcile(entry) for entry in entries])
 
     def put_in_force(self, accepted: AcceptedDocument) -> bool:
         """Put a newer entry of an upstream in force."""
         key = accepted.service
+        if key == WHOLE_READ_KEY:
+            self.shared_keys.record_entry(
+                accepted, may_return=self._is_in_grace_period()
+            )
+            return True
         vm = self.decode(key, accepted.text) if accepted.text else None
         if vm is not None and vm.warm_up:
             # An upstream that turns cold again repeats its entry.
@@ -166,12 +175,11 @@
 
     def _share_keys(self, revision: int) -> None:
         """Make an entry of the keys that were read, unless more may return."""
-        may_return = self.pending_removals or self._is_in_grace_period()
-        if may_return or not self.key_sharing.is_due():
+        if self.pending_removals or self._is_in_grace_period():
             return
-        self.key_sharing.has_unshared = False
-        at = self.clock.wall()
-        self.offer(make_whole_read(revision, self.by_key, at))
+        entry = self.shared_keys.make_entry(revision, self.by_key)
+        if entry is not None:
+            self.offer(entry)
 
     def _reconcile(self, accepted: AcceptedDocument) -> AcceptedDocument:
         """Return an entry of a new era with the state that it had reached.
@@ -179,7 +187,10 @@
         Rows that were written before the copy was made have the revisions that
         they had in the earlier era. Once this daemon has all entries of the new
         era, rows are known to be written in it.
+
+        An entry that had ended when all rows were read becomes a tombstone.
         """
+        accepted = self.shared_keys.end_missing(accepted)
         if not 0 < era_of(self.revision) < era_of(accepted.revision):
             return accepted
         known = self.latest.get(accepted.service)
@@ -229,6 +240,7 @@
             key: lift_unknown(revision, first)
             for key, revision in self.pending_removals.items()
         }
+        self.shared_keys.lift_unknown(first)
         self.revision = lift_unknown(self.revision, first)
         self.read_revision = lift_unknown(self.read_revision, first)
 
@@ -297,7 +309,11 @@
         self.advance(min(self.read_revision, first - 1))
 
     def _trim_tombstones(self) -> None:
-        tombstones = [entry for entry in self.latest.values() if not entry.text]
+        tombstones = [
+            entry
+            for entry in self.latest.values()
+            if not entry.text and entry.service != WHOLE_READ_KEY
+        ]
         if len(tombstones) > _MAX_TOMBSTONES:
             oldest = min(tombstones, key=lambda one: one.revision)
             self.latest.pop(oldest.service)
--- a/packages/cowslippond-core/src/cowslippond_core/_whole_read.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_whole_read.py
@@ -4,18 +4,23 @@
 ended before. It passes the keys on, from which a peer that still has an ended
 entry learns of the end.
 
+The table may have been restored from a copy that lacks rows which their writers
+are about to write again. Until they had the time, the keys are provisional: they
+show only the end of entries that were in the table in the same era.
+
 The text of the entry is empty and its key is none of the table's: a daemon of
 an earlier release takes it for the end of an unknown entry and passes it on.
+Such a daemon takes provisional keys for an unreadable list.
 """
 
 import logging
-import math
 from collections.abc import Iterable
+from typing import NamedTuple
 
 import orjson
 
-from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._document import AcceptedDocument
+from cowslippond_core._store_era import era_of
 
 _logger = logging.getLogger(__name__)
 
@@ -23,27 +28,60 @@
 WHOLE_READ_KEY = ''
 
 
+# The field of the list that holds provisional keys.
+_PROVISIONAL = 'provisional'
+
+
+class WholeRead(NamedTuple):
+    """The keys that a read of a whole table found.
+
+    ``revision`` is that of the read. While ``is_provisional`` is set, rows of an
+    earlier era may be written again.
+    """
+
+    revision: int
+    keys: frozenset[str]
+    is_provisional: bool
+
+    def shows_end_of(self, entry: AcceptedDocument) -> bool:
+        """Return whether an entry had ended when the table was read."""
+        if entry.service in self.keys or entry.revision > self.revision:
+            return False
+        is_same_era = era_of(entry.revision) == era_of(self.revision)
+        return is_same_era or not self.is_provisional
+
+
 def make_whole_read(
-    revision: int, keys: Iterable[str], at: int
+    revision: int,
+    keys: Iterable[str],
+    at: int,
+    *,
+    is_provisional: bool = False,
 ) -> AcceptedDocument:
     """Return the entry of a read.
 
     :param revision: the revision of the read.
     :param keys: the keys that were found.
     :param at: the wall-clock time, in milliseconds.
+    :param is_provisional: whether rows of an earlier era may be written again.
     """
-    listed = orjson.dumps(sorted(keys)).decode()
-    return AcceptedDocument(WHOLE_READ_KEY, revision, revision, '', listed, at)
+    found = sorted(keys)
+    listing = {_PROVISIONAL: found} if is_provisional else found
+    author = orjson.dumps(listing).decode()
+    return AcceptedDocument(WHOLE_READ_KEY, revision, revision, '', author, at)
 
 
-def keys_of(entry: AcceptedDocument) -> frozenset[str] | None:
+def decode_whole_read(entry: AcceptedDocument) -> WholeRead | None:
     """Return the keys that a read found, or ``None`` if they are unreadable."""
     try:
         keys = orjson.loads(entry.author)
     except ValueError:
         keys = None
+    is_provisional = isinstance(keys, dict)
+    if is_provisional:
+        keys = keys.get(_PROVISIONAL)
     if isinstance(keys, list) and all(isinstance(key, str) for key in keys):
-        return frozenset(keys)
+        return WholeRead(entry.revision, frozenset(keys), is_provisional)
     _logger.warning(
         'unreadable list of keys from a peer',
         extra={'revision': entry.revision},
@@ -51,48 +89,18 @@
     return None
 
 
-def removals_of(
-    read: AcceptedDocument, known: Iterable[str]
-) -> list[AcceptedDocument]:
-    """Return tombstones of the known keys that a read lacked.
-
-    An unreadable list removes nothing.
-    """
-    present = keys_of(read)
-    if present is None:
-        return []
-    return [
-        read._replace(service=key, author='')
-        for key in known
-        if key not in present
-    ]
-
+def keys_of(entry: AcceptedDocument) -> frozenset[str] | None:
+    """Return keys that are not provisional, or ``None`` if there are none."""
+    read = decode_whole_read(entry)
+    if read is None or read.is_provisional:
+        return None
+    return read.keys
 
-class KeySharing:
-    """Decides when the keys of a read of all rows are passed on.
 
-    A daemon that started after a restore of the store does not know of it, so
-    the keys of each era are shared some time after it was first read.
+def make_tombstone(entry: AcceptedDocument, key: str) -> AcceptedDocument:
+    """Return the entry that marks the end of a key that a read lacked.
 
-    :param clock: the clock of all times.
-    :param delay: the time in which rows that a copy lacks may return.
+    :param entry: the entry of the read.
+    :param key: the key.
     """
-
-    def __init__(self, clock: Clock, delay: Millis) -> None:
-        self.clock = clock
-        self.delay = delay
-        self.era = 0
-        self.era_read_at: Millis = -math.inf
-        self.has_unshared = False
-
-    def record_read(self, era: int) -> None:
-        """Record that all rows were read."""
-        if era > self.era:
-            self.era = era
-            self.era_read_at = self.clock.now()
-        self.has_unshared = True
-
-    def is_due(self) -> bool:
-        """Return whether there are keys to share now."""
-        since_era = self.clock.now() - self.era_read_at
-        return self.has_unshared and since_era >= self.delay
+    return entry._replace(service=key, author='')
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_parts.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_parts.py
@@ -76,6 +76,7 @@
     )
     fleet.gossip.era = era
     fleet.relay_at_once(STORE_LOST_TABLE)
+    registry.shared_keys.lost_reports = fleet.gossip_table(STORE_LOST_TABLE)
     return FleetParts(
         log,
         registry,
--- a/tests/core/test_upstream_registry.py
+++ b/tests/core/test_upstream_registry.py
@@ -2,6 +2,7 @@
 
 import pytest
 from cowslippond_core import (
+    STORE_LOST_TABLE,
     StoreRow,
     StoreRows,
     UpstreamRegistry,
@@ -9,6 +10,7 @@
     VmState,
 )
 from cowslippond_core._document import AcceptedDocument
+from cowslippond_core._gossip_table import GossipTable
 from cowslippond_core._store_era import combine_era
 from cowslippond_core._whole_read import make_whole_read
 from fakes import FakeClock
@@ -230,6 +232,72 @@
         pull(peer, registry)
         assert set(peer.states()) == {'kept'}
 
+    @pytest.fixture
+    def lagging(self, clock: FakeClock) -> DecodingRegistry:
+        """A daemon that missed a removal in a store that sends its era."""
+        lagging = DecodingRegistry(clock)
+        lagging.read(
+            combine_era(1, 4),
+            StoreRow('kept', combine_era(1, 3), 'live'),
+            StoreRow('gone', combine_era(1, 4), 'live'),
+        )
+        return lagging
+
+    def read_whole(self, registry: DecodingRegistry) -> None:
+        """Let a restarted reader read all rows after the removal."""
+        kept = StoreRow('kept', combine_era(1, 3), 'live')
+        registry.read(combine_era(1, 9), kept, is_whole=True)
+
+    def test_removal_reaches_a_peer_with_the_first_read_of_an_era(
+        self, registry: DecodingRegistry, lagging: DecodingRegistry
+    ) -> None:
+        """The peer sent calls to the upstream for another 2.3 s and more."""
+        self.read_whole(registry)
+        pull(lagging, registry)
+        assert set(lagging.states()) == {'kept'}
+
+    def test_removed_upstream_does_not_return_through_a_lagging_peer(
+        self, registry: DecodingRegistry, lagging: DecodingRegistry
+    ) -> None:
+        """The peer's entry was on its way while the reader read all rows."""
+        self.read_whole(registry)
+        registry.offer_all(lagging.newer_than(0))
+        assert set(registry.states()) == {'kept'}
+        started = DecodingRegistry(registry.clock)
+        pull(started, registry)
+        started.offer_all(lagging.newer_than(0))
+        assert set(started.states()) == {'kept'}
+
+    def test_upstream_that_registers_again_after_the_read_is_used(
+        self, registry: DecodingRegistry, lagging: DecodingRegistry
+    ) -> None:
+        self.read_whole(registry)
+        pull(lagging, registry)
+        again = StoreRow('gone', combine_era(1, 10), 'live')
+        registry.read(combine_era(1, 10), again)
+        pull(lagging, registry)
+        assert set(registry.states()) == {'kept', 'gone'}
+        assert set(lagging.states()) == {'kept', 'gone'}
+
+    def test_first_read_removes_nothing_while_the_store_is_reported_lost(
+        self,
+        clock: FakeClock,
+        registry: DecodingRegistry,
+        lagging: DecodingRegistry,
+    ) -> None:
+        """A restarted reader does not know that entries lapsed in an outage."""
+        reports = GossipTable(STORE_LOST_TABLE, clock)
+        reports.put('reader', 'lost', 5000)
+        lagging.shared_keys.lost_reports = reports
+        self.read_whole(registry)
+        pull(lagging, registry)
+        assert set(lagging.states()) == {'kept', 'gone'}
+        clock.advance(2300)
+        kept = StoreRow('kept', combine_era(1, 10), 'live')
+        registry.read(combine_era(1, 10), kept)
+        pull(lagging, registry)
+        assert set(lagging.states()) == {'kept'}
+
     def test_unreadable_keys_remove_nothing(
         self, peer: DecodingRegistry
     ) -> None:
