End an answer without end at the route's timeout

Behind upstreams whose bodies never end, 21 of 150 requests had no final answer 0.5 s after their route's timeout of 800 ms, and got bytes until they left at 3 s. Cause: the effective deadline bounded an answer only until 64 KB of it had arrived. After that, only the pause between two chunks was bounded, by the caller's deadline or 5 s, whichever was later. Ruled out: the sending to the caller, as the callers of the case read all the while; the first wait, by the code. Change: an answer that is handed over incomplete is ended at the effective deadline. A complete one is still delivered late. An upstream that kept the daemon waiting counts as failed, one that waited for the caller doesn't. Relayed calls and uploads take the same path. The first program's answers end at the ceiling of the document's deadlines. `response truncated` has a reason. The fake attempt of test_hedges.py gets the new method.

--- a/packages/cowslippond-core/src/cowslippond_core/_attempt.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_attempt.py
@@ -1,6 +1,7 @@
 """One send of a call to one upstream, and the result of that attempt."""
 
 import contextlib
+import math
 from collections.abc import AsyncGenerator, Callable
 from typing import NamedTuple, TypeAlias
 
@@ -21,6 +22,7 @@
     end_to_end_headers,
     is_chunked,
 )
+from cowslippond_core._isolation import run_contained
 from cowslippond_core._messages import (
     CallAnswer,
     CallRequest,
@@ -95,7 +97,8 @@
         attempt.end()
         if exchange.is_complete:
             raise StopAsyncIteration
-        raise TruncatedAnswerError(attempt.upstream.address)
+        fault = exchange.fault or ExchangeFault.CLOSED
+        raise TruncatedAnswerError(attempt.upstream.address, fault.value)
 
     async def aclose(self) -> None:
         """Discard the rest of the body and cancel the call if it still runs."""
@@ -136,6 +139,7 @@
         self.is_reused = False
         self.is_ended = False
         self.on_end: Callable[[], None] | None = None
+        self.limit_scope: anyio.CancelScope | None = None
         self.exchange = Exchange(
             is_head=request.method == _HEAD_METHOD,
             allows_close_delimited=dialect.allows_close_delimited,
@@ -211,6 +215,34 @@
             raise
         return b''
 
+    def limit_answer(self, until: Millis) -> None:
+        """End the attempt at a time by which its answer is not complete.
+
+        The answer is already being passed on then, at the pace of its reader.
+        A complete answer is delivered later as well.
+
+        :param until: clock time in milliseconds; infinite for no limit.
+        """
+        if self.is_ended or math.isinf(until):
+            return
+        self.limit_scope = anyio.CancelScope()
+        self.upstream.connections.tasks.start_soon(
+            run_contained, self._end_at, until, self.limit_scope
+        )
+
+    async def _end_at(self, until: Millis, scope: anyio.CancelScope) -> None:
+        with scope:
+            await self.clock.sleep(until - self.clock.now())
+            await self._read_after_pause(until)
+            if self.exchange.is_complete:
+                return
+            # Otherwise the upstream waits for the reader of the answer.
+            is_upstream_slow = not self.exchange.is_buffered
+            self.exchange.record_fault(ExchangeFault.TIMEOUT)
+            self.end()
+            if is_upstream_slow:
+                self.upstream.failures.record(self.clock.now(), is_failure=True)
+
     def end(self) -> None:
         """End the attempt and release its connection.
 
@@ -219,6 +251,8 @@
         if self.is_ended:
             return
         self.is_ended = True
+        if self.limit_scope is not None:
+            self.limit_scope.cancel()
         if self.exchange.has_head:
             self._read_metadata()
         self.upstream.in_flight -= 1
--- a/packages/cowslippond-core/src/cowslippond_core/_messages.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_messages.py
@@ -100,8 +100,12 @@
     """An upstream did not complete the body of its answer.
 
     :param upstream: the address of the upstream.
+    :param reason: why the rest of the answer is missing.
     """
 
-    def __init__(self, upstream: str) -> None:
-        super().__init__(f'answer from upstream {upstream} was truncated')
+    def __init__(self, upstream: str, reason: str = 'closed') -> None:
+        super().__init__(
+            f'answer from upstream {upstream} was truncated: {reason}'
+        )
         self.upstream = upstream
+        self.reason = reason
--- a/packages/cowslippond-core/src/cowslippond_core/_sender.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_sender.py
@@ -87,6 +87,9 @@
             service.limiter.release()
             return result
         service.limiter.record_answer(clock.now() - started_at)
+        result.attempt.limit_answer(
+            started_at + service.document.deadline.ceiling_ms
+        )
         result.attempt.call_when_ended(
             partial(self._finish_call, service, result.attempt)
         )
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -98,6 +98,7 @@
             self._discard_best()
             raise
         if isinstance(self.best_result, Answered):
+            self.best_result.attempt.limit_answer(self.call.effective_deadline)
             return self.best_result.answer
         if self.best_result is not None:
             return self.refuse(Outcome.UNKNOWN, RefusalReason.ANSWER_LOST)
--- a/packages/cowslippond-standins/src/cowslippond_standins/model/_simulation.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/_simulation.py
@@ -313,6 +313,9 @@
         answer: Any = CallAnswer(_OK_STATUS, (), self)  # type: ignore[arg-type]
         return Answered(answer, self)  # type: ignore[arg-type]
 
+    def limit_answer(self, until: Millis) -> None:
+        """Do nothing, as simulated answers are complete."""
+
     def end(self) -> None:
         """End the attempt and cancel its call if it is still running."""
         if self.is_ended:
--- a/tests/core/test_answers.py
+++ b/tests/core/test_answers.py
@@ -12,16 +12,20 @@
 from core.scripted_upstream import (
     Script,
     ScriptedUpstream,
+    SenderHarness,
     answer_bytes,
+    read_whole,
     script_of,
     sender_harness,
 )
 from cowslippond_core import (
     CallAnswer,
     CallRefusal,
+    Millis,
     Outcome,
     TruncatedAnswerError,
 )
+from cowslippond_core._attempt import Attempt
 
 pytestmark = pytest.mark.anyio
 
@@ -30,6 +34,9 @@
 _MEGABYTE = 1048576
 _LARGE = 64 * _MEGABYTE
 
+# More than is buffered before an answer is passed on.
+_LONG = b'a' * 100_000
+
 
 async def _send_large(stream: SocketStream, head: bytes) -> None:
     await stream.send(_HEAD)
@@ -47,6 +54,26 @@
     await stream.send(b'0\r\n\r\n')
 
 
+async def _send_without_end(stream: SocketStream, head: bytes) -> None:
+    await stream.send(_HEAD)
+    await stream.send(b'transfer-encoding: chunked\r\n\r\n')
+    while True:
+        await stream.send(b'%x\r\n%b\r\n' % (4096, b'a' * 4096))
+        await anyio.lowlevel.checkpoint()
+
+
+async def _send_limited(harness: SenderHarness) -> CallAnswer:
+    """Send a call whose answer must be complete 200 ms after its start."""
+    answer = await harness.sender.send(harness.service, harness.request())
+    answer.chunks.attempt.limit_answer(harness.clock.now() + 200)
+    return answer
+
+
+def _failures(attempt: Attempt, now: Millis) -> float:
+    """Return how many recent calls on an upstream have failed."""
+    return round(attempt.upstream.failures.local_counts(now).failed, 1)
+
+
 async def _read_chunked(stream: SocketStream, head: bytes) -> None:
     received = head.partition(b'\r\n\r\n')[2]
     while not received.endswith(b'\r\n0\r\n\r\n'):
@@ -138,6 +165,54 @@
         assert refusal.outcome is Outcome.UNKNOWN
 
 
+class TestTimeLimit:
+    """An answer that is being passed on when its time is over."""
+
+    async def test_incomplete_answer_ends_and_counts_as_failed(self) -> None:
+        upstream = ScriptedUpstream(_send_without_end)
+        async with sender_harness(upstream) as harness:
+            answer = await _send_limited(harness)
+            attempt = answer.chunks.attempt
+            with pytest.raises(TruncatedAnswerError, match='timeout'):
+                await read_whole(answer)
+            assert _failures(attempt, harness.clock.now()) == 1
+            assert attempt.upstream.in_flight == 0
+            await anyio.sleep(0.05)
+        assert upstream.cut_connections == 1
+
+    async def test_complete_answer_is_delivered_late(self) -> None:
+        upstream = ScriptedUpstream(script_of(answer_bytes(_LONG)))
+        async with sender_harness(upstream) as harness:
+            answer = await _send_limited(harness)
+            first = await anext(answer.chunks)
+            await anyio.sleep(0.4)
+            assert first + await read_whole(answer) == _LONG
+
+    async def test_upstream_is_not_blamed_for_a_slow_reader(self) -> None:
+        upstream = ScriptedUpstream(_send_large)
+        async with sender_harness(upstream) as harness:
+            answer = await _send_limited(harness)
+            attempt = answer.chunks.attempt
+            await anyio.sleep(0.4)
+            assert attempt.is_ended
+            assert not _failures(attempt, harness.clock.now())
+            with pytest.raises(TruncatedAnswerError):
+                await read_whole(answer)
+
+    async def test_answer_ends_at_the_longest_time_that_callers_may_wait(
+        self,
+    ) -> None:
+        """The bytes were passed on for as long as the caller stayed."""
+        upstream = ScriptedUpstream(_send_without_end)
+        async with sender_harness(upstream) as harness:
+            document = harness.service.document
+            harness.service.document = document._replace(
+                deadline=document.deadline._replace(ceiling_ms=300)
+            )
+            with anyio.fail_after(3), pytest.raises(TruncatedAnswerError):
+                await harness.call()
+
+
 class TestUnexpectedBytes:
     async def test_second_answer_is_discarded(self) -> None:
         two_answers = answer_bytes(b'ok') + answer_bytes(b'other')
--- a/tests/dispatch/test_hedges.py
+++ b/tests/dispatch/test_hedges.py
@@ -72,6 +72,9 @@
     async def start(self) -> None:
         """Send the call."""
 
+    def limit_answer(self, until: Millis) -> None:
+        """Do nothing, as answers are complete."""
+
     async def wait_buffered(self, until: Millis) -> Answered | None:
         """Answer after 10 ms, except for the first send."""
         if self.number:
--- a/tests/fleet/test_endless_answers.py
+++ b/tests/fleet/test_endless_answers.py
@@ -40,6 +40,21 @@
         'bytes behind the end': (b'%bcontent-length: 0\r\n\r\n' % OK, FILLER),
     }
 )
+REQUEST_ID = 'r'
+OWN_CHUNKED = CHUNKED.replace(
+    SIGNED, b'%bx-request-id: %b\r\n' % (SIGNED, REQUEST_ID.encode())
+)
+# More than a daemon buffers before it passes an answer on.
+LONG_PART = b'%x\r\n%b\r\n' % (100_000, b'a' * 100_000)
+ENDLESS_BODIES = MappingProxyType(
+    {
+        'chunks': (OWN_CHUNKED, b'%x\r\n%b\r\n' % (len(FILLER), FILLER)),
+        'silence': (OWN_CHUNKED + LONG_PART, b''),
+    }
+)
+TIMEOUT = 800
+DEADLINE = 3000
+MAX_LATENESS = 500
 MAX_GROWTH_KB = 8192
 PAIRS = 10
 MAX_SECONDS = 8
@@ -84,6 +99,8 @@
                 continue
             self.counts['endless'] += 1
             await stream.send(self.start)
+            if not self.filler:
+                await stream.receive()
             while True:
                 await stream.send(self.filler)
 
@@ -143,6 +160,31 @@
         assert memory_kb(node) - before < MAX_GROWTH_KB
 
 
+class TestEndlessBody:
+    @pytest.mark.parametrize('kind', ENDLESS_BODIES)
+    async def test_answer_ends_at_the_timeout_of_the_route(
+        self, fleet: FleetDeployment, kind: str
+    ) -> None:
+        """The bytes were passed on for as long as the caller stayed."""
+        endless = EndlessBackend(*ENDLESS_BODIES[kind], ends_health=True)
+        await fleet.tasks.start(endless.serve)
+        fleet.list_backend(endless, 'catalogue', DOMAINS[0])
+        fleet.configure(
+            {'prints': route('catalogue', prefix='/prints/', timeout=TIMEOUT)}
+        )
+        node = await fleet.add_node(DOMAINS[0])
+        caller = Caller(
+            node.name, node.caller_address, fleet.tasks, fleet.clock
+        )
+        call_result = await caller.send_request(
+            REQUEST_ID, '/prints/1', deadline=DEADLINE
+        )
+        assert call_result.status == 200
+        assert call_result.verdict is Verdict.CLOSED
+        assert TIMEOUT <= call_result.duration < TIMEOUT + MAX_LATENESS
+        await wait_until_closed(fleet, endless)
+
+
 class TestEndlessHealthAnswers:
     @pytest.mark.parametrize('kind', ENDLESS)
     async def test_lookups_go_to_the_other_back_end(
