--- a/tests/platform/test_malformed_entries.py
+++ b/tests/platform/test_malformed_entries.py
@@ -9,7 +9,13 @@
 
 import orjson
 import pytest
-from cowslippond_core import GossipTable, Vm
+from cowslippond_core import (
+    GossipTable,
+    StoreRow,
+    StoreRows,
+    UpstreamRegistry,
+    Vm,
+)
 from cowslippond_core._codec import WireError
 from cowslippond_core._fleet_contact import FleetContact
 from cowslippond_core._fleet_size import FleetSize
@@ -23,6 +29,8 @@
 from spread_fakes import make_accepted, make_catalogue
 
 MAX_PORT = 65_535
+LONG_PORT = '10.0.0.1:1'.ljust(5000, '1')
+LONG_NAME = 'x' * 300
 ENTRY = MappingProxyType(
     {
         'service': 'shop',
@@ -59,8 +67,14 @@
     assert host
     assert port.isascii()
     assert 0 < int(port) <= MAX_PORT
-    assert vm.slots >= 0
-    assert vm.warm_up >= 0
+    assert 0 <= vm.slots < 2**53
+    assert 0 <= vm.warm_up < 2**53
+
+
+def entry_text(field: str, wrong: str) -> str:
+    """Return the text of an entry with other JSON in one of its fields."""
+    text = orjson.dumps({**ENTRY, field: '@'}).decode()
+    return text.replace('"@"', wrong)
 
 
 class TestEntries:
@@ -74,6 +88,11 @@
             '10.0.0.1:-1',
             ':80',
             '10.0.0.1',
+            LONG_PORT,
+            '10.0.0.1:000000080',
+            'shop..example:80',
+            '10.0.0.1\x00:80',
+            f'{LONG_NAME}:80',
         ],
     )
     def test_address_that_cannot_be_connected_to_is_ignored(
@@ -90,6 +109,44 @@
         entry = {**ENTRY, 'slots': slots}
         assert decode_entry('i-1', orjson.dumps(entry).decode()) is None
 
+    @pytest.mark.parametrize('field', sorted(ENTRY))
+    @pytest.mark.parametrize('depth', [500, 900, 1000, 1020, 100_000])
+    def test_deeply_nested_field(self, field: str, depth: int) -> None:
+        """An error that no code expected held up all rows behind the entry."""
+        text = entry_text(field, '[' * depth + ']' * depth)
+        vm = decode_entry('i-1', text)
+        if vm is not None:
+            assert_usable(vm)
+
+    @pytest.mark.parametrize('field', ['slots', 'warmup_left_ms', 'born'])
+    @pytest.mark.parametrize(
+        'number', ['1e400', '1e308', '-1e308', '9' * 30, '9' * 5000, str(2**64)]
+    )
+    def test_number_out_of_range(self, field: str, number: str) -> None:
+        """Sums of such numbers could not be sent to peers."""
+        vm = decode_entry('i-1', entry_text(field, number))
+        if vm is not None:
+            assert_usable(vm)
+
+    @pytest.mark.parametrize(
+        'key', ['i-1\r\nx-deadline-ms: 1', 'i-\x00', 'i-\xe9']
+    )
+    def test_name_that_no_header_can_hold_is_ignored(self, key: str) -> None:
+        """The name is sent to the upstream in a header of each request."""
+        assert decode_entry(key, orjson.dumps(dict(ENTRY)).decode()) is None
+
+    def test_sound_upstream_behind_malformed_entries_is_used(self) -> None:
+        """A daemon read the list again and again without applying it."""
+        clock = FakeClock(10_000)
+        registry = UpstreamRegistry(clock, decode_entry)
+        rows = (
+            StoreRow('i-1', 1, entry_text('born', '[' * 1000 + ']' * 1000)),
+            StoreRow('i-2', 2, entry_text('address', f'"{LONG_PORT}"')),
+            StoreRow('i-3', 3, orjson.dumps(dict(ENTRY)).decode()),
+        )
+        registry.apply_rows(StoreRows(rows, 3), True, False, 0)
+        assert [vm.name for vm in registry.vms()] == ['i-3']
+
     @given(field=st.sampled_from(sorted(ENTRY)), wrong=json_like)
     def test_entry_with_one_wrong_field(self, field: str, wrong: Any) -> None:
         text = orjson.dumps({**ENTRY, field: wrong}).decode()
