Ignore loads of upstreams that are no proper numbers

Cause: the figures were converted to whole numbers without a check. Ruled out: the other numeric headers, which are checked for finite numbers. Change: figures below 0, above a million, or not finite are ignored. Measured: 6 of the new cases of test_invalid_load_is_ignored failed before (three by an exception, three as the figure was taken); all pass now.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
@@ -39,6 +39,10 @@
 _UNAVAILABLE_STATUS = 503
 _NORMAL_SLOWNESS_PERCENT = 100
 _MIN_LOAD_FIELDS = 3
+
+# Larger figures, and those that are no finite numbers, come from faulty
+# upstreams.
+_MAX_LOAD_FIELD = 1_000_000
 _MILLIS_PER_SECOND = 1000
 
 _logger = logging.getLogger(__name__)
@@ -103,6 +107,8 @@
         return None
     if len(fields) < _MIN_LOAD_FIELDS:
         return None
+    if not all(0 <= field <= _MAX_LOAD_FIELD for field in fields):
+        return None
     running, waiting, slots, *optional = fields
     slowness = optional[0] / _NORMAL_SLOWNESS_PERCENT if optional else 1
     return LoadReport(int(running), int(waiting), int(slots), slowness)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -228,8 +228,22 @@
         )
         assert metadata.load == LoadReport(3, 0, 8, 1)
 
-    @pytest.mark.parametrize('text', [b'', b'1', b'a,b,c'])
+    @pytest.mark.parametrize(
+        'text',
+        [
+            b'',
+            b'1',
+            b'a,b,c',
+            b'nan,0,2',
+            b'0,inf,2',
+            b'0,0,1e400',
+            b'0,0,2,nan',
+            b'-1,0,2',
+            b'0,0,1e30',
+        ],
+    )
     def test_invalid_load_is_ignored(self, text: bytes) -> None:
+        """Callers got 500 for calls that had been answered."""
         metadata = self.dialect.read_answer(200, ((b'x-backend-load', text),))
         assert metadata.load is None
 
