Name the two states of shared keys, and describe what was fixed

Cause: a newcomer could not tell the entry from the read in SharedKeys, and the design notes described the keys and the end of long answers as they were before. Measured: lint, and the tests of the registry and of eras pass.

--- a/packages/cowslippond-core/src/cowslippond_core/_shared_keys.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_shared_keys.py
@@ -29,6 +29,9 @@
     either. Provisional keys are therefore ignored where rows may still return,
     or where ``lost_reports`` tell of a daemon that cannot read the store.
 
+    ``newest_entry`` holds the keys of the newest read, ``usable_read`` is that
+    read if it shows removals.
+
     :param clock: the clock of all times.
     :param delay: the time in which rows that a copy lacks may return.
     """
@@ -41,8 +44,8 @@
         self.era_read_at: Millis = -math.inf
         self.has_new_read = False
         self.has_provisional = False
-        self.entry: AcceptedDocument | None = None
-        self.read: WholeRead | None = None
+        self.newest_entry: AcceptedDocument | None = None
+        self.usable_read: WholeRead | None = None
 
     def record_read(self, era: int) -> None:
         """Record that this daemon has read all rows."""
@@ -83,8 +86,8 @@
 
         :param may_return: whether missing rows may still return.
         """
-        self.entry = entry
-        self.read = self._find_usable(entry, may_return)
+        self.newest_entry = entry
+        self.usable_read = self._find_usable(entry, may_return)
 
     def find_removals(
         self,
@@ -119,19 +122,25 @@
 
         A lagging peer may offer an entry whose end this daemon never saw.
         """
-        if self.entry is None or self.read is None or not offered.text:
+        if (
+            self.newest_entry is None
+            or self.usable_read is None
+            or not offered.text
+        ):
             return offered
-        if not self.read.shows_end_of(offered):
+        if not self.usable_read.shows_end_of(offered):
             return offered
-        return make_tombstone(self.entry, offered.service)
+        return make_tombstone(self.newest_entry, offered.service)
 
     def lift_unknown(self, era: int) -> None:
         """Assign keys of an unknown era to a given one."""
-        if self.entry is None or self.read is None:
+        if self.newest_entry is None or self.usable_read is None:
             return
-        revision = lift_unknown(self.read.revision, era)
-        self.read = self.read._replace(revision=revision)
-        self.entry = self.entry._replace(version=revision, revision=revision)
+        revision = lift_unknown(self.usable_read.revision, era)
+        self.usable_read = self.usable_read._replace(revision=revision)
+        self.newest_entry = self.newest_entry._replace(
+            version=revision, revision=revision
+        )
 
     def _find_usable(
         self, entry: AcceptedDocument, may_return: bool
--- a/packages/cowslippond-core/src/cowslippond_core/_whole_read.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_whole_read.py
@@ -27,7 +27,6 @@
 #: The key of the entry; rows of the store have keys that are not empty.
 WHOLE_READ_KEY = ''
 
-
 # The field of the list that holds provisional keys.
 _PROVISIONAL = 'provisional'
 
