--- a/packages/cowslippond-core/src/cowslippond_core/__init__.pyi
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.pyi
@@ -147,6 +147,7 @@
 from ._spread import Spread as Spread
 from ._spread import SpreadSettings as SpreadSettings
 from ._spread import SpreadStatus as SpreadStatus
+from ._stop_limit import StopLimit as StopLimit
 from ._store_era import MAX_ERA as MAX_ERA
 from ._store_era import StoreEra as StoreEra
 from ._store_era import combine_era as combine_era
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_context.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_context.py
@@ -9,6 +9,7 @@
 from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._dialect import Dialect
 from cowslippond_core._hooks import SendingHooks
+from cowslippond_core._stop_limit import StopLimit
 from cowslippond_core.dispatch._relay_peers import RelayPeers
 
 
@@ -23,7 +24,8 @@
     one. ``make_attempt`` creates the attempts; simulations replace it.
     ``record_duration`` adds a duration to the histogram of the given name.
     ``relays`` are the daemons that calls can be sent through. ``evacuated`` are
-    the failure domains whose upstreams get no calls.
+    the failure domains whose upstreams get no calls. ``stop`` tells which calls
+    are no longer sent because the daemon stops.
     """
 
     clock: Clock
@@ -35,3 +37,4 @@
     record_duration: Callable[[str, Millis], None] = discard_duration
     relays: RelayPeers | None = None
     evacuated: AbstractSet[str] = frozenset()
+    stop: StopLimit | None = None
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_dispatch.py
@@ -164,7 +164,7 @@
             priority=call.priority,
             excluded=self._excluded(),
             is_hedge=is_hedge,
-            is_revoked=access.is_revoked if access else None,
+            find_obstacle=partial(find_end, self.ctx, call),
             workspace=access.workspace.name if access else None,
             weight=access.workspace.rate if access else 0,
         )
@@ -322,6 +322,9 @@
         wait = placer.limited_waits.retry_after(self.clock.now())
         jitter = 1 + self.ctx.rng.random() * _RETRY_AFTER_JITTER
         delay = min(max(wait, _MIN_RETRY_AFTER) * jitter, _MAX_RETRY_AFTER)
+        if reason is RefusalReason.NOT_READY:
+            # Another daemon can serve the call at once.
+            delay = _MIN_RETRY_AFTER
         _logger.info(
             'call given up',
             extra={
@@ -341,12 +344,24 @@
 
 def _find_obstacle(ctx: DispatchContext, call: Call) -> RefusalReason | None:
     """Return why a call must not be sent, or not sent again."""
-    if call.request.is_revoked():
-        return RefusalReason.KEY_REVOKED
+    ending = find_end(ctx, call)
+    if ending is not None:
+        return ending
     check = ctx.hooks.quarantine.check(call.request.fingerprint)
     return None if check is None else check.reason
 
 
+def find_end(ctx: DispatchContext, call: Call) -> RefusalReason | None:
+    """Return why a call that waits for an upstream must not be sent."""
+    if call.request.is_revoked():
+        return RefusalReason.KEY_REVOKED
+    if ctx.stop is not None and ctx.stop.refuses(
+        call.effective_deadline, is_repeatable=call.route.is_idempotent
+    ):
+        return RefusalReason.NOT_READY
+    return None
+
+
 def _relay_refusal_reason(
     result: AttemptResult, cause: RefusalReason
 ) -> RefusalReason:
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_uploads.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_uploads.py
@@ -3,6 +3,7 @@
 import contextlib
 import logging
 from collections.abc import AsyncIterator
+from functools import partial
 
 from cowslippond_core._messages import (
     CallAnswer,
@@ -14,7 +15,11 @@
 from cowslippond_core._reasons import RefusalReason
 from cowslippond_core.dispatch._call import Call
 from cowslippond_core.dispatch._context import DispatchContext
-from cowslippond_core.dispatch._dispatch import Dispatch, FirstSendCheck
+from cowslippond_core.dispatch._dispatch import (
+    Dispatch,
+    FirstSendCheck,
+    find_end,
+)
 from cowslippond_core.dispatch._service import Service
 from cowslippond_core.placing import UploadGate, UploadProgress
 
@@ -102,7 +107,9 @@
         close it.
         """
         call = self.call
-        progress = await self.service.uploads.enter(call.effective_deadline)
+        progress = await self.service.uploads.enter(
+            call.effective_deadline, partial(find_end, self.ctx, call)
+        )
         if isinstance(progress, RefusalReason):
             refused = Dispatch(self.ctx, self.service, call)
             return refused.refuse(Outcome.NOT_RUN, progress)
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_pending_call.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_pending_call.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from cowslippond_core._clock import Millis
+from cowslippond_core._reasons import RefusalReason
 from cowslippond_core._upstreams import Upstream
 
 
@@ -14,8 +15,9 @@
     milliseconds. Calls with a lower ``priority`` value are served first.
     ``excluded`` holds the addresses that must not be granted to the call.
     ``is_hedge`` marks a second send of a call whose first send is still in
-    flight: it gets a free upstream immediately or none at all. ``is_revoked``
-    tells whether the caller's key was revoked, in which case the call is refused.
+    flight: it gets a free upstream immediately or none at all.
+    ``find_obstacle`` returns why the call must no longer be sent, for instance
+    because its caller's key was revoked, or ``None``.
     ``workspace`` is the name of the call's workspace, if it has one, and
     ``weight`` its part of the slots relative to other workspaces: the rate of its
     quota, or 0 if it has none.
@@ -28,7 +30,7 @@
     priority: int
     excluded: Container[str]
     is_hedge: bool = False
-    is_revoked: Callable[[], bool] | None = None
+    find_obstacle: Callable[[], RefusalReason | None] | None = None
     workspace: str | None = None
     weight: float = 0
 
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_placer.py
@@ -200,8 +200,8 @@
         if self.is_bypassed():
             for call in tuple(self.queue.pending):
                 self._settle(call, RefusalReason.OUT_OF_REACH)
-        for revoked in self.queue.revoked():
-            self._settle(revoked, RefusalReason.KEY_REVOKED)
+        for obstructed, reason in self.queue.obstructed():
+            self._settle(obstructed, reason)
         if are_evacuated(self.upstreams, self.fleet):
             for waiting in tuple(self.queue.pending):
                 self._settle(waiting, RefusalReason.EVACUATED)
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_queue.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_queue.py
@@ -146,13 +146,16 @@
             if self._is_expired(call, has_timely, now)
         ]
 
-    def revoked(self) -> list[PendingCall]:
-        """Return the calls whose callers' keys were revoked."""
-        return [
-            call
-            for call in self.pending
-            if call.is_revoked is not None and call.is_revoked()
-        ]
+    def obstructed(self) -> list[tuple[PendingCall, RefusalReason]]:
+        """Return the calls that must no longer be sent, and why."""
+        found = []
+        for call in self.pending:
+            if call.find_obstacle is None:
+                continue
+            reason = call.find_obstacle()
+            if reason is not None:
+                found.append((call, reason))
+        return found
 
     def retry_after(self) -> Millis:
         """Return when a refused call can expect a slot, in milliseconds."""
--- a/packages/cowslippond-core/src/cowslippond_core/placing/_upload_gate.py
+++ b/packages/cowslippond-core/src/cowslippond_core/placing/_upload_gate.py
@@ -64,6 +64,10 @@
         return self.passed_bytes >= _FAST_BYTES_PER_MILLI * span
 
 
+def _find_none() -> None:
+    """Find no obstacle."""
+
+
 class UploadGate:
     """Admits uploads in their order of arrival.
 
@@ -82,12 +86,17 @@
         self.running: set[UploadProgress] = set()
         self.waiting: deque[_Turn] = deque()
 
-    async def enter(self, deadline: Millis) -> UploadProgress | RefusalReason:
+    async def enter(
+        self,
+        deadline: Millis,
+        find_obstacle: Callable[[], RefusalReason | None] = _find_none,
+    ) -> UploadProgress | RefusalReason:
         """Wait until an upload may be sent, or return why it is refused.
 
         An upload that was admitted must :meth:`leave`.
 
         :param deadline: clock time in milliseconds, infinite if there is none.
+        :param find_obstacle: returns why the upload must no longer be sent.
         """
         if not self.waiting and self._has_room():
             return self._start()
@@ -97,20 +106,27 @@
         self.waiting.append(turn)
         with contextlib.ExitStack() as at_end:
             at_end.callback(self._forget, turn)
-            await self._wait(turn, deadline)
+            await self._wait(turn, deadline, find_obstacle)
             if turn.progress is not None:
                 at_end.pop_all()
                 return turn.progress
-        return RefusalReason.DEADLINE
+        return find_obstacle() or RefusalReason.DEADLINE
 
     def leave(self, progress: UploadProgress) -> None:
         """End an upload, and admit those that wait."""
         self.running.discard(progress)
         self._admit()
 
-    async def _wait(self, turn: '_Turn', deadline: Millis) -> None:
+    async def _wait(
+        self,
+        turn: '_Turn',
+        deadline: Millis,
+        find_obstacle: Callable[[], RefusalReason | None],
+    ) -> None:
         left = deadline - self.clock.now()
         while left > 0 and turn.progress is None:
+            if find_obstacle() is not None:
+                return
             with anyio.move_on_after(seconds_of(min(left, _RECHECK_INTERVAL))):
                 await turn.admitted.wait()
             self._admit()
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -19,6 +19,7 @@
     Quarantine,
     SendingHooks,
     Services,
+    StopLimit,
     run_restarting,
     seconds_of,
     share_quarantine,
@@ -67,7 +68,11 @@
 # the exit of the process. The platform excuses calls that are cut in this part.
 _CLOSE_SHARE = 1 / 6
 
-# Within that part, the limit for connections whose callers do not respond.
+# The part of the rest in which new calls are taken at most. A call that is taken
+# later would hardly end in time.
+_TAKING_SHARE = 0.5
+
+# Within the part at the end, the limit for connections whose callers do not respond.
 _CLOSE_TIMEOUT: Millis = 300
 
 # How long aborted connections take to close.
@@ -102,6 +107,7 @@
         self.rng = random.Random()
         self.state = DaemonState.STARTING
         self.stop_requested = anyio.Event()
+        self.stop = StopLimit()
         self.parts = build_fleet_parts(settings, adapter, self.clock, self.rng)
         self.metrics = self.parts.metrics
         self.fleet = self.parts.fleet
@@ -153,6 +159,7 @@
                 self.parts.configuration_log.keys.is_required,
             ),
             evacuated=self.parts.evacuations.domains,
+            stop=self.stop,
         )
         services = Services(
             ctx,
@@ -290,9 +297,10 @@
         limit = self.settings.stop_timeout * (1 - _CLOSE_SHARE)
         plan = RetirementPlan(
             self.clock,
-            min(_BALANCER_LAG, limit),
+            min(_BALANCER_LAG, limit * _TAKING_SHARE),
             limit,
             closes_idle=True,
+            stop=self.stop,
         )
         await plan.retire(edge, callers, _has_no_pending_work)
         with anyio.move_on_after(seconds_of(_CLOSE_TIMEOUT)):
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_retirement.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_retirement.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 import anyio
-from cowslippond_core import Clock, Millis
+from cowslippond_core import Clock, Millis, StopLimit
 
 from cowslippond_daemon._edge import Edge
 from cowslippond_daemon._servers import DaemonServer
@@ -40,6 +40,7 @@
         lag, and to refuse further calls, so that no call starts too late to
         finish before the process exits. Callers then have to resend a call if
         its connection closes before the call was read.
+    :param stop: tells the calls that wait to be sent when the stop ends.
     """
 
     def __init__(
@@ -49,8 +50,10 @@
         limit_ms: Millis,
         *,
         closes_idle: bool = False,
+        stop: StopLimit | None = None,
     ) -> None:
         self.clock = clock
+        self.stop = stop or StopLimit()
         self.closes_idle = closes_idle
         self.lag_ms = lag_ms
         self.limit_ms = limit_ms
@@ -69,10 +72,12 @@
         """
         self.started_at = self.clock.now()
         edge.is_leaving = True
+        self.stop.ends_at = self.started_at + self.limit_ms
         _logger.info('leaving', extra={'lag_ms': self.lag_ms})
         await self.clock.sleep(min(self.lag_ms, self._time_left()))
         if self.closes_idle:
             edge.refuses_calls = True
+            self.stop.refuses_all = True
             server.close_idle()
         connections = server.server_state.connections
         while connections and self._time_left() > 0:
--- a/tests/workspaces/test_call_access.py
+++ b/tests/workspaces/test_call_access.py
@@ -191,12 +191,19 @@
     def test_waiting_call_is_found(self) -> None:
         registry = make_registry()
         queue = CallQueue(ServiceTimeEstimator(50))
+        access = make_access(registry)
+
+        def find_revoked() -> RefusalReason | None:
+            return RefusalReason.KEY_REVOKED if access.is_revoked() else None
+
         call = PendingCall('r', 0, 500, 2000, 1, frozenset())
         queue.add(call)
-        queue.add(call._replace(is_revoked=make_access(registry).is_revoked))
-        assert not queue.revoked()
+        queue.add(call._replace(find_obstacle=find_revoked))
+        assert not queue.obstructed()
         registry.update({})
-        assert queue.revoked() == [queue.pending[1]]
+        assert queue.obstructed() == [
+            (queue.pending[1], RefusalReason.KEY_REVOKED)
+        ]
 
     async def test_call_is_not_sent_on_a_connection_opened_meanwhile(
         self,
