--- a/packages/cowslippond-core/src/cowslippond_core/_beacon_sender.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_beacon_sender.py
@@ -10,6 +10,10 @@
 # Time between two checks whether a beacon is due.
 _CHECK_INTERVAL: Millis = 40
 
+# A reader pauses between two calls that return changes. It sends no beacon if
+# it may have missed changes for longer than that.
+_MAX_AGE: Millis = 500
+
 _RETRY_INTERVAL: Millis = 2000
 
 _logger = logging.getLogger(__name__)
@@ -54,15 +58,16 @@
         waits = self.role.waits
         while True:
             await waits.has_begun.wait()
-            if waits.cover_all_tables():
-                self._send()
+            age = waits.age()
+            if age <= _MAX_AGE:
+                self._send(age)
             await self.clock.sleep(_CHECK_INTERVAL)
-            waits.forget_end()
+            waits.note_end(_MAX_AGE)
 
-    def _send(self) -> None:
-        self.beacons.record_own_read()
+    def _send(self, age: Millis) -> None:
+        self.beacons.record_own_read(age)
         if not self.beacons.is_due():
             return
         is_designated = self.role.is_designated()
         if is_designated or self.role.is_substitute:
-            self.beacons.send_own(is_substitute=not is_designated)
+            self.beacons.send_own(age, is_substitute=not is_designated)
--- a/packages/cowslippond-core/src/cowslippond_core/_open_waits.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_open_waits.py
@@ -1,58 +1,86 @@
-"""Records whether the store reports each change to this daemon at once."""
+"""Records up to when this daemon has read all changes from the store."""
 
+import math
 from typing import NamedTuple
 
 import anyio
 
 from cowslippond_core._clock import Clock, Millis
 
-# How long a wait for changes has been open when it would have returned all
-# changes that were stored before.
-_CATCH_UP_TIME: Millis = 20
+# A change that was stored this long ago has been reported in an open wait, and
+# in the answer that has just ended one.
+_REPORT_TIME: Millis = 20
 
 
-class _OpenWait(NamedTuple):
-    opened_at: Millis
-    ends_at: Millis
+class _TableState(NamedTuple):
+    """What is known of one table.
+
+    All changes up to ``read_up_to`` have been read. A wait that was opened at
+    ``opened_at`` reports further ones until ``ends_at``.
+    """
+
+    read_up_to: Millis
+    opened_at: Millis = math.inf
+    ends_at: Millis = -math.inf
 
 
 class OpenWaits:
-    """The waits for changes that this daemon has open at the store.
+    """The tables that this daemon reads, and its waits for their changes.
 
-    ``has_begun`` is set while there are any.
+    ``has_begun`` is set while this daemon reads.
 
     :param clock: measures how long a wait has been open.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
-        self.waits: dict[str, _OpenWait | None] = {}
+        self.tables: dict[str, _TableState] = {}
         self.has_begun = anyio.Event()
 
+    def add(self, table: str) -> None:
+        """Add a table of which nothing has been read.
+
+        :param table: its name.
+        """
+        self.tables[table] = _TableState(-math.inf)
+
     def open(self, table: str, ends_at: Millis) -> None:
         """Record that the store is asked for all further changes of a table.
 
-        :param table: the name of the table.
         :param ends_at: when the store has answered at the latest.
         """
-        self.waits[table] = _OpenWait(self.clock.now(), ends_at)
+        state = self.tables[table]
+        self.tables[table] = state._replace(
+            opened_at=self.clock.now(), ends_at=ends_at
+        )
         self.has_begun.set()
 
-    def close(self, table: str) -> None:
-        """Record that no wait for changes of a table is open."""
-        self.waits[table] = None
+    def record_answer(self, table: str, requested_at: Millis) -> None:
+        """Record that the store has returned all changes of a table.
+
+        :param requested_at: when it was asked, in milliseconds.
+        """
+        opened_at = self.tables[table].opened_at
+        reported_up_to = requested_at
+        if opened_at >= requested_at and math.isfinite(opened_at):
+            reported_up_to = max(requested_at, self.clock.now() - _REPORT_TIME)
+        self.tables[table] = _TableState(reported_up_to)
+
+    def note_end(self, max_age: Millis) -> None:
+        """Reset ``has_begun`` if this daemon no longer reads.
 
-    def forget_end(self) -> None:
-        """Reset ``has_begun`` unless a wait is open."""
-        if not any(self.waits.values()):
+        :param max_age: for how long changes may be unknown while it reads.
+        """
+        if self.age() > max_age:
             self.has_begun = anyio.Event()
 
-    def cover_all_tables(self) -> bool:
-        """Return whether the store reports each change of any table now."""
+    def age(self) -> Millis:
+        """Return for how long changes of any table may be unknown."""
         now = self.clock.now()
-        return all(
-            wait is not None
-            and now - wait.opened_at >= _CATCH_UP_TIME
-            and now <= wait.ends_at
-            for wait in self.waits.values()
-        )
+        ages = [
+            0
+            if state.opened_at + _REPORT_TIME <= now <= state.ends_at
+            else now - state.read_up_to
+            for state in self.tables.values()
+        ]
+        return max(ages, default=math.inf)
--- a/packages/cowslippond-core/src/cowslippond_core/_reader_beacons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reader_beacons.py
@@ -39,6 +39,11 @@
 # Beacons that a daemon remembers. It passes on each of them once.
 _REMEMBERED = 64
 
+# How long gossip may take to pass on an entry in a small fleet; it grows with the
+# logarithm of the number of daemons.
+_SPREAD_TIME: Millis = 300
+_FIRST_LEVEL = 6
+
 # Daemons of the previous release send no beacons. After this time without any,
 # a daemon goes by other signs of readers.
 _SILENCE_LIMIT: Millis = 5000
@@ -53,7 +58,8 @@
     ``number`` increases with each beacon of a process, ``incarnation``
     identifies that process. ``hops`` is how often the beacon may still be
     passed on. ``era`` is the era of the store, ``newest`` the revision of the
-    newest entry in each log.
+    newest entry in each log. ``age`` is for how long the reader may have missed
+    changes, in milliseconds.
     """
 
     fleet: str
@@ -64,6 +70,7 @@
     is_substitute: bool
     era: int
     newest: Mapping[str, int]
+    age: int
 
     def rank(self) -> tuple[bool, str]:
         """Return the sort key of the reader; the lowest one sends beacons."""
@@ -85,6 +92,8 @@
     :param fleet: the fleet's name; beacons of other fleets are ignored.
     :param membership: the daemons to which beacons are sent.
     :param logs: the logs of which the store holds the entries.
+    :param frequent: the name of a log that may change many times a second.
+        Its entries are given the time that they take to spread.
     :param era: the era of the store.
     :param clock: measures the age of beacons.
     :param rng: chooses the daemons to which a beacon is sent.
@@ -96,6 +105,7 @@
         fleet: str,
         membership: Membership,
         logs: Mapping[str, Versions],
+        frequent: str,
         era: StoreEra,
         clock: Clock,
         rng: random.Random,
@@ -106,6 +116,7 @@
         self.logs = {
             name: log for name, log in logs.items() if not log.successor
         }
+        self.frequent = frequent
         self.era = era
         self.clock = clock
         self.rng = rng
@@ -138,11 +149,13 @@
         """Return whether the last beacon of this daemon was sent long ago."""
         return self.clock.now() - self.sent_at >= BEACON_INTERVAL
 
-    def send_own(self, *, is_substitute: bool) -> None:
+    def send_own(self, age: Millis, *, is_substitute: bool) -> None:
         """Tell all daemons that this one waits for changes in the store.
 
         Nothing is sent while a reader of a higher rank does so.
 
+        :param age: for how long this daemon may have missed changes, in
+            milliseconds.
         :param is_substitute: whether this daemon reads because it had heard
             of no reader.
         """
@@ -157,6 +170,7 @@
             is_substitute,
             self.era.current,
             {name: _newest_entry(log) for name, log in self.logs.items()},
+            math.ceil(age),
         )
         if any(
             heard.beacon.rank() < beacon.rank()
@@ -185,12 +199,13 @@
 
     def last_known_at(self) -> Millis:
         """Return when this daemon was last known to have missed no change."""
-        for heard in reversed(self.heard):
-            if heard.at <= self.known_at:
-                break
+        counts_until = self._counts_until()
+        for heard in self.heard:
+            known_at = heard.at - heard.beacon.age
+            if known_at <= self.known_at or heard.at > counts_until:
+                continue
             if self._has_reached(heard.beacon):
-                self.known_at = heard.at
-                break
+                self.known_at = known_at
         return self.known_at
 
     def is_outranked(self, max_age: Millis) -> bool:
@@ -201,18 +216,25 @@
         :param max_age: for how long a reader counts after its last beacon.
         """
         own_rank = (True, self.membership.own.address)
-        now = self.clock.now()
+        since = self.clock.now() - max_age
+        counts_until = self._counts_until()
         return any(
             heard.beacon.rank() < own_rank and self._has_reached(heard.beacon)
             for heard in self.heard
-            if now - heard.at <= max_age
+            if since <= heard.at <= counts_until
         )
 
-    def record_own_read(self) -> None:
-        """Record that this daemon has just read all changes from the store."""
-        self.known_at = self.clock.now()
+    def record_own_read(self, age: Millis) -> None:
+        """Record that this daemon has read all changes from the store.
+
+        :param age: how long ago, in milliseconds.
+        """
+        read_at = self.clock.now() - age
+        self.known_at = max(self.known_at, read_at)
         newest: dict[str, int] = {}
         for heard in self.heard:
+            if heard.at > read_at:
+                continue
             for name, revision in heard.beacon.newest.items():
                 newest[name] = max(revision, newest.get(name, 0))
         self.read_up_to = newest
@@ -229,13 +251,30 @@
         """Return whether this daemon has all entries that the reader had."""
         if beacon.era < self.era.current:
             return False
-        for name, newest in beacon.newest.items():
-            log = self.logs.get(name)
-            if log is None:
-                continue
-            if max(log.revision, self.read_up_to.get(name, 0)) < newest:
-                return False
-        return True
+        return all(
+            name == self.frequent or self._known_revision(name) >= newest
+            for name, newest in beacon.newest.items()
+        )
+
+    def _known_revision(self, name: str) -> float:
+        """Return the revision up to which a log is known, if there is one."""
+        log = self.logs.get(name)
+        if log is None:
+            return math.inf
+        return max(log.revision, self.read_up_to.get(name, 0))
+
+    def _counts_until(self) -> Millis:
+        """Return the time after which beacons do not count.
+
+        After it, an entry of the frequently changing log would have come if it
+        had spread as usual.
+        """
+        known = self._known_revision(self.frequent)
+        for heard in self.heard:
+            if heard.beacon.newest.get(self.frequent, 0) > known:
+                levels = math.log(self.membership.count() / _FIRST_LEVEL)
+                return heard.at + _SPREAD_TIME * max(levels, 1)
+        return math.inf
 
     def _spread(self, beacon: Beacon, excluded: set[str]) -> None:
         known = {
@@ -280,30 +319,23 @@
         raise WireError(f'unreadable beacon: {error!r}') from error
     if kind != _KIND or len(fields) < len(Beacon._fields):
         raise WireError(f'not a beacon: {kind!r}')
-    return _read_fields(*fields[: len(Beacon._fields)])
-
-
-def _read_fields(
-    fleet: Any,
-    source: Any,
-    incarnation: Any,
-    number: Any,
-    hops: Any,
-    is_substitute: Any,
-    era: Any,
-    newest: Any,
-) -> Beacon:
+    return _read_fields(dict(zip(Beacon._fields, fields, strict=False)))
+
+
+def _read_fields(fields: dict[str, Any]) -> Beacon:
+    newest = fields['newest']
     if not isinstance(newest, dict):
         raise WireError('beacon without revisions')
     return Beacon(
-        read_text(fleet),
-        read_text(source),
-        read_text(incarnation),
-        read_number(number),
-        min(read_number(hops), _MAX_HOPS),
-        bool(is_substitute),
-        read_number(era),
+        read_text(fields['fleet']),
+        read_text(fields['source']),
+        read_text(fields['incarnation']),
+        read_number(fields['number']),
+        min(read_number(fields['hops']), _MAX_HOPS),
+        bool(fields['is_substitute']),
+        read_number(fields['era']),
         {name: read_number(revision) for name, revision in newest.items()},
+        read_number(fields['age']),
     )
 
 
--- a/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
@@ -122,7 +122,7 @@
         self.read_at: Millis = -math.inf
         self.retry_delay = _INITIAL_RETRY_DELAY
         self.has_caught_up = False
-        role.waits.close(name)
+        role.waits.add(name)
 
     async def run(self) -> None:
         """Read until cancelled.
@@ -217,6 +217,7 @@
         else:
             answer = await self._wait_for_changes(self.revision)
         if answer.is_error():
+            self.role.waits.add(self.name)
             self.era.observe(answer.error.era, _STORE)
             await self._record_error(answer.error)
             return
@@ -232,6 +233,7 @@
         is_first = not self.has_caught_up
         was_lost = self._record_success()
         self.has_caught_up = True
+        self.role.waits.record_answer(self.name, requested_at)
         if not is_full_read:
             self.retry_delay = _INITIAL_RETRY_DELAY
         self.revision = rows.revision
@@ -257,9 +259,7 @@
         wait = self._choose_wait()
         ends_at = self.clock.now() + wait + _ANSWER_SLACK
         self.role.waits.open(self.name, ends_at)
-        answer = await self.source.wait(revision, wait)
-        self.role.waits.close(self.name)
-        return answer
+        return await self.source.wait(revision, wait)
 
     async def _leave_reading_to_others(self) -> None:
         """Stop reading if another daemon begins to wait for changes.
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_parts.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_parts.py
@@ -85,6 +85,7 @@
         _FLEET_NAME,
         fleet.membership,
         fleet.gossip.logs,
+        UPSTREAM_ERA_LOG,
         era,
         clock,
         rng,
--- a/packages/cowslippond-standins/src/cowslippond_standins/model/_reading.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/_reading.py
@@ -14,6 +14,7 @@
 from cowslippond_core import (
     STORE_LOST_TABLE,
     STORE_READER_TABLE,
+    UPSTREAM_ERA_LOG,
     BeaconSender,
     BeaconTakeover,
     CallerLimits,
@@ -226,6 +227,7 @@
             'model',
             fleet.membership,
             fleet.gossip.logs,
+            UPSTREAM_ERA_LOG,
             fleet.gossip.era,
             self.clock,
             rng,
--- a/tests/core/test_reader_beacons.py
+++ b/tests/core/test_reader_beacons.py
@@ -1,5 +1,6 @@
 """Beacons of the daemons that read the store, and who takes over by them."""
 
+import math
 import random
 
 from cowslippond_core import STORE_LOST_TABLE, BeaconTakeover, ReaderBeacons
@@ -34,12 +35,14 @@
         for row in table.rows():
             self.membership.table.merge(row)
         self.log = Versions()
+        self.entries = Versions()
         self.era = StoreEra()
         self.sent: list[tuple[str, bytes]] = []
         self.beacons = ReaderBeacons(
             'fleet',
             self.membership,
-            {'log': self.log},
+            {'log': self.log, 'entries': self.entries},
+            'entries',
             self.era,
             self.clock,
             random.Random(1),
@@ -57,7 +60,7 @@
 
 def make_beacon(number: int = 0, newest: int = 0, **fields: object) -> Beacon:
     beacon = Beacon(
-        'fleet', '10.0.0.2:1', 'i', number, 10, False, 0, {'log': newest}
+        'fleet', '10.0.0.2:1', 'i', number, 10, False, 0, {'log': newest}, 0
     )
     return beacon._replace(**fields)
 
@@ -90,6 +93,7 @@
             ('newest', [1]),
             ('newest', {'log': 'x'}),
             ('era', 1.5),
+            ('age', None),
         ):
             beacon = make_beacon(**{field: damaged})
             station.beacons.receive('10.0.0.9:1', encode_beacon(beacon))
@@ -104,10 +108,10 @@
         station = Station()
         station.hear(make_beacon())
         station.sent.clear()
-        station.beacons.send_own(is_substitute=True)
+        station.beacons.send_own(0, is_substitute=True)
         assert not station.sent
         station.clock.advance(401)
-        station.beacons.send_own(is_substitute=True)
+        station.beacons.send_own(0, is_substitute=True)
         assert len(station.sent) == 4
 
 
@@ -132,6 +136,32 @@
         station.log.advance(5)
         assert not station.takeover.is_needed(is_substitute=False)
 
+    def test_the_age_of_what_a_reader_knows_counts(self) -> None:
+        """Guard against a reader that was lost between two calls."""
+        station = Station()
+        station.hear(make_beacon(age=400))
+        assert 800 <= station.takeover.time_left() <= 1200
+
+    def test_frequent_entries_may_take_some_time_to_spread(self) -> None:
+        """Guard against calls of all daemons while many upstreams change."""
+        station = Station()
+        for number in range(12):
+            station.hear(make_beacon(number, newest=0))
+            newest = {'log': 0, 'entries': 10 + number}
+            station.hear(make_beacon(100 + number)._replace(newest=newest))
+            station.clock.advance(250)
+            station.entries.advance(10 + number)
+            assert not station.takeover.is_needed(is_substitute=False)
+
+    def test_entries_that_do_not_come_are_read(self) -> None:
+        """Guard against a removal that is not passed on in time."""
+        station = Station()
+        newest = {'log': 0, 'entries': 10}
+        for number in range(8):
+            station.hear(make_beacon(number)._replace(newest=newest))
+            station.clock.advance(250)
+        assert station.takeover.is_needed(is_substitute=False)
+
     def test_a_beacon_of_an_earlier_era_does_not_count(self) -> None:
         station = Station()
         station.hear(make_beacon(1, era=3))
@@ -147,7 +177,7 @@
         station = Station()
         station.hear(make_beacon(1))
         station.hear(make_beacon(2, newest=5))
-        station.beacons.record_own_read()
+        station.beacons.record_own_read(0)
         station.clock.advance(2000)
         station.hear(make_beacon(3, newest=5))
         assert not station.takeover.is_needed(is_substitute=True)
@@ -177,17 +207,34 @@
 
 
 class TestOpenWaits:
-    def test_the_tables_have_to_be_covered_for_some_time(self) -> None:
+    def test_the_table_read_last_decides(self) -> None:
         """Guard against beacons before changes of the past have arrived."""
         clock = FakeClock(1_000_000)
         waits = OpenWaits(clock)
-        waits.close('one')
+        waits.add('one')
+        waits.add('two')
         waits.open('two', clock.now() + 1000)
         clock.advance(30)
-        assert not waits.cover_all_tables()
+        assert waits.age() == math.inf
+        waits.record_answer('one', clock.now() - 10)
+        assert waits.age() == 10
         waits.open('one', clock.now() + 100)
-        assert not waits.cover_all_tables()
+        assert waits.age() == 10
         clock.advance(30)
-        assert waits.cover_all_tables()
+        assert waits.age() == 0
         clock.advance(100)
-        assert not waits.cover_all_tables()
+        assert waits.age() == 140
+
+    def test_changes_that_come_all_the_time_leave_the_age_low(self) -> None:
+        """Guard against readers that are silent while upstreams change."""
+        clock = FakeClock(1_000_000)
+        waits = OpenWaits(clock)
+        waits.add('one')
+        for _ in range(5):
+            requested_at = clock.now()
+            waits.open('one', requested_at + 1000)
+            clock.advance(5)
+            waits.record_answer('one', requested_at)
+            assert waits.age() <= 20
+            clock.advance(395)
+            assert waits.age() <= 420
