--- a/packages/cowslippond-core/src/cowslippond_core/_peer_datagrams.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_peer_datagrams.py
@@ -24,6 +24,7 @@
 
     def __init__(self) -> None:
         self.transport: asyncio.DatagramTransport | None = None
+        self.opening = asyncio.Lock()
         self.receivers: list[Callable[[str, bytes], bool]] = []
 
     def is_open(self) -> bool:
@@ -35,12 +36,13 @@
 
         :raises OSError: if the port is in use.
         """
-        if self.is_open():
-            return
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=split_address(address)
-        )
+        async with self.opening:
+            if self.is_open():
+                return
+            loop = asyncio.get_running_loop()
+            await loop.create_datagram_endpoint(
+                lambda: self, local_addr=split_address(address)
+            )
 
     def connection_made(self, transport: Any) -> None:
         """Store the transport."""
