--- a/packages/cowslippond-core/src/cowslippond_core/_open_waits.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_open_waits.py
@@ -37,8 +37,8 @@
         self.tables: dict[str, _TableState] = {}
         self.has_begun = anyio.Event()
 
-    def add(self, table: str) -> None:
-        """Add a table of which nothing has been read.
+    def forget(self, table: str) -> None:
+        """Record that changes of a table may have been missed.
 
         :param table: its name.
         """
--- a/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
@@ -122,7 +122,7 @@
         self.read_at: Millis = -math.inf
         self.retry_delay = _INITIAL_RETRY_DELAY
         self.has_caught_up = False
-        role.waits.add(name)
+        role.waits.forget(name)
 
     async def run(self) -> None:
         """Read until cancelled.
@@ -217,7 +217,6 @@
         else:
             answer = await self._wait_for_changes(self.revision)
         if answer.is_error():
-            self.role.waits.add(self.name)
             self.era.observe(answer.error.era, _STORE)
             await self._record_error(answer.error)
             return
@@ -229,6 +228,7 @@
             return
         self.era.observe(era_of(rows.revision), _STORE)
         if not is_full_read and self._restart_in_new_era(self.era.current):
+            self.role.waits.forget(self.name)
             return
         is_first = not self.has_caught_up
         was_lost = self._record_success()
@@ -296,6 +296,7 @@
         return True
 
     async def _record_error(self, error: StoreError) -> None:
+        self.role.waits.forget(self.name)
         is_watch = self.revision is not None
         if is_watch and error.fault is StoreFault.HISTORY_LOST:
             _logger.info(
--- a/tests/core/test_store_era.py
+++ b/tests/core/test_store_era.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 import random
 
 import anyio
@@ -292,6 +293,23 @@
             (combine_era(2, 12), True),
         ]
 
+    @pytest.mark.parametrize(
+        'answers',
+        [
+            (rows_of(2, 9), rows_of(1, 12)),
+            (rows_of(1, 9), rows_of(2, 12)),
+            (rows_of(1, 9), Error(StoreError(StoreFault.REFUSED, 'busy'))),
+        ],
+    )
+    async def test_peers_cannot_rely_on_a_call_that_brought_no_rows(
+        self, answers: tuple[Result[StoreRows, StoreError], ...]
+    ) -> None:
+        """Guard against beacons of a reader that may have missed changes."""
+        watch = WatchRun()
+        await watch.run(*answers)
+        watch.clock.advance(100)
+        assert watch.role.waits.age() == math.inf
+
     async def test_it_reads_all_rows_after_an_unknown_revision(self) -> None:
         gone = Error(StoreError(StoreFault.HISTORY_LOST, 'gone', 2))
         watch = WatchRun()
