--- a/packages/cowslippond-core/src/cowslippond_core/_reader_beacons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reader_beacons.py
@@ -53,7 +53,7 @@
 
 
 class Beacon(NamedTuple):
-    """The message of a reader that waits for changes in the store.
+    """The message of a daemon that reads the store.
 
     ``number`` increases with each beacon of a process, ``incarnation``
     identifies that process. ``hops`` is how often the beacon may still be
@@ -264,10 +264,11 @@
         return max(log.revision, self.read_up_to.get(name, 0))
 
     def _counts_until(self) -> Millis:
-        """Return the time after which beacons do not count.
+        """Return the time from which on beacons do not count.
 
-        After it, an entry of the frequently changing log would have come if it
-        had spread as usual.
+        That is some time after the first beacon that names an entry of the
+        frequently changing log which this daemon lacks: by then, gossip would
+        have passed it on.
         """
         known = self._known_revision(self.frequent)
         for heard in self.heard:
--- a/packages/cowslippond-core/src/cowslippond_core/_reader_role.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reader_role.py
@@ -34,8 +34,8 @@
 _READER_INTERVAL: Millis = 600
 
 # A daemon that hears no beacons may take over reading if the newest announcement
-# is older than this. With 1300 ms, announcements often came later, and 136 daemons of a fleet
-# without a fault made up to 13 calls a second on average over 5 s.
+# is older than this. With 1300 ms, announcements often came later, and 136
+# daemons of a fleet without a fault made up to 13 calls a second over 5 s.
 _MAX_READER_AGE: Millis = 2600
 
 # Range of the additional wait of each daemon before it takes over. Few daemons
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_daemon.py
@@ -72,7 +72,8 @@
 # later would hardly end in time.
 _TAKING_SHARE = 0.5
 
-# Within the part at the end, the limit for connections whose callers do not respond.
+# Within the part at the end, the limit for connections whose callers do not
+# respond.
 _CLOSE_TIMEOUT: Millis = 300
 
 # How long aborted connections take to close.
