--- a/review/stage2/stage.py
+++ b/review/stage2/stage.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import pathlib
@@ -23,6 +24,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HEARTBEAT_MS = 1500
 CRLF = b'\r\n'
+# The number of the option in <linux/prctl.h>.
+PR_SET_PDEATHSIG = 1
 
 
 def now():
@@ -330,6 +333,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                preexec_fn=end_with_parent,
             )
         self.stage.record.write('started', self.ip)
 
@@ -576,6 +580,11 @@
     return True
 
 
+def end_with_parent():
+    """Let the system end a started process if this one is killed."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def interrupt(number, _):
     """End the case, and with it all processes that it started."""
     raise KeyboardInterrupt(number)
