Pass on no status of an upstream as a promise that it has not made

A back end of the checkout failed orders with 503 after it had worked on them, without X-Not-Executed. The daemon passed the 503 on, which promises that the order has not run; callers sent it again, and it ran twice.

Cause: the status of an answer was forwarded whatever it promises. The log of such an order says "send ended outcome=answered status=503", "call answered status=503", and the stand-ins' record "run", "failed", "answered 503", then a run of the next try. Ruled out: a refusal of the daemon's own ("call given up" is missing) and a second send ("send=1" alone).

Change: an answer with 408, 429, 503 or 421 that does not count as a refusal is passed on as 502, with its headers and body and without the signature. This is done where an attempt reads the head of an answer, so it covers retries, hedges, relays, early answers and kept connections; answers recorded by an earlier version pass through the same function.

--- a/packages/cowslippond-core/src/cowslippond_core/_attempt.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_attempt.py
@@ -1,6 +1,7 @@
 """One send of a call to one upstream, and the result of that attempt."""
 
 import contextlib
+import logging
 import math
 from collections.abc import AsyncGenerator, Callable
 from typing import NamedTuple, TypeAlias
@@ -29,8 +30,11 @@
     TruncatedAnswerError,
     close_parts,
 )
+from cowslippond_core._promises import AnswerHead, without_promise
 from cowslippond_core._upstreams import Upstream
 
+_logger = logging.getLogger(__name__)
+
 _HEAD_METHOD = b'HEAD'
 _FIRST_FAILURE_STATUS = 300
 _DEFAULT_DIALECT = DefaultDialect()
@@ -335,7 +339,6 @@
 
     def _read_head(self) -> AttemptResult:
         exchange = self.exchange
-        headers = tuple(exchange.headers)
         self._read_metadata()
         if self.answer_metadata.idle_timeout is not None:
             self.upstream.connections.update_idle_timeout(
@@ -350,10 +353,8 @@
             return NotRun(self.answer_metadata.not_run)
         if exchange.is_complete:
             self.end()
-        answer = CallAnswer(
-            exchange.status, end_to_end_headers(headers), AnswerChunks(self)
-        )
-        return Answered(answer, self)
+        status, headers = _forwarded_head(self)
+        return Answered(CallAnswer(status, headers, AnswerChunks(self)), self)
 
     def _read_metadata(self) -> None:
         if self.has_metadata:
@@ -376,6 +377,24 @@
         return self.answer_metadata.is_genuine or not is_success
 
 
+def _forwarded_head(attempt: Attempt) -> AnswerHead:
+    received = AnswerHead(
+        attempt.exchange.status, end_to_end_headers(attempt.exchange.headers)
+    )
+    forwarded = without_promise(received, attempt.dialect.vouching_headers)
+    if forwarded.status != received.status:
+        _logger.info(
+            'upstream refused a call but did not state that it has not run',
+            extra={
+                'request_id': attempt.request.request_id,
+                'upstream': attempt.upstream.vm.name,
+                'status': received.status,
+                'forwarded_status': forwarded.status,
+            },
+        )
+    return forwarded
+
+
 async def _body_parts(request: CallRequest) -> AsyncGenerator[bytes, None]:
     if request.rest is None:
         yield request.body
--- a/packages/cowslippond-core/src/cowslippond_core/_call_results.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_call_results.py
@@ -19,6 +19,7 @@
     CallRequest,
     Outcome,
 )
+from cowslippond_core._promises import AnswerHead, without_promise
 from cowslippond_core._reasons import RefusalReason
 
 _RETRY_AFTER_MS = 1000
@@ -35,9 +36,11 @@
 @call_result_for.register
 def _recorded(outcome: AnswerRecorded, request: CallRequest) -> CallResult:
     answer = outcome.answer
-    return CallAnswer(
-        answer.status, answer.headers, single_chunk(answer.body or b'')
+    # Earlier versions recorded the status as they had received it.
+    status, headers = without_promise(
+        AnswerHead(answer.status, answer.headers), frozenset()
     )
+    return CallAnswer(status, headers, single_chunk(answer.body or b''))
 
 
 @call_result_for.register
--- a/packages/cowslippond-core/src/cowslippond_core/_dialect.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_dialect.py
@@ -108,11 +108,13 @@
     that authenticated for a workspace.
     ``allows_close_delimited`` tells whether an orderly close of the connection
     may end an answer that has no length. ``echoes_request_id`` tells whether
-    upstreams repeat the ID of a call in its answer.
+    upstreams repeat the ID of a call in its answer. ``vouching_headers`` are those
+    by which an upstream vouches for its status.
     """
 
     reserved_headers: frozenset[bytes]
     workspace_headers: frozenset[bytes]
+    vouching_headers: frozenset[bytes]
     allows_close_delimited: bool
     echoes_request_id: bool
 
@@ -131,6 +133,7 @@
 
     reserved_headers = frozenset((_DEADLINE, _ATTEMPT, RELAYED.encode()))
     workspace_headers: frozenset[bytes] = frozenset()
+    vouching_headers: frozenset[bytes] = frozenset()
     allows_close_delimited = False
     echoes_request_id = False
 
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_call_relay.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_call_relay.py
@@ -23,7 +23,6 @@
 _logger = logging.getLogger(__name__)
 
 _RELAYED = RELAYED.encode()
-_DIALECT = RelayDialect()
 _UNKNOWN_OUTCOME = (OUTCOME.encode(), Outcome.UNKNOWN.encode())
 
 # A call that several peers have refused finds no free upstream anywhere.
@@ -123,7 +122,7 @@
             0,
             self.ctx.clock,
             is_fresh=False,
-            dialect=_DIALECT,
+            dialect=RelayDialect(self.ctx.dialect.vouching_headers),
         )
         sent_at = self.ctx.clock.now()
         try:
--- a/packages/cowslippond-core/src/cowslippond_core/dispatch/_relay_dialect.py
+++ b/packages/cowslippond-core/src/cowslippond_core/dispatch/_relay_dialect.py
@@ -14,6 +14,7 @@
 _OUTCOME = OUTCOME.encode()
 _REQUEST_ID = REQUEST_ID.encode()
 _NOT_RUN = Outcome.NOT_RUN.encode()
+_NO_HEADERS: frozenset[bytes] = frozenset()
 
 
 class RelayDialect:
@@ -21,6 +22,8 @@
 
     The peer has checked that an answer is the upstream's own. It gets the
     caller's key, since it authenticates the call itself.
+
+    :param vouching_headers: those of the upstreams, which the peer passes on.
     """
 
     reserved_headers = frozenset((_DEADLINE, _RELAYED))
@@ -28,6 +31,11 @@
     allows_close_delimited = False
     echoes_request_id = True
 
+    def __init__(
+        self, vouching_headers: frozenset[bytes] = _NO_HEADERS
+    ) -> None:
+        self.vouching_headers = vouching_headers
+
     def request_headers(self, metadata: SendMetadata) -> HeaderList:
         """Return the remaining time, and a mark that prevents a second relay."""
         return (
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
@@ -53,6 +53,7 @@
 
     reserved_headers = frozenset((_DEADLINE, _TARGET_VM, RELAYED.encode()))
     workspace_headers = frozenset((KEY_HEADER, WORKSPACE_HEADER))
+    vouching_headers = frozenset((_SIGNATURE,))
     allows_close_delimited = True
     echoes_request_id = True
 
--- a/tests/core/test_claim_flow.py
+++ b/tests/core/test_claim_flow.py
@@ -24,6 +24,9 @@
     RefusalReason,
     TruncatedAnswerError,
 )
+from cowslippond_core._call_results import call_result_for
+from cowslippond_core._claim import RecordedAnswer
+from cowslippond_core._claim_outcomes import AnswerRecorded
 from fakes import FakeClock
 
 pytestmark = pytest.mark.anyio
@@ -106,6 +109,15 @@
         assert await read_body(repeat) == b'receipt'
         assert len(cluster.upstream.runs) == 1
 
+    async def test_replays_no_promise_that_an_earlier_version_recorded(
+        self,
+    ) -> None:
+        """Callers of an order that had run got 503, and sent it again."""
+        recorded = AnswerRecorded(RecordedAnswer(503, (), b'down', ''))
+        repeat = call_result_for(recorded, make_request('r1'))
+        assert isinstance(repeat, CallAnswer)
+        assert repeat.status == 502
+
     async def test_replays_a_large_answer_from_the_object_store(
         self, cluster: Cluster
     ) -> None:
