Believe a 421 only if it is marked or names another VM

What callers could see: an order whose upstream answers 421 after it has worked on the order was sent to a second upstream, or refused as not run.

Cause: PlatformDialect took each 421 for a promise, whoever sent it. PROTOCOL.md says that no response without X-Not-Executed states that a request has not run; RULES.md names status 421 as well, for a VM that is not the one meant. Both hold for a 421 that bears the mark or names another VM in X-Instance-Id.

Change: the dialect takes a marked 421 for a promise, and an attempt takes one that names another VM. Any other 421 is passed on as 502 and marks no upstream as leaving. The test of the dialect that expected a promise of an unmarked 421 now looks at a marked one, and expects no promise of an unmarked one; test_promises.py covers a 421 of another VM.

--- a/packages/cowslippond-core/src/cowslippond_core/_attempt.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_attempt.py
@@ -1,6 +1,7 @@
 """One send of a call to one upstream, and the result of that attempt."""
 
 import contextlib
+import http
 import logging
 import math
 from collections.abc import AsyncGenerator, Callable
@@ -348,9 +349,10 @@
             exchange.is_reusable = False
             self.end()
             return AnswerLost(ExchangeFault.FRAMING)
-        if self.answer_metadata.not_run is not None:
+        not_run = _not_run_reason(self)
+        if not_run is not None:
             self.end()
-            return NotRun(self.answer_metadata.not_run)
+            return NotRun(not_run)
         if exchange.is_complete:
             self.end()
         status, headers = _forwarded_head(self)
@@ -377,6 +379,22 @@
         return self.answer_metadata.is_genuine or not is_success
 
 
+def _not_run_reason(attempt: Attempt) -> NotRunReason | None:
+    """Return why the upstream has not run the call, if it says so.
+
+    A VM that a call is not addressed to does not run it, so an answer that names
+    another VM needs no further mark.
+    """
+    metadata = attempt.answer_metadata
+    if metadata.not_run is not None:
+        return metadata.not_run
+    if attempt.exchange.status != http.HTTPStatus.MISDIRECTED_REQUEST:
+        return None
+    if metadata.vm in {None, attempt.upstream.vm.name}:
+        return None
+    return NotRunReason.OTHER_VM
+
+
 def _forwarded_head(attempt: Attempt) -> AnswerHead:
     received = AnswerHead(
         attempt.exchange.status, end_to_end_headers(attempt.exchange.headers)
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
@@ -90,9 +90,11 @@
 
 
 def _not_run(status: int, is_marked: bool) -> NotRunReason | None:
+    if not is_marked:
+        return None
     if status == _MISDIRECTED_STATUS:
         return NotRunReason.OTHER_VM
-    return NotRunReason.SHED if is_marked else None
+    return NotRunReason.SHED
 
 
 def _read_load(text: bytes | None) -> LoadReport | None:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -249,11 +249,13 @@
 
     def test_only_shed_and_misdirected_calls_count_as_not_run(self) -> None:
         shed = self.dialect.read_answer(503, ((b'x-not-executed', b'1'),))
-        moved = self.dialect.read_answer(421, ((b'x-instance-id', b'i-2'),))
+        moved = self.dialect.read_answer(421, ((b'x-not-executed', b'1'),))
         plain = self.dialect.read_answer(503, ())
+        other = self.dialect.read_answer(421, ())
         assert shed.not_run is NotRunReason.SHED
         assert moved.not_run is NotRunReason.OTHER_VM
         assert plain.not_run is None
+        assert other.not_run is None
 
     def test_response_without_signature_is_not_genuine(self) -> None:
         signed = self.dialect.read_answer(
--- a/tests/platform/test_promises.py
+++ b/tests/platform/test_promises.py
@@ -5,14 +5,16 @@
 import anyio
 import pytest
 from core.scripted_upstream import read_whole
-from cowslippond_core._attempt import Answered
-from platform_upstream import answer, send_call, start_upstream
+from cowslippond_core._attempt import Answered, NotRun
+from cowslippond_core._dialect import NotRunReason
+from platform_upstream import VM_NAME, answer, send_call, start_upstream
 
 pytestmark = pytest.mark.anyio
 
 OWN_ID = b'x-request-id: call\r\n'
 SIGNED = b'%bx-response-signature: 1\r\n' % OWN_ID
-PROMISES = (b'408 Timeout', b'429 Busy', b'503 Full')
+PROMISES = (b'408 Timeout', b'421 Other', b'429 Busy', b'503 Full')
+MARK = b'x-not-executed: 1\r\n'
 
 
 class Forwarded(NamedTuple):
@@ -60,3 +62,24 @@
         assert isinstance(forwarded, Forwarded)
         assert forwarded.status == int(status[:3])
         assert forwarded.headers[b'x-response-signature'] == b'1'
+
+    async def test_of_the_vm_that_a_call_was_for_is_no_misdirection(
+        self,
+    ) -> None:
+        """An order that ran at its upstream was sent to a second one."""
+        own = b'%bx-instance-id: %b\r\n' % (SIGNED, VM_NAME.encode())
+        forwarded = await send_to_upstream(answer(b'421 Other', own))
+        assert isinstance(forwarded, Forwarded)
+        assert forwarded.status == 502
+
+
+class TestProvenRefusal:
+    @pytest.mark.parametrize('status', [*PROMISES, b'400 No ID'])
+    async def test_is_one_that_bears_the_mark(self, status: bytes) -> None:
+        assert isinstance(
+            await send_to_upstream(answer(status, OWN_ID + MARK)), NotRun
+        )
+
+    async def test_is_one_of_another_vm(self) -> None:
+        other = answer(b'421 Other', b'x-instance-id: i-2\r\n')
+        assert await send_to_upstream(other) == NotRun(NotRunReason.OTHER_VM)
