Take X-Not-Executed for a promise only beside statuses that refuse

What callers could see: an order that an upstream answered with 200, 500 or 504 and the header X-Not-Executed was sent to a second upstream, or refused as not run.

Cause: the header was believed beside any status. PROTOCOL.md lists 503, 429, 421 and 400 for it, and says that 500 and 504 count as run.

Change: the header counts with those four statuses and with 408, which promises the same. A success that bears it contradicts itself and is given up like one without a signature; other failures are passed on as they are, and promise nothing.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/platform/_dialect.py
@@ -37,6 +37,8 @@
 
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
+# Statuses that may bear the mark of a call that was not run.
+_MARKED_STATUSES = frozenset((400, 408, 421, 429, 503))
 _NORMAL_SLOWNESS_PERCENT = 100
 _MIN_LOAD_FIELDS = 3
 
@@ -75,7 +77,7 @@
             request_id=by_name.get(_REQUEST_ID),
             vm=None if vm is None else vm.decode('latin-1'),
             not_run=_not_run(status, _NOT_RUN in by_name),
-            is_genuine=_SIGNATURE in by_name,
+            is_genuine=_SIGNATURE in by_name and _NOT_RUN not in by_name,
             load=_read_load(by_name.get(_LOAD)),
             idle_timeout=_read_expiry(by_name.get(_KEEP_ALIVE)),
             rate_limit=_read_number(by_name, _RATE_LIMIT),
@@ -90,7 +92,8 @@
 
 
 def _not_run(status: int, is_marked: bool) -> NotRunReason | None:
-    if not is_marked:
+    """Return why a call was not run; statuses of calls that ran bear no mark."""
+    if not is_marked or status not in _MARKED_STATUSES:
         return None
     if status == _MISDIRECTED_STATUS:
         return NotRunReason.OTHER_VM
--- a/tests/platform/test_promises.py
+++ b/tests/platform/test_promises.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 from core.scripted_upstream import read_whole
+from cowslippond_core import AnswerLost
 from cowslippond_core._attempt import Answered, NotRun
 from cowslippond_core._dialect import NotRunReason
 from platform_upstream import VM_NAME, answer, send_call, start_upstream
@@ -83,3 +84,19 @@
     async def test_is_one_of_another_vm(self) -> None:
         other = answer(b'421 Other', b'x-instance-id: i-2\r\n')
         assert await send_to_upstream(other) == NotRun(NotRunReason.OTHER_VM)
+
+
+class TestMarkOfACallThatRan:
+    """An order was sent to a second upstream after an answer that contradicts."""
+
+    async def test_no_success_counts_as_not_run(self) -> None:
+        result = await send_to_upstream(answer(b'200 OK', SIGNED + MARK))
+        assert isinstance(result, AnswerLost)
+
+    @pytest.mark.parametrize('status', [b'500 Failed', b'504 Late'])
+    async def test_no_failure_at_work_counts_as_not_run(
+        self, status: bytes
+    ) -> None:
+        forwarded = await send_to_upstream(answer(status, SIGNED + MARK))
+        assert isinstance(forwarded, Forwarded)
+        assert forwarded.status == int(status[:3])
