Do not refuse a call as not run while its hedge has no answer

What callers could see: a lookup whose first send was refused by its upstream, and whose hedge had no answer at the deadline, was answered 503 with "not-run", although the hedge may have run it.

Cause: a race leaves out attempts without a result, so that "not run" of the first send was the best one left.

Change: a race whose best result is "not run" reports a lost answer if another attempt has no result.

Orders are never hedged, so no order was concerned.

--- a/packages/cowslippond-core/src/cowslippond_core/_race.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_race.py
@@ -12,6 +12,7 @@
     NotRun,
 )
 from cowslippond_core._clock import Millis, seconds_of
+from cowslippond_core._exchange import ExchangeFault
 from cowslippond_core._observations import is_error
 
 _MAX_HEDGE_ATTEMPTS = 3
@@ -42,13 +43,15 @@
         self.attempts = [first]
         self.scope = anyio.CancelScope()
         self.results: list[AttemptResult] = []
+        self.has_unanswered = False
 
     async def run(self) -> AttemptResult | None:
         """Return the most conclusive result, or ``None`` if there is none.
 
         The first answer that is not an error ends the race. Otherwise an error
         answer ranks before a lost answer, and a lost answer before 'not run',
-        because the call may have run. On return all attempts but the winner
+        because the call may have run. So does an attempt without a result, as
+        its upstream may still be at work. On return all attempts but the winner
         have ended, and their connections are closed.
         """
         try:
@@ -58,6 +61,8 @@
             raise
         winner = min(self.results, key=_rank, default=None)
         self._end_all_but(winner)
+        if isinstance(winner, NotRun) and self.has_unanswered:
+            return AnswerLost(ExchangeFault.TIMEOUT)
         return winner
 
     async def _run_concurrently(self) -> None:
@@ -96,6 +101,7 @@
 
     def _add_result(self, result: AttemptResult | None) -> None:
         if result is None:
+            self.has_unanswered = True
             return
         self.results.append(result)
         if isinstance(result, Answered) and not is_error(result):
