Use no promising status for a refusal of unknown outcome

Cause: status_of() looked up the status by the reason alone, with one exception for bodies that time out, so a refusal for a quota or late headers would bear 429 or 408 also if an upstream may have run the call.

Change: the exception holds for all statuses that promise.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_edge_responses.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge_responses.py
@@ -14,6 +14,7 @@
     RefusalReason,
 )
 from cowslippond_core import _headers as header_names
+from cowslippond_core._promises import NOT_RUN_STATUSES
 
 from cowslippond_daemon._caller_body import MAX_BUFFERED_BODY_BYTES, BodyReader
 from cowslippond_daemon._incoming_call import IncomingCall, Send
@@ -188,16 +189,14 @@
 def status_of(refusal: CallRefusal) -> int:
     """Return the status of the response to a refused call.
 
-    Status 408 is a promise that the call has not run, so it is not used for a
+    A status that promises that the call has not run, such as 408, is not used for a
     call of which an upstream has got a part.
     """
     status = _STATUS_OF_OUTCOME[refusal.outcome]
-    if (
-        refusal.reason is RefusalReason.BODY_TIMEOUT
-        and refusal.outcome is not Outcome.NOT_RUN
-    ):
-        return status
-    return _STATUS_OF_REASON.get(refusal.reason, status)
+    specific = _STATUS_OF_REASON.get(refusal.reason, status)
+    if refusal.outcome is Outcome.NOT_RUN or specific not in NOT_RUN_STATUSES:
+        return specific
+    return status
 
 
 def _set_outcome_header(status: int, headers: HeaderList) -> HeaderList:
