Take an answer with an invalid status for no answer

Here an upstream's 000 to 099 was skipped like an interim answer: alone, its caller waited for the deadline, and 504 followed; with a body and a proper answer behind it, the body stood at the start of the next answer's, as a signed success (b'hellogood' for b'good', by a trial with a scripted upstream). 600 to 999 were passed on to the server, which knows no such status line: the caller's connection was closed without an answer.

Cause: Exchange only asked whether a status is below 200. Ruled out: the parser, which refuses statuses that have not three digits.

Change: a status outside 100 to 599 is a framing fault (RFC 9110, section 15): a lookup goes to another upstream, an order gets 504 at once. A fault also ends the parsing, as a second message in the same read could set the head of an answer that had failed.

Calls to the store go through httpcore, whose parser (h11) refuses such statuses, by its documentation; not run.

--- a/packages/cowslippond-core/src/cowslippond_core/_exchange.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_exchange.py
@@ -6,6 +6,9 @@
 import anyio
 import httptools
 
+# Statuses outside of this range are invalid (RFC 9110, section 15).
+_FIRST_VALID_STATUS = 100
+_MAX_VALID_STATUS = 599
 _FIRST_FINAL_STATUS = 200
 _SWITCHING_PROTOCOLS = 101
 _BODILESS_STATUSES = frozenset((204, 304))
@@ -158,11 +161,14 @@
     def on_headers_complete(self) -> None:
         """Store the status, and complete the answer if it has no body.
 
-        Interim answers are skipped.
+        Interim answers are skipped. An invalid status is no answer.
         """
-        if self.is_complete:
+        if self.is_complete or self.fault is not None:
             return
         status = self.parser.get_status_code()
+        if not _FIRST_VALID_STATUS <= status <= _MAX_VALID_STATUS:
+            self.record_fault(ExchangeFault.FRAMING)
+            return
         if status < _FIRST_FINAL_STATUS and status != _SWITCHING_PROTOCOLS:
             self.headers.clear()
             return
--- a/tests/core/test_exchange.py
+++ b/tests/core/test_exchange.py
@@ -27,6 +27,14 @@
     }
 )
 
+FRAMED_BODIES = MappingProxyType(
+    {
+        'length': b'content-length: 5\r\n\r\nhello',
+        'chunks': b'transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n',
+        'close': b'\r\nhello',
+    }
+)
+
 
 def feed_endlessly(exchange: Exchange, start: bytes, filler: bytes) -> int:
     """Feed bytes until the exchange fails; return how many it took."""
@@ -66,3 +74,20 @@
         exchange.feed(FILLER)
         assert exchange.is_complete
         assert has_ended_connection(exchange)
+
+
+class TestStatus:
+    """A status that is none of a final answer, before a proper answer or alone."""
+
+    @pytest.mark.parametrize('framing', FRAMED_BODIES)
+    @pytest.mark.parametrize('status', [0, 1, 99, 600, 999])
+    def test_invalid_one_is_no_answer(self, status: int, framing: str) -> None:
+        """Its body reached a caller as the start of the next answer's."""
+        exchange = Exchange(is_head=False, allows_close_delimited=True)
+        exchange.feed(
+            b'HTTP/1.1 %03d Odd\r\n%b' % (status, FRAMED_BODIES[framing])
+        )
+        exchange.feed(b'%bcontent-length: 4\r\n\r\ngood' % OK)
+        assert exchange.fault is ExchangeFault.FRAMING
+        assert not exchange.has_head
+        assert not exchange.is_reusable
