Pass on no answer that switches protocols

What callers could see: an upstream that answers with 101, which no call asks for, had its 101 passed on; the caller then has a connection without an answer, on which anything may follow.

Cause: Exchange took 101 for an answer without framing, which is refused where an orderly close may not end an answer, but accepted on the platform, where it may.

Change: 101 is a framing fault everywhere, like an invalid status.

--- a/packages/cowslippond-core/src/cowslippond_core/_exchange.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_exchange.py
@@ -161,15 +161,15 @@
     def on_headers_complete(self) -> None:
         """Store the status, and complete the answer if it has no body.
 
-        Interim answers are skipped. An invalid status is no answer.
+        Interim answers are skipped, but no call asks to switch protocols.
         """
         if self.is_complete or self.fault is not None:
             return
         status = self.parser.get_status_code()
-        if not _FIRST_VALID_STATUS <= status <= _MAX_VALID_STATUS:
+        if not _may_answer(status):
             self.record_fault(ExchangeFault.FRAMING)
             return
-        if status < _FIRST_FINAL_STATUS and status != _SWITCHING_PROTOCOLS:
+        if status < _FIRST_FINAL_STATUS:
             self.headers.clear()
             return
         self.status = status
@@ -204,8 +204,6 @@
             self.is_complete = True
 
     def _is_framed(self, status: int) -> bool:
-        if status == _SWITCHING_PROTOCOLS:
-            return False
         if status in _BODILESS_STATUSES:
             return True
         for name, text in self.headers:
@@ -235,6 +233,13 @@
     return exchange.is_complete and not exchange.is_reusable
 
 
+def _may_answer(status: int) -> bool:
+    """Return whether a status is valid in an answer to a call."""
+    if status == _SWITCHING_PROTOCOLS:
+        return False
+    return _FIRST_VALID_STATUS <= status <= _MAX_VALID_STATUS
+
+
 def _has_excess_framing(exchange: Exchange) -> bool:
     """Return whether too many bytes were received that are no body.
 
--- a/tests/core/test_exchange.py
+++ b/tests/core/test_exchange.py
@@ -80,7 +80,7 @@
     """A status that is none of a final answer, before a proper answer or alone."""
 
     @pytest.mark.parametrize('framing', FRAMED_BODIES)
-    @pytest.mark.parametrize('status', [0, 1, 99, 600, 999])
+    @pytest.mark.parametrize('status', [0, 1, 99, 101, 600, 999])
     def test_invalid_one_is_no_answer(self, status: int, framing: str) -> None:
         """Its body reached a caller as the start of the next answer's."""
         exchange = Exchange(is_head=False, allows_close_delimited=True)
--- a/tests/fleet/test_odd_statuses.py
+++ b/tests/fleet/test_odd_statuses.py
@@ -14,7 +14,14 @@
 
 pytestmark = pytest.mark.anyio
 
-STATUSES = (b'000 Unknown', b'001 Odd', b'099 Odd', b'600 Odd', b'999 Odd')
+STATUSES = (
+    b'000 Unknown',
+    b'001 Odd',
+    b'099 Odd',
+    b'101 Switching Protocols',
+    b'600 Odd',
+    b'999 Odd',
+)
 FINAL = re.compile(rb'HTTP/1.1 [2-5]\d\d ')
 LOOKUPS = 12
 DEADLINE = 2000
