Keep the body and the trailers of an interim answer out of the next answer

What callers could see: an upstream that sends 199 with a body and then a proper answer: its caller got one signed success whose body begins with that of the interim answer (b'hellogood' for b'good' in a trial).

Cause: the parser takes a body for statuses below 200 other than 100, 102 and 103, and Exchange put its bytes into the buffer of the answer. Trailers of such an answer joined the headers of the next.

Change: a body before the head of a final answer is a framing fault, and headers are dropped when a message begins.

--- a/packages/cowslippond-core/src/cowslippond_core/_exchange.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_exchange.py
@@ -152,6 +152,9 @@
         """
         if self.is_complete:
             self.is_reusable = False
+        if not self.has_head:
+            # Those of an interim answer before this one, with its trailers.
+            self.headers.clear()
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header; trailers are ignored."""
@@ -170,7 +173,6 @@
             self.record_fault(ExchangeFault.FRAMING)
             return
         if status < _FIRST_FINAL_STATUS:
-            self.headers.clear()
             return
         self.status = status
         if self.is_head or self._is_framed(status):
@@ -189,9 +191,11 @@
         """Buffer a part of the body.
 
         Bytes after the end of the answer make the connection unusable for
-        other calls.
+        other calls. An interim answer has no body.
         """
         self.body_bytes += len(body)
+        if not self.has_head:
+            self.record_fault(ExchangeFault.FRAMING)
         if self.is_complete or self.fault is not None:
             self.is_reusable = False
             return
--- a/tests/core/test_exchange.py
+++ b/tests/core/test_exchange.py
@@ -91,3 +91,33 @@
         assert exchange.fault is ExchangeFault.FRAMING
         assert not exchange.has_head
         assert not exchange.is_reusable
+
+    @pytest.mark.parametrize('framing', FRAMED_BODIES)
+    @pytest.mark.parametrize('status', [100, 103, 199])
+    def test_interim_answer_has_no_body(
+        self, status: int, framing: str
+    ) -> None:
+        """Its body reached a caller as the start of the next answer's."""
+        exchange = Exchange(is_head=False)
+        exchange.feed(
+            b'HTTP/1.1 %d Early\r\n%b' % (status, FRAMED_BODIES[framing])
+        )
+        exchange.feed(b'%bcontent-length: 4\r\n\r\ngood' % OK)
+        assert exchange.fault is ExchangeFault.FRAMING
+        assert not exchange.has_head
+
+    @pytest.mark.parametrize(
+        'rest',
+        [
+            b'x-a: b\r\n\r\n',
+            b'transfer-encoding: chunked\r\n\r\n0\r\nx-a: b\r\n\r\n',
+        ],
+    )
+    def test_interim_answer_leaves_nothing_behind(self, rest: bytes) -> None:
+        """Its trailers became headers of the next answer."""
+        exchange = Exchange(is_head=False)
+        exchange.feed(b'HTTP/1.1 199 Early\r\n%b' % rest)
+        exchange.feed(b'%bcontent-length: 4\r\n\r\ngood' % OK)
+        assert exchange.is_complete
+        assert exchange.headers == [(b'content-length', b'4')]
+        assert list(exchange.chunks) == [b'good']
