Bound what a fast upstream can send before its reader is paused

What other operators reported: bytes without end in a body, of which the machine that had called kept all and ran out of memory; the calls of others on it ended with it.

What happens here: heads and trailers without end were bounded (64 KB), and a body waits in a buffer of 64 KB; but 64 calls to an upstream that sends bodies without end made a real daemon grow from 38 MB by 204 to 299 MB (3.2 to 4.7 MB each), with and without callers that read. Machines have 200 to 552 MB.

Cause: the reading task pauses the connection once a chunk has arrived, but uvloop reads up to 32 times 256 KB in a row before the task runs. A trace of the stream's queue showed 8,192,000 bytes at most, as 32 chunks, and 196,608 with the loop of asyncio. Ruled out: the buffer of the answer (below 64 KB + one read), and the server's (its high-water mark).

Change: the system holds at most 128 KB of received bytes for a connection to an upstream, as it already does for uploads of callers; enough for 5 Mbit/s at a round trip of 200 ms.

--- a/packages/cowslippond-core/src/cowslippond_core/_connection.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_connection.py
@@ -26,6 +26,10 @@
 # otherwise take up to 4 MB each.
 _SEND_BUFFER_BYTES = 131_072
 
+# uvloop reads up to 32 times 256 KB in a row before the reading task can pause it.
+# A fast upstream fills all of that unless the system holds less for it.
+_RECEIVE_BUFFER_BYTES = 131_072
+
 # An upstream that takes no bytes of a body for this long is given up. At 48
 # uploads over 5 Mbit/s, the buffer of a socket takes 64 KB in about 5 s.
 _SEND_SILENCE_TIMEOUT: Millis = 30_000
@@ -59,10 +63,12 @@
         self.is_closed_locally = False
         self.is_sending = False
         self.is_suspect = False
-        self.poll = select.poll()
-        self.poll.register(
-            stream.extra(SocketAttribute.raw_socket), select.POLLIN
+        raw_socket = stream.extra(SocketAttribute.raw_socket)
+        raw_socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
         )
+        self.poll = select.poll()
+        self.poll.register(raw_socket, select.POLLIN)
         self.scope = anyio.CancelScope()
         self.body_scope = anyio.CancelScope()
 
--- a/tests/fleet/test_endless_answers.py
+++ b/tests/fleet/test_endless_answers.py
@@ -61,6 +61,22 @@
 DISCOVERY_SECONDS = 3
 BACKEND = 'i-endless'
 
+# Bodies that a fast back end sends to many callers at once.
+FAST_FILLER = b'a' * 65_536
+FAST_BODIES = MappingProxyType(
+    {
+        'length': (
+            b'%bcontent-length: %d\r\n\r\n' % (SIGNED, 10**12),
+            FAST_FILLER,
+        ),
+        'chunks': (CHUNKED, b'%x\r\n%b\r\n' % (len(FAST_FILLER), FAST_FILLER)),
+        'close': (b'%b\r\n' % SIGNED, FAST_FILLER),
+    }
+)
+CALLERS = 48
+# The smallest machines have 200 MB.
+MAX_CALL_GROWTH_KB = 1024
+
 
 class EndlessBackend:
     """Answers calls, health checks or both without end."""
@@ -185,6 +201,41 @@
         await wait_until_closed(fleet, endless)
 
 
+class TestManyEndlessBodies:
+    @pytest.mark.parametrize('kind', FAST_BODIES)
+    async def test_memory_is_bounded(
+        self, fleet: FleetDeployment, kind: str
+    ) -> None:
+        """Each call took 3 to 4.6 MB, so 64 of them more than a machine has."""
+        endless = EndlessBackend(*FAST_BODIES[kind], ends_health=True)
+        endless.slots = CALLERS
+        await fleet.tasks.start(endless.serve)
+        fleet.list_backend(endless, 'checkout', DOMAINS[0])
+        fleet.configure({'orders': route('checkout', is_idempotent=False)})
+        node = await fleet.add_node(DOMAINS[0])
+        before = memory_kb(node)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(CALLERS):
+                tasks.start_soon(place_order, node)
+            peak = 0
+            for _ in range(20):
+                await fleet.clock.sleep(100)
+                peak = max(peak, memory_kb(node))
+            tasks.cancel_scope.cancel()
+        assert endless.counts['endless'] > CALLERS / 2
+        assert peak - before < CALLERS * MAX_CALL_GROWTH_KB
+
+
+async def place_order(node: Node) -> None:
+    """Send an order, and read nothing of its answer."""
+    async with await anyio.connect_tcp(*node.caller_address) as stream:
+        await stream.send(
+            b'POST / HTTP/1.1\r\nhost: shop.example\r\nx-request-id: r\r\n'
+            b'x-deadline-ms: 6000\r\ncontent-length: 0\r\n\r\n'
+        )
+        await anyio.sleep_forever()
+
+
 class TestEndlessHealthAnswers:
     @pytest.mark.parametrize('kind', ENDLESS)
     async def test_lookups_go_to_the_other_back_end(
