Join the small parts of a body that waits for its reader

What callers could see: an upstream that sends chunks of two bytes without end filled a buffer of 64 KB with 32,768 parts, 2.4 MB, and kept its daemon busy with sending each of them on.

Cause: the buffer counts the bytes of the parts, not what each part takes.

Change: parts are joined up to 1 KB.

--- a/packages/cowslippond-core/src/cowslippond_core/_exchange.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_exchange.py
@@ -25,6 +25,10 @@
 #: connection is paused.
 MAX_BUFFERED_BYTES = 65536
 
+# Parts of a body are joined up to this size, as each takes some 50 bytes more, and
+# is sent to the caller on its own.
+_MIN_PART_BYTES = 1024
+
 
 class ExchangeFault(enum.StrEnum):
     """Why the rest of an answer cannot be received."""
@@ -199,7 +203,10 @@
         if self.is_complete or self.fault is not None:
             self.is_reusable = False
             return
-        self.chunks.append(body)
+        if self.chunks and len(self.chunks[-1]) < _MIN_PART_BYTES:
+            self.chunks[-1] += body
+        else:
+            self.chunks.append(body)
         self.buffered_bytes += len(body)
 
     def on_message_complete(self) -> None:
--- a/tests/core/test_exchange.py
+++ b/tests/core/test_exchange.py
@@ -66,6 +66,15 @@
         assert exchange.is_complete
         assert exchange.fault is None
 
+    def test_small_chunks_are_buffered_together(self) -> None:
+        """A buffer of 64 KB took 2.4 MB, as 32,768 parts of two bytes."""
+        exchange = Exchange(is_head=False)
+        exchange.feed(CHUNKED)
+        while exchange.buffered_bytes < MAX_BUFFERED_BYTES:
+            exchange.feed(b'2\r\nab\r\n')
+        assert len(exchange.chunks) <= MAX_BUFFERED_BYTES / 1024
+        assert b''.join(exchange.chunks) == b'ab' * (MAX_BUFFERED_BYTES // 2)
+
     def test_bytes_behind_the_end_end_the_connection(self) -> None:
         """A connection was read on while a slow caller read the body."""
         exchange = Exchange(is_head=False)
