Bound the answers that are read whole

Cause: read_body() and the client of the first program's platform kept all of an answer until the timeout of the call, so a store that sends bytes without end, or what answers at its address, takes the memory of a daemon. Found on the related paths of the report on bytes without end.

Change: a body above 8 MB is an error ('too_large'), and its connection is closed. Pages of the store have up to 1 MB, its objects up to 8 MB. The list of VMs of the first program is still read without a bound.

--- a/packages/cowslippond-core/src/cowslippond_core/_exchange.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_exchange.py
@@ -37,6 +37,7 @@
     FRAMING = 'framing'
     SILENT = 'silent'
     TIMEOUT = 'timeout'
+    TOO_LARGE = 'too_large'
     #: The caller has not completed the body of its call.
     BODY = 'body'
 
--- a/packages/cowslippond-core/src/cowslippond_core/_http_calls.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_http_calls.py
@@ -14,9 +14,12 @@
 from cowslippond_core._clock import Millis, seconds_of
 from cowslippond_core._connection import Connection
 from cowslippond_core._connections import Connections
-from cowslippond_core._exchange import Exchange
+from cowslippond_core._exchange import Exchange, ExchangeFault
 from cowslippond_core._messages import HeaderList
 
+#: The largest answer that is read whole. Pages of the store have up to 1 MB.
+MAX_BODY_BYTES = 8_388_608
+
 
 class HttpAnswer(NamedTuple):
     """A complete answer."""
@@ -88,11 +91,18 @@
 
 
 async def read_body(exchange: Exchange) -> bytes:
-    """Return the body of an answer, or the part received before a fault."""
+    """Return the body of an answer, or the part received before a fault.
+
+    A body above :data:`MAX_BODY_BYTES` is a fault.
+    """
     await exchange.wait_head()
     parts: list[bytes] = []
-    while True:
+    size = 0
+    while size <= MAX_BODY_BYTES:
         part = await exchange.next_chunk()
         if not part:
             return b''.join(parts)
         parts.append(part)
+        size += len(part)
+    exchange.record_fault(ExchangeFault.TOO_LARGE)
+    return b''
--- a/packages/cowslippond-core/src/cowslippond_core/_http_client.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_http_client.py
@@ -11,6 +11,7 @@
 import httpcore
 
 from cowslippond_core._clock import Millis, seconds_of
+from cowslippond_core._http_calls import MAX_BODY_BYTES
 
 _KEEPALIVE_SECONDS = 5
 _CLOSE_SECONDS = 1
@@ -42,7 +43,8 @@
     ) -> httpcore.Response:
         """Return the complete answer to a request.
 
-        Exceptions of ``httpcore`` are passed on.
+        Exceptions of ``httpcore`` are passed on. A body above
+        :data:`MAX_BODY_BYTES` is one.
 
         :param target: path and query.
         :raises TimeoutError: if the request exceeds the timeout.
@@ -74,9 +76,9 @@
     async def _send(self, request: httpcore.Request) -> httpcore.Response:
         connection = await self._acquire()
         try:
-            response = await connection.handle_async_request(request)
-            await response.aread()
-            await response.aclose()
+            response = await _read(
+                await connection.handle_async_request(request)
+            )
         except BaseException:
             await _discard(connection)
             raise
@@ -95,6 +97,22 @@
         )
 
 
+async def _read(response: httpcore.Response) -> httpcore.Response:
+    parts: list[bytes] = []
+    size = 0
+    async for part in response.aiter_stream():
+        parts.append(part)
+        size += len(part)
+        if size > MAX_BODY_BYTES:
+            raise httpcore.RemoteProtocolError('body of the answer too large')
+    await response.aclose()
+    whole = httpcore.Response(
+        response.status, headers=response.headers, content=b''.join(parts)
+    )
+    await whole.aread()
+    return whole
+
+
 async def _discard(connection: httpcore.AsyncHTTPConnection) -> None:
     with anyio.move_on_after(_CLOSE_SECONDS, shield=True):
         await connection.aclose()
