Read a call as its framing says, whatever protocols its headers offer

An order with "Upgrade: h2c" ran without its body; the body was lost, or taken for further calls on the connection, so a body in the form of a request was run as one, with an ID that no client had sent.

Cause: httptools tells its parser to skip the body of a message that offers to switch protocols, reports the message as complete, and raises HttpParserUpgrade with the offset of the rest. A parser alone, fed with such an order, shows that. The server below logs a warning and goes on with the next read. Ruled out: BodyReader, which got the end of the body from the server.

Change: CallParser continues behind such headers with a parser that is primed with the framing of the call alone, and tells the server nothing of the offer.

Four cases of test_uploads.py with a real daemon failed before.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_servers.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_servers.py
@@ -7,23 +7,41 @@
 
 import anyio
 import uvicorn
+from cowslippond_core import HeaderList
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from cowslippond_daemon._call_parser import CallParser
+
 _BACKLOG = 4096
 
 
 class DaemonProtocol(HttpToolsProtocol):
-    """Reads calls from a connection and ignores trailers.
+    """Reads calls from a connection as their framing says.
 
     The base class adds trailers to the headers of a call if they arrive before
     the call is read, although they may not replace headers such as credentials.
+    After an offer to switch protocols it takes the body for the next call.
     """
 
+    def __init__(self, **server_arguments: Any) -> None:
+        super().__init__(**server_arguments)
+        self.call_parser = CallParser(self)
+        self.parser = self.call_parser  # type: ignore[assignment]
+
     def on_headers_complete(self) -> None:
         """Collect the trailers apart from the headers."""
         super().on_headers_complete()
         self.headers = []
 
+    def on_message_complete(self) -> None:
+        """Handle the end of a call, unless its body follows."""
+        if not self.call_parser.is_interrupted:
+            super().on_message_complete()
+
+    def received_headers(self) -> HeaderList:
+        """Return the headers of the last call, with names in lower case."""
+        return tuple(self.scope['headers'])
+
 
 class DaemonServer(uvicorn.Server):
     """A server that leaves signal handling to the daemon.
--- a/tests/fleet/test_uploads.py
+++ b/tests/fleet/test_uploads.py
@@ -52,6 +52,20 @@
         assert response.body.decode() == upload.digest
         assert backend.received == [('u', size, upload.digest, True)]
 
+    @pytest.mark.parametrize('is_chunked', FRAMINGS)
+    @pytest.mark.parametrize('size', [0, 100, 360_000])
+    async def test_arrives_unchanged_with_an_offer_to_switch_protocols(
+        self, fleet: FleetDeployment, size: int, is_chunked: bool
+    ) -> None:
+        """Orders ran without their bodies, which were taken for further calls."""
+        backend = await add_upload_backend(fleet)
+        node = await start_node(fleet)
+        offer = ('connection: upgrade', 'upgrade: h2c')
+        upload = Upload('u', size, is_chunked=is_chunked, headers=offer)
+        response = await send_upload(node.caller_address, upload, fleet.clock)
+        assert response.status == 200
+        assert backend.received == [('u', size, upload.digest, True)]
+
     async def test_has_no_limit_on_a_route_without_a_timeout(
         self, fleet: FleetDeployment
     ) -> None:
