Forward an empty query

Cause: the query of an ASGI scope is the same for an empty one and for none.

Change: the protocol, which has the target as it was sent, keeps the question mark.

Evidence: 1 of 5 targets of test_target_reaches_the_back_end_unchanged failed before.

The fragment of a target, which no request may have, is still dropped.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_servers.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_servers.py
@@ -32,6 +32,8 @@
         """Collect the trailers apart from the headers."""
         super().on_headers_complete()
         self.headers = []
+        if not self.scope['query_string'] and _has_query(self.url):
+            self.scope['raw_path'] = b'%b?' % self.scope['raw_path']
 
     def on_message_complete(self) -> None:
         """Handle the end of a call, unless its body follows."""
@@ -43,6 +45,14 @@
         return tuple(self.scope['headers'])
 
 
+def _has_query(url: bytes) -> bool:
+    """Return whether a target has a query, even an empty one.
+
+    The query of an ASGI scope does not tell an empty one from none.
+    """
+    return b'?' in url.partition(b'#')[0]
+
+
 class DaemonServer(uvicorn.Server):
     """A server that leaves signal handling to the daemon.
 
--- a/tests/fleet/test_serving.py
+++ b/tests/fleet/test_serving.py
@@ -37,6 +37,18 @@
         status = await node.status()
         assert status['counters']['calls'] == 1
 
+    @pytest.mark.parametrize('query', ['', '?', '??', '?a=%20&a', '?/?&'])
+    async def test_target_reaches_the_back_end_unchanged(
+        self, fleet: FleetDeployment, query: str
+    ) -> None:
+        """An empty query was left out."""
+        node = (await start_shop(fleet))[0]
+        path = f'/prints/%2F;a=1//b{query}'
+        call_result = await make_caller(fleet, node).send_request('p', path)
+        assert call_result.verdict is Verdict.GOOD
+        runs = [run for backend in fleet.backends for run in backend.runs]
+        assert [run.path for run in runs] == [path]
+
     async def test_path_without_route_is_not_found(
         self, fleet: FleetDeployment
     ) -> None:
