Send no length with 204 and 304

What callers could see: after an answer with 204 or 304 and a length the connection was closed, as the server takes a response without the declared bytes for a short one, and 204 said that a body follows, which it never may.

Cause: the headers of an answer are passed on with its length, whatever the status.

Change: the length is left out for these two; 304 may have one but does not need it.

Evidence: 2 cases of tests/fleet/test_odd_statuses.py failed before; all pass.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_edge_responses.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_edge_responses.py
@@ -38,6 +38,11 @@
         b'trailer',
     )
 )
+# The server closes the connection after a response that is shorter than its length.
+_BODILESS_STATUSES = frozenset(
+    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
+)
+_CONTENT_LENGTH = b'content-length'
 _STATUS_OF_REASON = MappingProxyType(
     {
         RefusalReason.NO_SERVICE: http.HTTPStatus.NOT_FOUND,
@@ -111,9 +116,12 @@
 
         :raises TruncatedAnswerError: if the upstream does not complete it.
         """
-        await self._start(
-            reply.status, _set_outcome_header(reply.status, reply.headers)
-        )
+        headers = _set_outcome_header(reply.status, reply.headers)
+        if reply.status in _BODILESS_STATUSES:
+            headers = tuple(
+                header for header in headers if header[0] != _CONTENT_LENGTH
+            )
+        await self._start(reply.status, headers)
         async for chunk in reply.chunks:
             await self.send(
                 {
--- a/tests/fleet/test_odd_statuses.py
+++ b/tests/fleet/test_odd_statuses.py
@@ -57,6 +57,27 @@
             return await read_to_end(stream)
 
 
+class TestBodilessStatus:
+    @pytest.mark.parametrize('status', [b'204 No Content', b'304 Not Modified'])
+    async def test_with_a_length_leaves_the_connection_open(
+        self, fleet: FleetDeployment, status: bytes
+    ) -> None:
+        """The connection was closed, and 204 had the length of a body."""
+        node = (await start_shop(fleet))[0]
+        fail_calls(fleet, status)
+        async with await anyio.connect_tcp(*node.caller_address) as stream:
+            for number in range(2):
+                await stream.send(
+                    b'GET /prints/1 HTTP/1.1\r\nhost: shop.example\r\n'
+                    b'x-request-id: p%d\r\n\r\n' % number
+                )
+                with anyio.fail_after(5):
+                    received = await stream.receive()
+                assert received.startswith(b'HTTP/1.1 %b' % status[:3])
+                assert received.endswith(b'\r\n\r\n')
+                assert b'content-length' not in received
+
+
 class TestOddStatus:
     @pytest.mark.parametrize('status', STATUSES)
     async def test_of_an_order_reaches_no_caller(
