Let calls that were read get their responses when the next bytes are no call

What callers could see: a caller that pipelines a call and then bytes that are no call got 400 in place of the first call's answer; its order was cut at the upstream, or ran without an answer.

Cause: the server answers a parser's error with 400 at once and closes, whatever is running. The limits on headers already waited for the response of the call before, but cut it if the refused call had begun a body.

Change: bytes that are no call are refused like headers above a limit: running and waiting calls get their responses, the one that is not whole is dropped, and the connection closes. The 400 now has x-outcome and x-reason, and is counted.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_caller_protocol.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_caller_protocol.py
@@ -88,7 +88,7 @@
     ) -> None:
         """Close a connection on which nothing ever arrives, in time."""
         super().connection_made(transport)
-        self._start_idle_timer()
+        _start_idle_timer(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timer of the headers."""
@@ -155,12 +155,16 @@
         )
         super().on_body(body)
 
+    def on_response_complete(self) -> None:
+        """Begin the next call, unless the bytes behind this one were refused."""
+        is_last = not self.pipeline
+        super().on_response_complete()
+        if is_last and self.is_lingering and not self.transport.is_closing():
+            self.linger()
+
     def send_400_response(self, msg: str) -> None:  # noqa: WPS114
         """Refuse a call that cannot be parsed or has too large headers."""
-        if self.refusal is None:
-            super().send_400_response(msg)
-            return
-        self._refuse(self.refusal)
+        self._refuse(self.refusal or RefusalReason.BAD_REQUEST)
 
     def close_if_abandoned(self) -> bool:
         """Close the connection if its caller has; return whether it is closed.
@@ -221,12 +225,7 @@
         if self.is_shutting_down:
             self.transport.close()
         elif self.timeout_keep_alive_task is None:
-            self._start_idle_timer()
-
-    def _start_idle_timer(self) -> None:
-        self.timeout_keep_alive_task = self.loop.call_later(
-            self.timeout_keep_alive, self.timeout_keep_alive_handler
-        )
+            _start_idle_timer(self)
 
     def _start_head_timer(self) -> None:
         if self.head_timer is None and math.isfinite(self.limits.timeout):
@@ -254,6 +253,12 @@
                 'received_bytes': self.framing_bytes,
             },
         )
+        if _is_queued(self) and self.cycle.more_body:
+            # Earlier calls get their responses; this one has not been read.
+            self.pipeline.popleft()
+            self.cycle.response_complete = True
+            self.is_lingering = True
+            return
         if self.cycle is not None and not self.cycle.response_complete:
             # The response to an earlier call, or to this one, is not complete.
             self.cycle.keep_alive = False
@@ -282,10 +287,21 @@
         self.protocol.close_after_response()
 
 
+def _start_idle_timer(protocol: CallerProtocol) -> None:
+    protocol.timeout_keep_alive_task = protocol.loop.call_later(
+        protocol.timeout_keep_alive, protocol.timeout_keep_alive_handler
+    )
+
+
 def _is_busy(protocol: CallerProtocol) -> bool:
     return protocol.cycle is not None and not protocol.cycle.response_complete
 
 
+def _is_queued(protocol: CallerProtocol) -> bool:
+    """Tell whether the last call waits for the response to an earlier one."""
+    return bool(protocol.pipeline) and protocol.pipeline[0][0] is protocol.cycle
+
+
 def _has_input(protocol: CallerProtocol) -> bool:
     """Tell whether bytes have arrived that are yet to be handled."""
     if protocol.is_reading_head or protocol.is_lingering:
