Refuse bodies with another transfer coding than chunks

What callers could see: an order with "Transfer-Encoding: gzip, chunked" ran with the compressed bytes as its body and without a word of the coding.

Cause: the parser accepts any list that ends with chunked, and the header, which concerns one connection, is not passed on.

Change: a call with any other coding than a single chunked is refused with 400.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_caller_protocol.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_caller_protocol.py
@@ -5,7 +5,7 @@
 import math
 import select
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import httptools
@@ -126,11 +126,14 @@
         """Start a call unless its headers are too large.
 
         If too many calls wait for an earlier one, this call and the bytes after
-        it are dropped, and the connection closes after the last response.
+        it are dropped, and the connection closes after the last response. So it
+        does if the body has a coding that would get lost.
 
-        :raises HttpParserError: in both cases.
+        :raises HttpParserError: in all these cases.
         """
         self.is_reading_head = False
+        if _has_unknown_coding(self.headers):
+            raise httptools.HttpParserError
         if len(self.pipeline) >= _MAX_PIPELINED:
             self.refusal = RefusalReason.QUEUE_FULL
             raise httptools.HttpParserError
@@ -297,6 +300,12 @@
     return protocol.cycle is not None and not protocol.cycle.response_complete
 
 
+def _has_unknown_coding(headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Tell whether a body has another transfer coding than ``chunked``."""
+    codings = [text for name, text in headers if name == b'transfer-encoding']
+    return bool(codings) and b','.join(codings).lower() != b'chunked'
+
+
 def _is_queued(protocol: CallerProtocol) -> bool:
     """Tell whether the last call waits for the response to an earlier one."""
     return bool(protocol.pipeline) and protocol.pipeline[0][0] is protocol.cycle
--- a/tests/fleet/test_framing.py
+++ b/tests/fleet/test_framing.py
@@ -96,6 +96,7 @@
     b'content-length: 0x4\r\n\r\nabcd',
     b'content-length : 4\r\n\r\nabcd',
     b'content-length: 4\n\r\nabcd',
+    b'transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n',
     b'transfer-encoding: chunked, identity\r\n\r\n0\r\n\r\n',
     b'transfer-encoding: xchunked\r\n\r\n0\r\n\r\n',
     b'transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n\r\n'
@@ -398,7 +399,10 @@
     def test_doubtful_message_leaves_earlier_ones_their_answers(
         self, stage: tuple[BlockingPortal, Stage], framing: bytes
     ) -> None:
-        """An earlier call was answered 400, and was cut at its upstream."""
+        """An earlier call was answered 400, and was cut at its upstream.
+
+        A body with a second coding ran without it.
+        """
         start = b'POST /a HTTP/1.1\r\n'
         proper = Message(start, b'content-length: 2\r\n\r\nab', True)
         doubtful = Message(start, framing, False)
