--- a/packages/cowslippond-core/src/cowslippond_core/_race.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_race.py
@@ -50,9 +50,10 @@
 
         The first answer that is not an error ends the race. Otherwise an error
         answer ranks before a lost answer, and a lost answer before 'not run',
-        because the call may have run. So does an attempt without a result, as
-        its upstream may still be at work. On return all attempts but the winner
-        have ended, and their connections are closed.
+        because the call may have run. An attempt without a result counts as a
+        lost answer beside 'not run', as its upstream may still be at work. On
+        return all attempts but the winner have ended, and their connections are
+        closed.
         """
         try:
             await self._run_concurrently()
