--- a/packages/cowslippond-core/src/cowslippond_core/_http_calls.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_http_calls.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import math
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -84,21 +85,21 @@
     with contextlib.ExitStack() as at_end:
         at_end.callback(connections.end_call, connection)
         await connection.send(sent)
-        body = await read_body(exchange)
+        body = await read_body(exchange, MAX_BODY_BYTES)
     if exchange.fault is not None:
         return Error(exchange.fault.value)
     return Ok(HttpAnswer(exchange.status, body, tuple(exchange.headers)))
 
 
-async def read_body(exchange: Exchange) -> bytes:
+async def read_body(exchange: Exchange, max_bytes: float = math.inf) -> bytes:
     """Return the body of an answer, or the part received before a fault.
 
-    A body above :data:`MAX_BODY_BYTES` is a fault.
+    :param max_bytes: a larger body is a fault.
     """
     await exchange.wait_head()
     parts: list[bytes] = []
     size = 0
-    while size <= MAX_BODY_BYTES:
+    while size <= max_bytes:
         part = await exchange.next_chunk()
         if not part:
             return b''.join(parts)
