--- a/tests/fleet/shop.py
+++ b/tests/fleet/shop.py
@@ -29,3 +29,12 @@
 
 def make_caller(fleet: FleetDeployment, node: Node) -> Caller:
     return Caller(node.name, node.caller_address, fleet.tasks, fleet.clock)
+
+
+def fail_calls(
+    fleet: FleetDeployment, status: bytes, *, count: int | None = None
+) -> None:
+    """Let back ends answer with the status after they have run a call."""
+    for backend in fleet.backends[:count]:
+        backend.faults.fail = 1
+        backend.faults.fail_status = status
--- a/tests/fleet/test_framing.py
+++ b/tests/fleet/test_framing.py
@@ -72,8 +72,7 @@
 def chunked(draw: st.DrawFn) -> bytes:
     parts = draw(st.lists(BODIES.filter(bool), max_size=3))
     framed = [chunk(part, draw(EXTENSIONS)) for part in parts]
-    return b'transfer-encoding: chunked\r\n%b\r\n%b0%b\r\n%b\r\n' % (
-        b'',
+    return b'transfer-encoding: chunked\r\n\r\n%b0%b\r\n%b\r\n' % (
         b''.join(framed),
         draw(EXTENSIONS),
         draw(TRAILERS),
--- a/tests/fleet/test_odd_statuses.py
+++ b/tests/fleet/test_odd_statuses.py
@@ -10,7 +10,7 @@
 import pytest
 from anyio.abc import SocketStream
 from cowslippond_standins.fleet import FleetDeployment, Node, Verdict
-from fleet.shop import make_caller, start_shop
+from fleet.shop import fail_calls, make_caller, start_shop
 
 pytestmark = pytest.mark.anyio
 
@@ -27,15 +27,6 @@
 DEADLINE = 2000
 
 
-def fail_calls(
-    fleet: FleetDeployment, status: bytes, *, count: int | None = None
-) -> None:
-    """Let back ends answer with the status after they have run a call."""
-    for backend in fleet.backends[:count]:
-        backend.faults.fail = 1
-        backend.faults.fail_status = status
-
-
 async def read_to_end(stream: SocketStream) -> bytes:
     received = b''
     while True:
--- a/tests/fleet/test_promises.py
+++ b/tests/fleet/test_promises.py
@@ -19,7 +19,7 @@
     first_tries,
     relayed_calls,
 )
-from fleet.shop import make_caller, start_shop
+from fleet.shop import fail_calls, make_caller, start_shop
 from fleet.upload_shop import (
     MEBIBYTE,
     add_upload_backend,
@@ -44,15 +44,6 @@
     ]
 
 
-def fail_calls(
-    fleet: FleetDeployment, status: bytes, *, count: int | None = None
-) -> None:
-    """Let back ends answer with the status after they have run a call."""
-    for backend in fleet.backends[:count]:
-        backend.faults.fail = 1
-        backend.faults.fail_status = status
-
-
 async def place_orders(caller: Caller) -> None:
     for number in range(CALLS):
         await caller.send_request(f'o{number}', '/orders/1', method='POST')
