Test that a kept connection passes on no unproven promise

The fourth of the ways a call takes that the test of real daemons does not fix: there a call may get a new connection.

--- a/tests/platform/test_promises.py
+++ b/tests/platform/test_promises.py
@@ -73,6 +73,22 @@
         assert isinstance(forwarded, Forwarded)
         assert forwarded.status == 502
 
+    @pytest.mark.parametrize('status', PROMISES)
+    async def test_on_a_kept_connection_is_no_promise(
+        self, status: bytes
+    ) -> None:
+        first = b'x-request-id: first\r\nx-response-signature: 1\r\n'
+        async with anyio.create_task_group() as tasks:
+            upstream = await start_upstream(
+                tasks, answer(b'200 OK', first), answer(status, SIGNED)
+            )
+            assert isinstance(await send_call(upstream, 'first'), Answered)
+            assert upstream.connections.idle
+            result = await send_call(upstream, 'call')
+            tasks.cancel_scope.cancel()
+        assert isinstance(result, Answered)
+        assert result.answer.status == 502
+
 
 class TestProvenRefusal:
     @pytest.mark.parametrize('status', [*PROMISES, b'400 No ID'])
