Count the start of a header that arrives in two packets

Cause: when a head is not complete after the read that began it, the bytes of that read are replaced by the size of the headers that are complete, so the start of a long header did not count. If the rest fitted into the limit, the exact size was not looked at. The bytes usually arrive in one read.

Change: the exact size is looked at whenever a head took more than one read.

Evidence: test_too_large_header_in_two_packets_is_refused failed before (1 of 1); 182 tests of the limits, the daemon's protocol and the framing pass.

--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_caller_protocol.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_caller_protocol.py
@@ -106,7 +106,8 @@
         if self.is_lingering or self.transport.is_closing():
             return
         if self.has_begun and self.is_reading_head:
-            # The bytes before the call in the same read are not its own.
+            # The bytes before the call in the same read are not its own. Those of a
+            # header that is not complete are left out, too.
             self.framing_bytes = min(self.framing_bytes, _head_size(self))
         if self.framing_bytes > self.limits.size:
             self._refuse(RefusalReason.HEAD_TOO_LARGE)
@@ -137,7 +138,7 @@
         if len(self.pipeline) >= _MAX_PIPELINED:
             self.refusal = RefusalReason.QUEUE_FULL
             raise httptools.HttpParserError
-        if self.framing_bytes > self.limits.size:
+        if self.framing_bytes > self.limits.size or not self.has_begun:
             if _head_size(self) > self.limits.size:
                 self.refusal = RefusalReason.HEAD_TOO_LARGE
                 raise httptools.HttpParserError
--- a/tests/fleet/test_caller_limits.py
+++ b/tests/fleet/test_caller_limits.py
@@ -63,6 +63,20 @@
 
 
 class TestHeaders:
+    async def test_too_large_header_in_two_packets_is_refused(
+        self, fleet: FleetDeployment
+    ) -> None:
+        """The part of a header that came with its start did not count."""
+        node = await start_node(fleet)
+        caller = await exchange(
+            fleet,
+            node,
+            b'%bx-a: %b' % (CALL.removesuffix(b'\r\n'), b'a' * 10_000),
+            b'%b\r\n\r\n' % (b'a' * 10_000),
+            pause=0.1,
+        )
+        assert caller.received.startswith(b'HTTP/1.1 431 ')
+
     @pytest.mark.parametrize('size', [20_000, 200_000, 3_000_000])
     async def test_too_large_headers_are_refused(
         self, fleet: FleetDeployment, size: int
