--- a/review/stage3/stage.py
+++ b/review/stage3/stage.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -49,10 +50,22 @@
     """The case could not be set up."""
 
 
+_used_ports = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port that no connection gets by chance before it is used."""
+    while True:
+        port = random.randrange(15_000, 32_000)
+        if port in _used_ports:
+            continue
+        _used_ports.add(port)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        return port
 
 
 class Record:
@@ -116,14 +129,17 @@
         self.modes = {}
         self.last_calls = {}
         self.opened = {}
+        self.answered = {}
         self.changed = asyncio.Event()
-        self.servers = []
+        self.servers = {}
+        self.writers = {}
 
     async def listen(self, name):
         server = await asyncio.start_server(
             lambda reader, writer: self._serve(name, reader, writer), HOST, 0
         )
-        self.servers.append(server)
+        self.servers[name] = server
+        self.writers[name] = set()
         return server.sockets[0].getsockname()[1]
 
     def write(self, table, key, value):
@@ -153,6 +169,13 @@
         """Serve a daemon (``well``), refuse it (``busy``) or be ``silent``."""
         self.modes[name] = mode
 
+    def cut(self, name):
+        """Cut the way of a daemon to the store: resets and refusals."""
+        self.set_mode(name, 'cut')
+        self.servers[name].close()
+        for writer in tuple(self.writers[name]):
+            writer.transport.abort()
+
     def readers(self, within=1.8):
         """Return the daemons that wait for changes of the back ends."""
         now = time.monotonic()
@@ -161,12 +184,16 @@
         ]
 
     async def _serve(self, name, reader, writer):
+        self.writers[name].add(writer)
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while True:
                 head = await read_head(reader)
                 if head is None:
                     break
                 await read_request_body(reader, head[1])
+                if self.modes.get(name) == 'cut':
+                    writer.transport.abort()
+                    break
                 if self.modes.get(name) == 'silent':
                     await reader.read()
                     break
@@ -178,6 +205,7 @@
                     answer = encode(503, self._era_header(), b'')
                 writer.write(answer)
                 await writer.drain()
+        self.writers[name].discard(writer)
         writer.close()
 
     def _era_header(self):
@@ -199,9 +227,12 @@
             )
             return self._rows(rows)
         if path == '/rows-feed':
+            self.record(f'{name} reads {query["table"]}')
             if query['table'] == 'servers':
                 self.opened[name] = time.monotonic()
-            return await self._feed(query)
+            answer = await self._feed(query)
+            self.answered[name] = time.monotonic()
+            return answer
         return encode(404, self._era_header(), b'')
 
     async def _feed(self, query):
@@ -570,6 +601,8 @@
         for daemon in fresh:
             while not await daemon.is_ready():
                 if time.monotonic() > ends:
+                    log = self.folder / f'{daemon.name}.log'
+                    self.record(log.read_text()[-2000:])
                     raise CannotRunError(f'{daemon.name} is not ready')
                 await asyncio.sleep(0.1)
         self.record(f'ready: {[one.name for one in fresh]}')
