--- a/review/stage3/stage.py
+++ b/review/stage3/stage.py
@@ -195,6 +195,7 @@
                     writer.transport.abort()
                     break
                 if self.modes.get(name) == 'silent':
+                    self.record(f'{name} asks the store in vain')
                     await reader.read()
                     break
                 answer = await self._answer(name, head[0])
