--- a/review/stage3/stage.py
+++ b/review/stage3/stage.py
@@ -130,6 +130,7 @@
         self.last_calls = {}
         self.opened = {}
         self.answered = {}
+        self.read_at = {}
         self.changed = asyncio.Event()
         self.servers = {}
         self.writers = {}
@@ -221,6 +222,9 @@
         if self.modes.get(name) == 'busy':
             return encode(503, self._era_header(), b'')
         await asyncio.sleep(0.004)
+        self.record(f'{name} reads {query["table"]}')
+        if query['table'] == 'servers':
+            self.read_at[name] = time.monotonic()
         if path == '/rows-get':
             rows = sorted(
                 (row for key, row in self.rows.items() if key[0] == query['table']),
@@ -228,7 +232,6 @@
             )
             return self._rows(rows)
         if path == '/rows-feed':
-            self.record(f'{name} reads {query["table"]}')
             if query['table'] == 'servers':
                 self.opened[name] = time.monotonic()
             answer = await self._feed(query)
