--- a/review/12/case.py
+++ b/review/12/case.py
@@ -12,6 +12,7 @@
 
 CONTACT_S = stage.BOUNDS['contact_ms'] / 1000
 KILLED = 5
+OUTAGES = 4
 DRAIN_S = stage.BOUNDS['drain_timeout_ms'] / 1000
 
 
@@ -57,7 +58,7 @@
 
 
 async def interrupt_store(play):
-    """Let the store be silent for 8 s."""
+    """Let the store be silent for 8 s and return when it is back."""
     play.record('the store is down')
     for daemon in play.daemons:
         play.store.set_mode(daemon.name, 'silent')
@@ -65,6 +66,7 @@
     for daemon in play.daemons:
         play.store.set_mode(daemon.name, 'well')
     play.record('the store is back')
+    return time.monotonic()
 
 
 async def case(play, trouble):
@@ -76,13 +78,18 @@
     await asyncio.sleep(18)
     killed = []
     if trouble:
-        await interrupt_store(play)
-        # The store is calm after contact_ms.
-        await asyncio.sleep(CONTACT_S + 0.6)
-        latest = sorted(
-            play.daemons, key=lambda one: -play.store.read_at.get(one.name, 0)
-        )
-        killed = latest[:KILLED]
+        for _ in range(OUTAGES):
+            back = await interrupt_store(play)
+            # The store is calm after contact_ms.
+            await asyncio.sleep(CONTACT_S + 0.6)
+            latest = sorted(
+                play.daemons,
+                key=lambda one: -play.store.read_at.get(one.name, 0),
+            )
+            killed = latest[:KILLED]
+            if play.store.read_at.get(latest[KILLED].name, 0) < back:
+                break
+            play.record('more daemons have read than may be killed')
         play.record(f'readers: {play.store.readers()}')
         for daemon in killed:
             daemon.signal(signal.SIGKILL)
--- a/review/stage3/stage.py
+++ b/review/stage3/stage.py
@@ -6,10 +6,10 @@
 import asyncio
 import base64
 import contextlib
+import ctypes
 import json
 import os
 import pathlib
-import random
 import shutil
 import signal
 import socket
@@ -18,6 +18,7 @@
 import time
 
 HOST = '127.0.0.1'
+PR_SET_PDEATHSIG = 1
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 BOUNDS = {
@@ -50,22 +51,21 @@
     """The case could not be set up."""
 
 
-_used_ports = set()
+# Below the ports of outgoing connections, and apart from those of other scripts
+# that run at the same time.
+_ports = iter(range(15_000 + os.getpid() % 100 * 160, 32_000))
 
 
 def free_port():
-    """Return a port that no connection gets by chance before it is used."""
-    while True:
-        port = random.randrange(15_000, 32_000)
-        if port in _used_ports:
-            continue
-        _used_ports.add(port)
+    """Return a port that nothing else uses."""
+    for port in _ports:
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
         return port
+    raise CannotRunError('no free port')
 
 
 class Record:
@@ -383,6 +383,12 @@
         return True
 
 
+def end_with_parent():
+    """Let a started process end if this one is killed."""
+    with contextlib.suppress(OSError, AttributeError):
+        ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Daemon:
     """One process of the system, started with the command of the deploy file."""
 
@@ -469,7 +475,7 @@
         self.process = subprocess.Popen(
             ['python3', '-S', '-OO', '-m', 'cowslippond_daemon.platform'],
             cwd=ROOT, env=environment, stdout=log, stderr=log,
-            stdin=subprocess.DEVNULL,
+            stdin=subprocess.DEVNULL, preexec_fn=end_with_parent,
         )
         log.close()
         self.stage.record(f'start {self.name}')
@@ -635,11 +641,15 @@
 
     async def main():
         stage = Stage(folder, bounds)
+        playing = asyncio.ensure_future(
+            case(stage, os.environ.get('TROUBLE') != '0')
+        )
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+            loop.add_signal_handler(number, playing.cancel)
         try:
-            return await asyncio.wait_for(
-                case(stage, os.environ.get('TROUBLE') != '0'), 110
-            )
-        except Exception as error:
+            return await asyncio.wait_for(playing, 110)
+        except (Exception, asyncio.CancelledError) as error:
             stage.record(f'cannot run: {error!r}')
             return 2
         finally:
