--- a/packages/cowslippond-core/src/cowslippond_core/_reader_role.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reader_role.py
@@ -1,5 +1,6 @@
 """Decides which daemons of a fleet read the store."""
 
+import enum
 import math
 
 from cowslippond_core._clock import Clock, Millis
@@ -62,6 +63,17 @@
 _DISCOVERY_PERIOD: Millis = 15_000
 
 
+class ReadReason(enum.StrEnum):
+    """Why a daemon reads the store."""
+
+    ALONE = 'alone'
+    UNCONFIRMED = 'unconfirmed'
+    NO_BEACONS = 'no_beacons'
+    NO_ANNOUNCEMENTS = 'no_announcements'
+    RANK = 'rank'
+    OTHERS_READ = ''
+
+
 class ReaderRole:
     """Decides whether this daemon reads the store.
 
@@ -75,6 +87,8 @@
         never counts as alone.
     :param takeover: decides by the beacons of readers whether others read;
         without it, or while it cannot tell, announcements decide.
+
+    ``reason`` is why this daemon reads, for logs.
     """
 
     def __init__(
@@ -98,6 +112,7 @@
         self.announced_at: Millis = -math.inf
         self.announced_era = ''
         self.is_substitute = False
+        self.reason = ReadReason.OTHERS_READ
         self.membership = membership
         self.versions = versions
         self.lost_reports = lost_reports
@@ -106,15 +121,23 @@
 
     def is_reader(self) -> bool:
         """Return whether this daemon waits for changes in the store."""
+        self.reason = self._find_reason()
+        return self.reason is not ReadReason.OTHERS_READ
+
+    def _find_reason(self) -> ReadReason:
         if self.is_alone():
             # Once a peer answers again, announcements need time to arrive.
             self.reader_seen_at = self.clock.now()
-            return True
+            return ReadReason.ALONE
         if not self.is_confirmed(STALE_AGE):
-            return True
+            return ReadReason.UNCONFIRMED
         if self.announces and self._lacks_reader():
-            return True
-        return self.is_designated()
+            if self.takeover is not None and self.takeover.is_possible():
+                return ReadReason.NO_BEACONS
+            return ReadReason.NO_ANNOUNCEMENTS
+        if self.is_designated():
+            return ReadReason.RANK
+        return ReadReason.OTHERS_READ
 
     def is_chosen(self) -> bool:
         """Return whether few daemons besides this one take over reading."""
--- a/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
@@ -152,6 +152,7 @@
             extra={
                 'rows': self.name,
                 'designated': self.role.is_designated(),
+                'reason': self.role.reason,
                 'readers': self.role.known_readers(),
             },
         )
