Go on taking over by beacons while a few daemons are refused

Cause: the successor reports that the store refuses it. While any such report lives, a lack of beacons decided nothing, as refused readers are replaced by rank; the next in rank were the killed daemons. Ruled out: slow gossip (each read for itself), a slow store (4 ms). Change: reports count as an outage from eight daemons on, and only those since the last beacon. A refused daemon leaves taking over to others for 1.5 s or until a beacon, in place of 5 s. A delay before a retry ends once others read. Test: simulate_reader_loss now also cuts off successors, or a reader before the loss.

--- a/packages/cowslippond-core/src/cowslippond_core/__init__.pyi
+++ b/packages/cowslippond-core/src/cowslippond_core/__init__.pyi
@@ -92,6 +92,7 @@
 from ._json_codec import JsonCodec as JsonCodec
 from ._leaving import LeavingMarks as LeavingMarks
 from ._leaving import LeavingSource as LeavingSource
+from ._lost_reports import STORE_LOST_TABLE as STORE_LOST_TABLE
 from ._measuring import ProbeBudget as ProbeBudget
 from ._measuring import probe_rate_of as probe_rate_of
 from ._membership import Daemon as Daemon
@@ -124,7 +125,6 @@
     share_quarantine as share_quarantine,
 )
 from ._reader_beacons import ReaderBeacons as ReaderBeacons
-from ._reader_role import STORE_LOST_TABLE as STORE_LOST_TABLE
 from ._reader_role import STORE_READER_TABLE as STORE_READER_TABLE
 from ._reader_role import ReaderRole as ReaderRole
 from ._reasons import RefusalReason as RefusalReason
--- a/packages/cowslippond-core/src/cowslippond_core/_reader_beacons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reader_beacons.py
@@ -193,9 +193,11 @@
 
     def are_heard(self, max_age: Millis) -> bool:
         """Return whether any beacon has come within a time span."""
-        if not self.heard:
-            return False
-        return self.clock.now() - self.heard[-1].at <= max_age
+        return self.clock.now() - self.heard_at() <= max_age
+
+    def heard_at(self) -> Millis:
+        """Return when the last beacon has come."""
+        return self.heard[-1].at if self.heard else -math.inf
 
     def last_known_at(self) -> Millis:
         """Return when this daemon was last known to have missed no change."""
--- a/packages/cowslippond-core/src/cowslippond_core/_reader_role.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reader_role.py
@@ -2,10 +2,12 @@
 
 import enum
 import math
+from collections.abc import Collection
 
 from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._fleet_contact import FleetContact
 from cowslippond_core._gossip_table import GossipRow, GossipTable
+from cowslippond_core._lost_reports import report_store_lost
 from cowslippond_core._membership import Daemon, Membership
 from cowslippond_core._open_waits import OpenWaits
 from cowslippond_core._store_era import StoreEra
@@ -24,9 +26,6 @@
 #: covers two waits for changes and the time to detect that a store is down.
 STALE_AGE: Millis = 4000
 
-#: The gossip table in which daemons report that they cannot read the store.
-STORE_LOST_TABLE = 'store_lost'
-
 #: The gossip table in which the daemons that read the store announce it.
 STORE_READER_TABLE = 'store_readers'
 
@@ -54,9 +53,6 @@
 # Ends the announcement of a daemon that reads for that reason.
 _SUBSTITUTE = '*'
 
-# Lifetime of such a report unless it is renewed.
-_STORE_LOST_TTL: Millis = 5000
-
 # Time that a starting daemon needs to discover most of a large fleet. Before
 # that, it would rank itself first in its failure domain, so only the seeds are
 # designated readers.
@@ -204,12 +200,12 @@
         """
         own = self.membership.own.address
         self._record_announcements()
-        if own in self.lost_reports.alive_keys():
-            self.is_substitute = False
-        elif self.takeover is not None and self.takeover.is_possible():
+        if self.takeover is not None and self.takeover.is_possible():
             self.is_substitute = self.takeover.is_needed(
                 is_substitute=self.is_substitute
             )
+        elif own in self.lost_reports.alive_keys():
+            self.is_substitute = False
         elif self.is_substitute:
             readers = self._readers_within(_MAX_READER_AGE)
             readers.pop(own, None)
@@ -287,14 +283,15 @@
     def _has_reader_rank(self, peers: list[Daemon]) -> bool:
         """Return whether few enough of some peers come before this daemon."""
         own = self.membership.own
-        own_key = self._rank_key(own.address)
+        seeds = self.membership.configured_seeds
+        own_key = _rank_key(own.address, seeds)
         domains = {own.failure_domain}
         rank = 0
         for peer in peers:
             domains.add(peer.failure_domain)
             if peer.failure_domain != own.failure_domain:
                 continue
-            rank += self._rank_key(peer.address) < own_key
+            rank += _rank_key(peer.address, seeds) < own_key
         return rank < math.ceil(READER_COUNT / len(domains))
 
     def is_seed(self) -> bool:
@@ -306,13 +303,12 @@
         """Ask another daemon to take over if this one is a designated reader."""
         if not (self.is_substitute or self.is_designated()):
             return
-        self.lost_reports.put(
-            self.membership.own.address, 'lost', _STORE_LOST_TTL
-        )
+        report_store_lost(self.lost_reports, self.membership.own.address)
+
 
-    def _rank_key(self, address: str) -> tuple[bool, str]:
-        """Return the sort key that ranks daemons; seeds come first."""
-        return address not in self.membership.configured_seeds, address
+def _rank_key(address: str, seeds: Collection[str]) -> tuple[bool, str]:
+    """Return the sort key that ranks daemons; seeds come first."""
+    return address not in seeds, address
 
 
 def _is_eligible(daemon: Daemon) -> bool:
--- a/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
@@ -198,13 +198,16 @@
         return max(interval, _MIN_ROLE_CHECK_INTERVAL)
 
     async def _sleep_unless_chosen(self, delay: Millis) -> None:
-        """Sleep until few other daemons read besides this one.
+        """Sleep until few other daemons read besides this one, or others do.
 
         Delays that are spread over a large fleet take longer than a daemon that
-        has lost its peers may wait.
+        has lost its peers may wait, and longer than daemons that read again may
+        live.
         """
         ends_at = self.clock.now() + delay
-        while self.clock.now() < ends_at and not self.role.is_chosen():
+        while self.clock.now() < ends_at:
+            if self.role.is_chosen() or not self.role.is_reader():
+                return
             left = ends_at - self.clock.now()
             await self.clock.sleep(min(left, _ROLE_CHECK_INTERVAL))
 
--- a/packages/cowslippond-core/src/cowslippond_core/_takeover.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_takeover.py
@@ -5,6 +5,7 @@
 
 from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._gossip_table import GossipTable
+from cowslippond_core._lost_reports import report_ages
 from cowslippond_core._membership import Membership
 from cowslippond_core._reader_beacons import ReaderBeacons
 
@@ -15,6 +16,13 @@
 _MAX_BEACON_AGE: Millis = 1200
 _TAKEOVER_SPREAD: Millis = 400
 
+# If this many daemons were refused since the last beacon, the store is down for
+# all of them. Fewer may be partitioned from it while others are not.
+_OUTAGE_REPORTS = 8
+
+# How long a daemon that the store has refused leaves reading to others.
+_REFUSAL_PAUSE: Millis = 1500
+
 # A starting daemon knows few peers, and may miss beacons.
 _START_TIME: Millis = 3000
 
@@ -47,17 +55,19 @@
     def is_possible(self) -> bool:
         """Return whether a lack of beacons shows that no daemon reads.
 
-        Readers that the store refuses send none, and are replaced by rank.
+        That a few daemons are refused shows nothing of those that may replace
+        them, which may be gone.
         """
         if self.clock.now() - self.started_at < _START_TIME:
             return False
-        return self.beacons.is_in_use() and not self.lost_reports.alive_keys()
+        return self.beacons.is_in_use() and not self._is_store_down()
 
     def time_left(self) -> Millis:
         """Return the time until this daemon has to read, in milliseconds."""
         if not self.is_possible():
             return math.inf
         due_at = self.beacons.last_known_at() + _MAX_BEACON_AGE + self.delay()
+        due_at = max(due_at, self._paused_until())
         return max(due_at - self.clock.now(), 0)
 
     def delay(self) -> Millis:
@@ -80,10 +90,34 @@
 
         :param is_substitute: whether it already reads for that reason.
         """
-        if is_substitute:
+        if is_substitute and self.clock.now() >= self._paused_until():
             return not self.beacons.is_outranked(_MAX_BEACON_AGE)
         return self.time_left() <= 0
 
+    def _is_store_down(self) -> bool:
+        """Return whether the store has refused many daemons and served none."""
+        now = self.clock.now()
+        refused = [
+            address
+            for address, age in report_ages(self.lost_reports).items()
+            if now - age > self.beacons.heard_at()
+        ]
+        return len(refused) >= _OUTAGE_REPORTS
+
+    def _paused_until(self) -> Millis:
+        """Return until when this daemon leaves reading to others.
+
+        Beacons after its refusal show that the store can be read again.
+        """
+        own = self.membership.own.address
+        age = report_ages(self.lost_reports).get(own)
+        if age is None:
+            return -math.inf
+        refused_at = self.clock.now() - age
+        if refused_at <= self.beacons.heard_at():
+            return -math.inf
+        return refused_at + _REFUSAL_PAUSE
+
 
 def takeover_delay(address: str, count: int, spread: Millis) -> Millis:
     """Return how much longer than others a daemon waits for readers.
--- a/packages/cowslippond-standins/src/cowslippond_standins/model/__init__.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/__init__.py
@@ -20,6 +20,7 @@
 from cowslippond_standins.model._partition import (
     simulate_partition as simulate_partition,
 )
+from cowslippond_standins.model._reader_loss import ReaderCut as ReaderCut
 from cowslippond_standins.model._reader_loss import (
     ReaderLossFigures as ReaderLossFigures,
 )
--- a/packages/cowslippond-standins/src/cowslippond_standins/model/_reading.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/_reading.py
@@ -55,8 +55,8 @@
 
 _TABLES = (OPERATORS, 'servers')
 
-# A daemon that called the store within this time is one of its readers.
-_READER_INTERVAL: Millis = 1500
+#: A daemon that called the store within this time is one of its readers.
+READER_INTERVAL: Millis = 1500
 
 # Daemons that call within this time of the refusal count as late readers.
 _LATE_WINDOW: Millis = 2000
@@ -122,7 +122,7 @@
 
     def refuse_readers(self, plan: ReadingPlan) -> None:
         """Refuse the current readers, also in their open calls."""
-        since = self.clock.now() - _READER_INTERVAL
+        since = self.clock.now() - READER_INTERVAL
         self.refused = {call.caller for call in self.calls if call.at > since}
         self.is_down = plan.is_down
         self.successors_to_refuse = plan.refused_successors
