End an outage of the store with the first read of any daemon

Cause: a daemon that failed to read in the outage and was then told by peers kept its mark, took its own next read for the end of the outage, and held removals back for 2.3 s from then on. Ruled out: a late take-over (0.2 s after the kill by rank), gossip (all four removed them within 10 ms). Change: StoreOutage ends with the first read that any daemon is known to have begun since the failure, by the confirmations that peers pass on; entries and evacuations count their grace period from that time.

--- a/packages/cowslippond-core/src/cowslippond_core/_configuration_log.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_configuration_log.py
@@ -55,7 +55,7 @@
         self,
         rows: StoreRows,
         is_whole: bool,
-        was_lost: bool,
+        returned_at: Millis | None,
         requested_at: Millis,
     ) -> None:
         """Apply rows of the store, one of which is the configuration.
@@ -63,7 +63,7 @@
         :param rows: the rows.
         :param is_whole: unused, as a missing row does not remove the
             configuration.
-        :param was_lost: unused.
+        :param returned_at: unused.
         :param requested_at: when the rows were requested; the version was the
             newest at that time.
         """
--- a/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
@@ -21,6 +21,7 @@
 )
 from cowslippond_core._reader_role import ReaderRole
 from cowslippond_core._store_era import era_of, lift_rows
+from cowslippond_core._store_outage import StoreOutage
 
 _logger = logging.getLogger(__name__)
 
@@ -90,7 +91,8 @@
     :param source: reads the rows.
     :param role: decides whether to read.
     :param on_rows: receives the rows, whether they are all rows of the store,
-        whether the previous read failed, and when the read was requested.
+        when the store had returned from an outage that this daemon had noticed
+        since its last read, or ``None``, and when the read was requested.
     :param clock: measures all waits.
     :param rng: randomizes the time of reads.
     :param is_first_start: whether the whole fleet starts for the first time,
@@ -102,7 +104,7 @@
         name: str,
         source: RowSource,
         role: ReaderRole,
-        on_rows: Callable[[StoreRows, bool, bool, Millis], None],
+        on_rows: Callable[[StoreRows, bool, Millis | None, Millis], None],
         clock: Clock,
         rng: random.Random,
         *,
@@ -116,7 +118,8 @@
         self.clock = clock
         self.rng = rng
         self.revision: int | None = None
-        self.is_store_lost = False
+        self.outage = StoreOutage(role.versions)
+        self.answer_due_at: Millis = -math.inf
         self.logged_role = ''
         self.era = role.era
         self.read_at: Millis = -math.inf
@@ -213,6 +216,7 @@
 
     async def _read_once(self) -> None:
         requested_at = self.clock.now()
+        self.answer_due_at = requested_at
         if self.revision is not None:
             self._restart_in_new_era(self.era.current)
         is_full_read = self.revision is None
@@ -235,7 +239,7 @@
             self.role.waits.forget(self.name)
             return
         is_first = not self.has_caught_up
-        was_lost = self._record_success()
+        returned_at = self._record_success()
         self.has_caught_up = True
         self.role.waits.record_answer(self.name, requested_at)
         if not is_full_read:
@@ -243,7 +247,7 @@
         self.revision = rows.revision
         self.read_at = requested_at
         self.role.announce_reading()
-        self.on_rows(rows, is_full_read, was_lost, requested_at)
+        self.on_rows(rows, is_full_read, returned_at, requested_at)
         if is_first and self.role.is_substitute:
             await self._leave_reading_to_others()
         elif rows.rows:
@@ -261,8 +265,8 @@
         if not self.has_caught_up:
             return await self.source.wait(revision, 0)
         wait = self._choose_wait()
-        ends_at = self.clock.now() + wait + _ANSWER_SLACK
-        self.role.waits.open(self.name, ends_at)
+        self.answer_due_at = self.clock.now() + wait
+        self.role.waits.open(self.name, self.answer_due_at + _ANSWER_SLACK)
         return await self.source.wait(revision, wait)
 
     async def _leave_reading_to_others(self) -> None:
@@ -309,7 +313,7 @@
             )
             self.revision = None
             return
-        if not self.is_store_lost:
+        if not self.outage.is_noticed:
             _logger.warning(
                 'store cannot be read; retrying',
                 extra={
@@ -318,7 +322,7 @@
                     'detail': error.detail,
                 },
             )
-        self.is_store_lost = True
+        self.outage.record_failure(min(self.answer_due_at, self.clock.now()))
         self.has_caught_up = False
         self.revision = None
         self.role.report_store_lost()
@@ -348,11 +352,13 @@
             return 0
         return _RETRY_SPACING * self.role.membership.count()
 
-    def _record_success(self) -> bool:
-        was_lost = self.is_store_lost
-        self.is_store_lost = False
-        if was_lost:
+    def _record_success(self) -> Millis | None:
+        """Return when the store has returned from an outage, if there was one."""
+        now = self.clock.now()
+        returned_at = self.outage.end(now)
+        if returned_at is not None:
             _logger.warning(
-                'store can be read again', extra={'rows': self.name}
+                'store can be read again',
+                extra={'rows': self.name, 'since_ms': round(now - returned_at)},
             )
-        return was_lost
+        return returned_at
--- a/packages/cowslippond-core/src/cowslippond_core/_upstream_registry.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_upstream_registry.py
@@ -84,7 +84,7 @@
         self,
         rows: StoreRows,
         is_whole: bool,
-        was_lost: bool,
+        returned_at: Millis | None,
         requested_at: Millis,
     ) -> None:
         """Apply rows read from the store.
@@ -94,11 +94,12 @@
 
         :param rows: the rows.
         :param is_whole: whether a missing row means that it has been removed.
-        :param was_lost: whether the store could not be read before.
+        :param returned_at: when the store has returned from an outage that this
+            daemon had noticed since its last read, in milliseconds, or ``None``.
         :param requested_at: when the rows were requested.
         """
-        if was_lost:
-            self.store_back_at = self.clock.now()
+        if returned_at is not None:
+            self.store_back_at = max(self.store_back_at or 0, returned_at)
         offered = []
         removed = {}
         for row in rows.rows:
--- a/packages/cowslippond-core/src/cowslippond_core/_versions.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_versions.py
@@ -14,7 +14,8 @@
     the clock time at which ``revision`` was last known to be the newest.
     ``observed_revision`` is the highest revision reported to exist.
     ``successor`` is the name of the log in which peers that have it exchange
-    the same texts instead.
+    the same texts instead. ``confirmation_listeners`` are called with the time
+    of each confirmation that is newer than the former ones.
     """
 
     successor = ''
@@ -25,6 +26,7 @@
         self.confirmed_at: Millis | None = None
         self.latest: dict[str, AcceptedDocument] = {}
         self.listeners: list[Callable[[], None]] = []
+        self.confirmation_listeners: list[Callable[[Millis], None]] = []
 
     def offer(self, accepted: AcceptedDocument) -> bool:
         """Put a version in force if it is newer than the stored one.
@@ -80,8 +82,11 @@
         """
         if revision != self.revision:
             return
-        if self.confirmed_at is None or self.confirmed_at < at:
-            self.confirmed_at = at
+        if self.confirmed_at is not None and self.confirmed_at >= at:
+            return
+        self.confirmed_at = at
+        for listener in self.confirmation_listeners:
+            listener(at)
 
     def accepts(self) -> bool:
         """Return whether texts of peers are applied."""
--- a/packages/cowslippond-core/src/cowslippond_core/evacuations/_evacuation_log.py
+++ b/packages/cowslippond-core/src/cowslippond_core/evacuations/_evacuation_log.py
@@ -76,7 +76,7 @@
         self,
         rows: StoreRows,
         is_whole: bool,
-        was_lost: bool,
+        returned_at: Millis | None,
         requested_at: Millis,
     ) -> None:
         """Apply rows of the store, some of which may be evacuations.
@@ -86,11 +86,12 @@
 
         :param rows: the rows.
         :param is_whole: whether a missing row means that it has been removed.
-        :param was_lost: whether the store could not be read before.
+        :param returned_at: when the store has returned from an outage that this
+            daemon had noticed since its last read, in milliseconds, or ``None``.
         :param requested_at: unused.
         """
-        if was_lost:
-            self.store_back_at = self.clock.now()
+        if returned_at is not None:
+            self.store_back_at = max(self.store_back_at or 0, returned_at)
         present = set()
         entries = []
         for row in rows.rows:
--- a/packages/cowslippond-core/src/cowslippond_core/evacuations/_operator_rows.py
+++ b/packages/cowslippond-core/src/cowslippond_core/evacuations/_operator_rows.py
@@ -6,7 +6,7 @@
 from cowslippond_core._clock import Millis
 from cowslippond_core._platform_store import StoreRows
 
-ApplyRows: TypeAlias = Callable[[StoreRows, bool, bool, Millis], None]
+ApplyRows: TypeAlias = Callable[[StoreRows, bool, Millis | None, Millis], None]
 
 
 class OperatorRows:
@@ -25,9 +25,9 @@
         self,
         rows: StoreRows,
         is_whole: bool,
-        was_lost: bool,
+        returned_at: Millis | None,
         requested_at: Millis,
     ) -> None:
         """Apply rows of the store; see :class:`StoreWatch`."""
         for apply_rows in self.apply_rows:
-            apply_rows(rows, is_whole, was_lost, requested_at)
+            apply_rows(rows, is_whole, returned_at, requested_at)
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_store_watches.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_store_watches.py
@@ -28,7 +28,7 @@
 
     name: str
     source: RowSource
-    on_rows: Callable[[StoreRows, bool, bool, Millis], None]
+    on_rows: Callable[[StoreRows, bool, Millis | None, Millis], None]
 
 
 def start_watches(
--- a/packages/cowslippond-standins/src/cowslippond_standins/model/_reading.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/_reading.py
@@ -336,6 +336,9 @@
 
 
 def _ignore_rows(
-    rows: StoreRows, is_whole: bool, was_lost: bool, requested_at: Millis
+    rows: StoreRows,
+    is_whole: bool,
+    returned_at: Millis | None,
+    requested_at: Millis,
 ) -> None:
     """Ignore rows, as entries of upstreams do not confirm a configuration."""
--- a/tests/core/test_store_era.py
+++ b/tests/core/test_store_era.py
@@ -61,7 +61,7 @@
             for key, written, text in rows
         )
         self.log.apply_rows(
-            StoreRows(decoded, combine_era(era, revision)), is_whole, False, 0
+            StoreRows(decoded, combine_era(era, revision)), is_whole, None, 0
         )
 
     def states(self) -> dict[str, str]:
@@ -272,7 +272,11 @@
         return [request.split()[0] for request in rows.requests]
 
     def _receive(
-        self, rows: StoreRows, is_whole: bool, was_lost: bool, at: float
+        self,
+        rows: StoreRows,
+        is_whole: bool,
+        returned_at: float | None,
+        at: float,
     ) -> None:
         self.received.append((rows.revision, is_whole))
         self.role.era.observe(self.learned_era, 'peer')
--- a/tests/core/test_store_watch.py
+++ b/tests/core/test_store_watch.py
@@ -19,6 +19,7 @@
 )
 from cowslippond_core._gossip_table import GossipTable
 from cowslippond_core._membership import Membership
+from cowslippond_core._store_outage import StoreOutage
 from cowslippond_core._versions import Versions
 from expression import Error, Ok, Result
 from fakes import FakeClock
@@ -96,8 +97,8 @@
         'rows',
         rows,
         make_role(clock, make_daemon(1, 'a')),
-        lambda found, is_full_read, was_lost, _: received.append(
-            (found.revision, is_full_read, was_lost)
+        lambda found, is_full_read, returned_at, _: received.append(
+            (found.revision, is_full_read, returned_at is not None)
         ),
         clock,
         random.Random(1),
@@ -148,6 +149,56 @@
         assert received[-1] == (4, True, True)
 
 
+class TestStoreOutage:
+    """Guard against a daemon that takes its own next read for the end.
+
+    Others had read for 3.6 s when their readers were lost; it then held
+    removals back for 2.3 s more.
+    """
+
+    def test_it_ends_with_the_first_read_of_any_daemon(self) -> None:
+        versions = Versions()
+        outage = StoreOutage(versions)
+        outage.record_failure(1000)
+        versions.confirm(900, 0)
+        versions.confirm(1200, 0)
+        versions.confirm(2000, 0)
+        assert outage.end(5000) == 1200
+        assert outage.end(5000) is None
+
+    def test_without_a_read_of_others_it_ends_with_the_own_one(self) -> None:
+        outage = StoreOutage(Versions())
+        outage.record_failure(1000)
+        assert outage.end(5000) == 5000
+
+    def test_another_failure_prolongs_it(self) -> None:
+        versions = Versions()
+        outage = StoreOutage(versions)
+        outage.record_failure(1000)
+        versions.confirm(1200, 0)
+        outage.record_failure(1500)
+        assert outage.end(5000) == 5000
+
+    async def test_a_watch_tells_when_others_read_again(self) -> None:
+        clock = FakeClock(100_000)
+        role = make_role(clock, make_daemon(1, 'a'))
+        ends: list[Millis | None] = []
+        store_watch = StoreWatch(
+            'rows',
+            ScriptedRows(fault(StoreFault.REFUSED), rows_at(4)),
+            role,
+            lambda *seen: ends.append(seen[2]),
+            clock,
+            random.Random(1),
+        )
+        await store_watch._read_once()
+        returned_at = clock.now()
+        role.versions.confirm(returned_at, 0)
+        clock.advance(3000)
+        await store_watch._read_once()
+        assert ends == [returned_at]
+
+
 class TestWaits:
     async def test_a_call_without_changes_ends_well_before_the_bound(
         self,
--- a/tests/core/test_upstream_registry.py
+++ b/tests/core/test_upstream_registry.py
@@ -3,6 +3,7 @@
 import pytest
 from cowslippond_core import (
     STORE_LOST_TABLE,
+    Millis,
     StoreRow,
     StoreRows,
     UpstreamRegistry,
@@ -32,8 +33,10 @@
         *rows: StoreRow,
         is_whole: bool = False,
         was_lost: bool = False,
+        lost_until: Millis | None = None,
     ) -> None:
-        self.apply_rows(StoreRows(rows, revision), is_whole, was_lost, 0)
+        returned_at = self.clock.now() if was_lost else lost_until
+        self.apply_rows(StoreRows(rows, revision), is_whole, returned_at, 0)
 
     def states(self) -> dict[str, VmState]:
         return {vm.name: vm.state for vm in self.vms()}
@@ -141,6 +144,25 @@
         registry.apply_pending_removals()
         assert registry.states() == {}
 
+    def test_removals_long_after_the_end_of_an_outage_apply_at_once(
+        self, registry: DecodingRegistry, clock: FakeClock
+    ) -> None:
+        """Guard against taking this daemon's next read for the end.
+
+        Other daemons had read for long; calls reached upstreams that were gone.
+        """
+        registry.read(1, StoreRow('u', 1, 'live'), is_whole=True)
+        registry.read(5, is_whole=True, lost_until=clock.now() - 2400)
+        assert registry.states() == {}
+
+    def test_the_end_of_an_earlier_outage_shortens_no_grace_period(
+        self, registry: DecodingRegistry, clock: FakeClock
+    ) -> None:
+        registry.read(1, StoreRow('u', 1, 'live'), is_whole=True)
+        registry.read(5, is_whole=True, lost_until=clock.now())
+        registry.read(5, is_whole=True, lost_until=clock.now() - 2400)
+        assert registry.states() == {'u': VmState.LIVE}
+
     def test_revision_does_not_advance_past_pending_removals(
         self, registry: DecodingRegistry, clock: FakeClock
     ) -> None:
--- a/tests/evacuations/test_evacuation_log.py
+++ b/tests/evacuations/test_evacuation_log.py
@@ -7,6 +7,7 @@
     EVACUATION_PREFIX,
     AcceptedDocument,
     EvacuationLog,
+    Millis,
     StoreEra,
     StoreRow,
     StoreRows,
@@ -44,8 +45,10 @@
         revision: int,
         is_whole: bool = False,
         was_lost: bool = False,
+        lost_until: Millis | None = None,
     ) -> None:
-        self.apply_rows(StoreRows(rows, revision), is_whole, was_lost, 0)
+        returned_at = self.fake_clock.now() if was_lost else lost_until
+        self.apply_rows(StoreRows(rows, revision), is_whole, returned_at, 0)
 
 
 def exchange(one: Log, other: Log) -> None:
@@ -292,6 +295,16 @@
         assert log.domains == set()
         assert log.revision == 9
 
+    def test_row_that_is_removed_long_after_an_outage_is_gone(self) -> None:
+        """Guard against taking this daemon's next read for the end."""
+        log = Log()
+        log.fake_clock.advance(1000)
+        log.apply(evacuation('north', 4), revision=4)
+        returned_at = log.fake_clock.now()
+        log.fake_clock.advance(2400)
+        log.apply(revision=9, is_whole=True, lost_until=returned_at)
+        assert log.domains == set()
+
     def test_other_rows_are_ignored(self) -> None:
         log = Log()
         log.apply(
--- a/tests/platform/test_malformed_entries.py
+++ b/tests/platform/test_malformed_entries.py
@@ -144,7 +144,7 @@
             StoreRow('i-2', 2, entry_text('address', f'"{LONG_PORT}"')),
             StoreRow('i-3', 3, orjson.dumps(dict(ENTRY)).decode()),
         )
-        registry.apply_rows(StoreRows(rows, 3), True, False, 0)
+        registry.apply_rows(StoreRows(rows, 3), True, None, 0)
         assert [vm.name for vm in registry.vms()] == ['i-3']
 
     @given(field=st.sampled_from(sorted(ENTRY)), wrong=json_like)
--- a/tests/workspaces/test_configuration_versions.py
+++ b/tests/workspaces/test_configuration_versions.py
@@ -42,9 +42,7 @@
         self, log: ConfigurationLog, version: int, *keys: str
     ) -> None:
         row = StoreRow('configuration', version, text_of(version, *keys))
-        log.apply_rows(
-            StoreRows((row,), version), False, False, log.clock.now()
-        )
+        log.apply_rows(StoreRows((row,), version), False, None, log.clock.now())
 
     @pytest.mark.parametrize('is_from_peer', [True, False])
     def test_older_version_never_replaces_a_newer_one(
