Apply a reader's keys while another daemon is cut off from the store

Cause: a peer ignores the keys of a restarted reader's first read while any report of a lost store lives, as entries may have lapsed in an outage. The report of one daemon that is cut off is renewed as long as the cut lasts. Change: a report counts only if nobody was known to read for 2 s, and for the grace period after that (StoreSilence). Beacons and own reads tell of readers. Test: test_removal_reaches_a_peer_while_another_daemon_is_cut_off fails before the change ('gone' is kept); test_first_read_removes_nothing_just_after_an_outage holds before and after.

--- a/packages/cowslippond-core/src/cowslippond_core/_reader_beacons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reader_beacons.py
@@ -19,6 +19,7 @@
 from cowslippond_core._codec import WireError, read_number, read_text
 from cowslippond_core._membership import Membership
 from cowslippond_core._store_era import StoreEra
+from cowslippond_core._store_outage import StoreSilence
 from cowslippond_core._versions import Versions
 
 #: Time between two beacons of the reader that ranks first.
@@ -127,6 +128,7 @@
         self.sent = 0
         self.sent_at: Millis = -BEACON_INTERVAL
         self.known_at: Millis = -math.inf
+        self.silence = StoreSilence(clock)
 
     def receive(self, sender: str, packed: bytes) -> bool:
         """Record a beacon and pass it on, if it is new to this daemon.
@@ -139,6 +141,7 @@
             return False
         self.senders[sender] = self.clock.now()
         if self._is_new(beacon):
+            self.silence.record_reading()
             self.heard.append(_HeardBeacon(self.clock.now(), beacon))
             if beacon.hops:
                 passed_on = beacon._replace(hops=beacon.hops - 1)
@@ -231,6 +234,7 @@
 
         :param age: how long ago, in milliseconds.
         """
+        self.silence.record_reading()
         read_at = self.clock.now() - age
         self.known_at = max(self.known_at, read_at)
         newest: dict[str, int] = {}
--- a/packages/cowslippond-core/src/cowslippond_core/_shared_keys.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_shared_keys.py
@@ -8,6 +8,7 @@
 from cowslippond_core._document import AcceptedDocument
 from cowslippond_core._gossip_table import GossipTable
 from cowslippond_core._store_era import lift_unknown, plain_revision
+from cowslippond_core._store_outage import StoreSilence
 from cowslippond_core._whole_read import (
     WholeRead,
     decode_whole_read,
@@ -27,7 +28,8 @@
 
     A daemon that started after an outage of the store does not know of it
     either. Provisional keys are therefore ignored where rows may still return,
-    or where ``lost_reports`` tell of a daemon that cannot read the store.
+    or where ``lost_reports`` tell of a daemon that cannot read the store, unless
+    ``silence`` tells that others have read it all the while.
 
     ``newest_entry`` holds the keys of the newest read, ``usable_read`` is that
     read if it shows removals.
@@ -40,6 +42,7 @@
         self.clock = clock
         self.delay = delay
         self.lost_reports: GossipTable | None = None
+        self.silence: StoreSilence | None = None
         self.era = 0
         self.era_read_at: Millis = -math.inf
         self.has_new_read = False
@@ -149,11 +152,13 @@
         read = decode_whole_read(entry)
         if read is None or not read.is_provisional:
             return read
-        if may_return or self._is_store_reported_lost():
+        if may_return or self._may_be_outage():
             return None
         return read
 
-    def _is_store_reported_lost(self) -> bool:
-        if self.lost_reports is None:
+    def _may_be_outage(self) -> bool:
+        if self.lost_reports is None or not self.lost_reports.alive_keys():
             return False
-        return bool(self.lost_reports.alive_keys())
+        if self.silence is None:
+            return True
+        return self.silence.is_recent(self.delay)
--- a/packages/cowslippond-core/src/cowslippond_core/_store_outage.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_outage.py
@@ -1,10 +1,14 @@
-"""Records when the store could be read again after an outage."""
+"""Records when the store could not be read, and since when it can be again."""
 
 import math
 
-from cowslippond_core._clock import Millis
+from cowslippond_core._clock import Clock, Millis
 from cowslippond_core._versions import Versions
 
+# The store may have been down if nobody is known to have read it for this long.
+# When readers are lost, others read again in less time.
+_MIN_SILENCE: Millis = 2000
+
 
 class StoreOutage:
     """An outage of the store that this daemon noticed by a read that failed.
@@ -53,3 +57,32 @@
             return None
         self.is_noticed = False
         return now if self.returned_at is None else self.returned_at
+
+
+class StoreSilence:
+    """The last time in which no daemon was known to read the store.
+
+    :param clock: measures it.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.read_seen_at: Millis = -math.inf
+        self.ended_at: Millis = -math.inf
+
+    def record_reading(self) -> None:
+        """Record that this daemon or another one reads the store now."""
+        now = self.clock.now()
+        if now - self.read_seen_at >= _MIN_SILENCE:
+            self.ended_at = now
+        self.read_seen_at = now
+
+    def is_recent(self, max_age: Millis) -> bool:
+        """Return whether the store may be down, or was within a time span.
+
+        :param max_age: the time span, in milliseconds.
+        """
+        now = self.clock.now()
+        if now - self.read_seen_at >= _MIN_SILENCE:
+            return True
+        return now - self.ended_at < max_age
--- a/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_parts.py
+++ b/packages/cowslippond-daemon/src/cowslippond_daemon/_fleet_parts.py
@@ -91,6 +91,7 @@
         rng,
         port.send,
     )
+    registry.shared_keys.silence = beacons.silence
     port.receivers.append(beacons.receive)
     return FleetParts(
         log,
--- a/tests/core/test_reader_beacons.py
+++ b/tests/core/test_reader_beacons.py
@@ -185,6 +185,17 @@
         station.clock.advance(601)
         assert station.takeover.is_needed(is_substitute=False)
 
+    def test_beacons_tell_for_how_long_nobody_read(self) -> None:
+        station = Station()
+        station.hear(make_beacon())
+        station.clock.advance(2300)
+        station.hear(make_beacon(1))
+        assert station.beacons.silence.is_recent(1000)
+        for number in range(2, 5):
+            station.clock.advance(400)
+            station.hear(make_beacon(number))
+        assert not station.beacons.silence.is_recent(1000)
+
     def test_own_reads_replace_entries_that_no_peer_passes_on(self) -> None:
         """Guard against a daemon that reads for ever."""
         station = Station()
--- a/tests/core/test_upstream_registry.py
+++ b/tests/core/test_upstream_registry.py
@@ -13,6 +13,7 @@
 from cowslippond_core._document import AcceptedDocument
 from cowslippond_core._gossip_table import GossipTable
 from cowslippond_core._store_era import combine_era
+from cowslippond_core._store_outage import StoreSilence
 from cowslippond_core._whole_read import make_whole_read
 from fakes import FakeClock
 
@@ -320,6 +321,47 @@
         pull(lagging, registry)
         assert set(lagging.states()) == {'kept'}
 
+    def test_removal_reaches_a_peer_while_another_daemon_is_cut_off(
+        self,
+        clock: FakeClock,
+        registry: DecodingRegistry,
+        lagging: DecodingRegistry,
+    ) -> None:
+        """Guard against reports of a lost store that hide removals.
+
+        The report of a daemon that is cut off lives as long as the cut.
+        """
+        reports = GossipTable(STORE_LOST_TABLE, clock)
+        lagging.shared_keys.lost_reports = reports
+        silence = StoreSilence(clock)
+        lagging.shared_keys.silence = silence
+        for _ in range(10):
+            clock.advance(300)
+            silence.record_reading()
+            reports.put('other', 'lost', 5000)
+        self.read_whole(registry)
+        pull(lagging, registry)
+        assert set(lagging.states()) == {'kept'}
+
+    def test_first_read_removes_nothing_just_after_an_outage(
+        self,
+        clock: FakeClock,
+        registry: DecodingRegistry,
+        lagging: DecodingRegistry,
+    ) -> None:
+        reports = GossipTable(STORE_LOST_TABLE, clock)
+        lagging.shared_keys.lost_reports = reports
+        silence = StoreSilence(clock)
+        lagging.shared_keys.silence = silence
+        silence.record_reading()
+        reports.put('other', 'lost', 5000)
+        clock.advance(3000)
+        silence.record_reading()
+        clock.advance(1000)
+        self.read_whole(registry)
+        pull(lagging, registry)
+        assert set(lagging.states()) == {'kept', 'gone'}
+
     def test_unreadable_keys_remove_nothing(
         self, peer: DecodingRegistry
     ) -> None:
