Delay the retries of a refused substitute as those of others

Cause: a daemon that had taken over stayed a substitute after the store refused it, as it was unconfirmed for 4 s by then and nothing looked at the mark again. Substitutes retry without the delay that is spread over the fleet. Change: a daemon that reports that it was refused is no substitute any more. Test: test_a_refused_substitute_is_no_longer_one fails before the change.

--- a/packages/cowslippond-core/src/cowslippond_core/_reader_role.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reader_role.py
@@ -300,10 +300,11 @@
         return membership.own.address in membership.configured_seeds
 
     def report_store_lost(self) -> None:
-        """Ask another daemon to take over if this one is a designated reader."""
+        """Ask another daemon to take over if this one reads for others."""
         if not (self.is_substitute or self.is_designated()):
             return
         report_store_lost(self.lost_reports, self.membership.own.address)
+        self.is_substitute = False
 
 
 def _rank_key(address: str, seeds: Collection[str]) -> tuple[bool, str]:
--- a/tests/core/test_store_watch.py
+++ b/tests/core/test_store_watch.py
@@ -66,6 +66,20 @@
         role.lost_reports.put('10.0.0.1:1', 'lost', 5000)
         assert role.is_reader()
 
+    def test_a_refused_substitute_is_no_longer_one(self) -> None:
+        """Guard against substitutes that retry without their delays.
+
+        In an outage without answers, 60 daemons each called again every 1.5 s.
+        """
+        clock = FakeClock(1_000_000)
+        others = [make_daemon(number, 'a') for number in range(1, 4)]
+        role = make_role(clock, make_daemon(9, 'a'), *others)
+        clock.advance(20_000)
+        role.is_substitute = True
+        role.report_store_lost()
+        assert role.lost_reports.rows()
+        assert not role.is_chosen()
+
     def test_only_seeds_read_during_discovery(
         self,
     ) -> None:
