--- a/tests/core/test_lost_readers.py
+++ b/tests/core/test_lost_readers.py
@@ -39,7 +39,7 @@
     The daemons in the next ranks may be gone as well.
     """
 
-    @pytest.mark.parametrize('seed', [4, 8])
+    @pytest.mark.parametrize('seed', [4, 8, 31])
     @pytest.mark.parametrize('is_cut_silent', [False, True])
     def test_change_is_in_force_in_time_when_successors_are_cut_off(
         self, seed: int, is_cut_silent: bool
