Disregard beacons that a reader sent while its calls got no answers

Callers would see: requests handled by the former configuration up to 3 s after a change, on paper, if the only reader that is left is cut off from the store without an answer and the next in rank are gone. Cause: a beacon of a reader with an open call says that it misses nothing, also if the connection is dead. That shows 0.4 s after the call should have ended, at most 1.7 s after the cut; others had counted on the beacons until 1.4 s. Change: the report of such a reader tells for how long its call had no answer; its beacons of that time no longer count, and the others look for changes within 0.1 s. Test: test_beacons_of_a_reader_without_answers_do_not_count and test_they_tell_for_how_long_a_call_had_no_answer fail before the change.

--- a/packages/cowslippond-core/src/cowslippond_core/_reader_beacons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reader_beacons.py
@@ -83,8 +83,11 @@
 
 
 class _HeardBeacon(NamedTuple):
+    """A beacon; ``is_doubted`` means that its reader had no answers then."""
+
     at: Millis
     beacon: Beacon
+    is_doubted: bool = False
 
 
 class ReaderBeacons:
@@ -209,10 +212,26 @@
             known_at = heard.at - heard.beacon.age
             if known_at <= self.known_at or heard.at > counts_until:
                 continue
+            if heard.is_doubted:
+                continue
             if self._has_reached(heard.beacon):
                 self.known_at = known_at
         return self.known_at
 
+    def doubt(self, source: str, since: Millis, until: Millis) -> None:
+        """Disregard the beacons that a reader sent within a time.
+
+        :param source: the peer address of the reader.
+        :param since: in milliseconds.
+        :param until: in milliseconds.
+        """
+        for index, heard in enumerate(self.heard):
+            if heard.beacon.source != source or not since < heard.at <= until:
+                continue
+            self.heard[index] = heard._replace(is_doubted=True)
+            if heard.at - heard.beacon.age == self.known_at:
+                self.known_at = since
+
     def is_outranked(self, max_age: Millis) -> bool:
         """Return whether a reader was heard of that this one may rely on.
 
--- a/packages/cowslippond-core/src/cowslippond_core/_reader_role.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reader_role.py
@@ -299,11 +299,16 @@
         membership = self.membership
         return membership.own.address in membership.configured_seeds
 
-    def report_store_lost(self) -> None:
-        """Ask another daemon to take over if this one reads for others."""
+    def report_store_lost(self, missed: Millis = 0) -> None:
+        """Ask another daemon to take over if this one reads for others.
+
+        :param missed: for how long this daemon may have missed changes, in
+            milliseconds.
+        """
         if not (self.is_substitute or self.is_designated()):
             return
-        report_store_lost(self.lost_reports, self.membership.own.address)
+        own = self.membership.own.address
+        report_store_lost(self.lost_reports, own, missed)
         self.is_substitute = False
 
 
--- a/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
@@ -119,6 +119,7 @@
         self.rng = rng
         self.revision: int | None = None
         self.outage = StoreOutage(role.versions)
+        self.requested_at: Millis = -math.inf
         self.answer_due_at: Millis = -math.inf
         self.logged_role = ''
         self.era = role.era
@@ -216,6 +217,7 @@
 
     async def _read_once(self) -> None:
         requested_at = self.clock.now()
+        self.requested_at = requested_at
         self.answer_due_at = requested_at
         if self.revision is not None:
             self._restart_in_new_era(self.era.current)
@@ -325,7 +327,10 @@
         self.outage.record_failure(min(self.answer_due_at, self.clock.now()))
         self.has_caught_up = False
         self.revision = None
-        self.role.report_store_lost()
+        # The connection of a call without an answer may be cut since its start.
+        now = self.clock.now()
+        is_silent = now > self.answer_due_at + _ANSWER_SLACK
+        self.role.report_store_lost(now - self.requested_at if is_silent else 0)
         own_delay = self.retry_delay
         max_delay = max(own_delay, self._retry_spacing())
         self.retry_delay = min(self.retry_delay * 2, self._max_retry_delay())
--- a/packages/cowslippond-core/src/cowslippond_core/_takeover.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_takeover.py
@@ -4,8 +4,8 @@
 import zlib
 
 from cowslippond_core._clock import Clock, Millis
-from cowslippond_core._gossip_table import GossipTable
-from cowslippond_core._lost_reports import report_ages
+from cowslippond_core._gossip_table import GossipRow, GossipTable
+from cowslippond_core._lost_reports import decode_report, lost_reports_of
 from cowslippond_core._membership import Membership
 from cowslippond_core._reader_beacons import ReaderBeacons
 
@@ -23,6 +23,10 @@
 # How long a daemon that the store has refused leaves reading to others.
 _REFUSAL_PAUSE: Millis = 1500
 
+# The share of the additional time that is left for it when the reader whose
+# beacons counted turns out to have had no answers from the store.
+_DOUBT_SHARE = 0.25
+
 # A starting daemon knows few peers, and may miss beacons.
 _START_TIME: Millis = 3000
 
@@ -51,6 +55,8 @@
         self.lost_reports = lost_reports
         self.clock = clock
         self.started_at = clock.now()
+        self.doubted_at: Millis = -math.inf
+        lost_reports.listeners.append(self._receive_report)
 
     def is_possible(self) -> bool:
         """Return whether a lack of beacons shows that no daemon reads.
@@ -67,7 +73,8 @@
         if not self.is_possible():
             return math.inf
         due_at = self.beacons.last_known_at() + _MAX_BEACON_AGE + self.delay()
-        due_at = max(due_at, self._paused_until())
+        doubt_ends_at = self.doubted_at + self.delay() * _DOUBT_SHARE
+        due_at = max(due_at, doubt_ends_at, self._paused_until())
         return max(due_at - self.clock.now(), 0)
 
     def delay(self) -> Millis:
@@ -94,13 +101,23 @@
             return not self.beacons.is_outranked(_MAX_BEACON_AGE)
         return self.time_left() <= 0
 
+    def _receive_report(self, row: GossipRow) -> None:
+        """Disregard the beacons of a reader that had no answers meanwhile."""
+        report = decode_report(row)
+        if not report.missed:
+            return
+        now = self.clock.now()
+        written_at = now - report.age
+        self.doubted_at = now
+        self.beacons.doubt(row.key, written_at - report.missed, written_at)
+
     def _is_store_down(self) -> bool:
         """Return whether the store has refused many daemons and served none."""
         now = self.clock.now()
         refused = [
             address
-            for address, age in report_ages(self.lost_reports).items()
-            if now - age > self.beacons.heard_at()
+            for address, report in lost_reports_of(self.lost_reports).items()
+            if now - report.age > self.beacons.heard_at()
         ]
         return len(refused) >= _OUTAGE_REPORTS
 
@@ -110,10 +127,10 @@
         Beacons after its refusal show that the store can be read again.
         """
         own = self.membership.own.address
-        age = report_ages(self.lost_reports).get(own)
-        if age is None:
+        report = lost_reports_of(self.lost_reports).get(own)
+        if report is None:
             return -math.inf
-        refused_at = self.clock.now() - age
+        refused_at = self.clock.now() - report.age
         if refused_at <= self.beacons.heard_at():
             return -math.inf
         return refused_at + _REFUSAL_PAUSE
--- a/tests/core/test_reader_beacons.py
+++ b/tests/core/test_reader_beacons.py
@@ -240,6 +240,29 @@
         station.hear(make_beacon())
         assert station.takeover.is_possible()
 
+    def test_beacons_of_a_reader_without_answers_do_not_count(self) -> None:
+        """Guard against reliance on calls that are open on a dead connection.
+
+        A reader whose calls get no answer sends beacons for up to 1.4 s more.
+        """
+        station = Station()
+        for number in range(6):
+            station.hear(make_beacon(number))
+            station.clock.advance(250)
+        assert station.takeover.time_left() > 900
+        station.lost_reports.put('10.0.0.2:1', '1600', 5000)
+        assert station.takeover.time_left() <= 100
+        station.hear(make_beacon(1, source='10.0.0.3:1'))
+        assert station.takeover.time_left() >= 1200
+
+    def test_beacons_of_a_refused_reader_count_as_before(self) -> None:
+        station = Station()
+        station.hear(make_beacon())
+        station.clock.advance(250)
+        before = station.takeover.time_left()
+        station.lost_reports.put('10.0.0.2:1', '0', 5000)
+        assert station.takeover.time_left() == before
+
     def test_refused_daemon_leaves_reading_to_others_for_a_while(self) -> None:
         """Guard against substitutes that add up in an outage."""
         station = Station()
--- a/tests/core/test_store_watch.py
+++ b/tests/core/test_store_watch.py
@@ -213,6 +213,32 @@
         assert ends == [returned_at]
 
 
+class TestReports:
+    @pytest.mark.parametrize(('late_by', 'missed'), [(400, '1400'), (0, '0')])
+    async def test_they_tell_for_how_long_a_call_had_no_answer(
+        self, late_by: Millis, missed: str
+    ) -> None:
+        clock = FakeClock(100_000)
+        role = make_role(clock, make_daemon(1, 'a'))
+        store_watch = StoreWatch(
+            'rows',
+            ScriptedRows(),
+            role,
+            lambda *_: None,
+            clock,
+            random.Random(1),
+        )
+        clock.advance(20_000)
+        store_watch.requested_at = clock.now()
+        store_watch.answer_due_at = clock.now() + 1000
+        clock.advance(1000 + late_by)
+        await store_watch._record_error(
+            StoreError(StoreFault.UNREACHABLE, 'scripted')
+        )
+        own = role.membership.own.address
+        assert role.lost_reports.text_of(own) == missed
+
+
 class TestWaits:
     async def test_a_call_without_changes_ends_well_before_the_bound(
         self,
