Let only a report on the reader that counted move the take-over

Cause: each report of a daemon without answers moved the time at which others take over by up to 0.1 s, also if nobody had counted on its beacons. Several daemons that report again and again could put it off for longer. Found by reading. Change: the time moves only if the newest beacon that counted is disregarded. Test: test_reports_of_others_do_not_postpone_the_take_over fails before the change.

--- a/packages/cowslippond-core/src/cowslippond_core/_reader_beacons.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reader_beacons.py
@@ -218,19 +218,23 @@
                 self.known_at = known_at
         return self.known_at
 
-    def doubt(self, source: str, since: Millis, until: Millis) -> None:
+    def doubt(self, source: str, since: Millis, until: Millis) -> bool:
         """Disregard the beacons that a reader sent within a time.
 
         :param source: the peer address of the reader.
         :param since: in milliseconds.
         :param until: in milliseconds.
+        :returns: whether this daemon had counted on the newest of them.
         """
+        was_relied_on = False
         for index, heard in enumerate(self.heard):
             if heard.beacon.source != source or not since < heard.at <= until:
                 continue
             self.heard[index] = heard._replace(is_doubted=True)
             if heard.at - heard.beacon.age == self.known_at:
                 self.known_at = since
+                was_relied_on = True
+        return was_relied_on
 
     def is_outranked(self, max_age: Millis) -> bool:
         """Return whether a reader was heard of that this one may rely on.
--- a/packages/cowslippond-core/src/cowslippond_core/_takeover.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_takeover.py
@@ -108,8 +108,8 @@
             return
         now = self.clock.now()
         written_at = now - report.age
-        self.doubted_at = now
-        self.beacons.doubt(row.key, written_at - report.missed, written_at)
+        if self.beacons.doubt(row.key, written_at - report.missed, written_at):
+            self.doubted_at = now
 
     def _is_store_down(self) -> bool:
         """Return whether the store has refused many daemons and served none."""
--- a/tests/core/test_reader_beacons.py
+++ b/tests/core/test_reader_beacons.py
@@ -255,6 +255,15 @@
         station.hear(make_beacon(1, source='10.0.0.3:1'))
         assert station.takeover.time_left() >= 1200
 
+    def test_reports_of_others_do_not_postpone_the_take_over(self) -> None:
+        """Guard against daemons without answers that report again and again."""
+        station = Station()
+        station.hear(make_beacon())
+        station.clock.advance(1700)
+        assert station.takeover.time_left() == 0
+        station.lost_reports.put('10.0.0.5:1', '1000', 5000)
+        assert station.takeover.time_left() == 0
+
     def test_beacons_of_a_refused_reader_count_as_before(self) -> None:
         station = Station()
         station.hear(make_beacon())
