--- a/packages/cowslippond-core/src/cowslippond_core/_reader_role.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_reader_role.py
@@ -302,6 +302,9 @@
     def report_store_lost(self, missed: Millis = 0) -> None:
         """Ask another daemon to take over if this one reads for others.
 
+        A substitute stops being one, so that its retries are delayed like those
+        of other daemons.
+
         :param missed: for how long this daemon may have missed changes, in
             milliseconds.
         """
--- a/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_store_watch.py
@@ -202,11 +202,11 @@
         return max(interval, _MIN_ROLE_CHECK_INTERVAL)
 
     async def _sleep_unless_chosen(self, delay: Millis) -> None:
-        """Sleep until few other daemons read besides this one, or others do.
+        """Sleep, but end early once this daemon has to read or others do.
 
         Delays that are spread over a large fleet take longer than a daemon that
-        has lost its peers may wait, and longer than daemons that read again may
-        live.
+        has lost its peers may wait. Daemons that read again may be lost before
+        such a delay ends.
         """
         ends_at = self.clock.now() + delay
         while self.clock.now() < ends_at:
@@ -327,7 +327,8 @@
         self.outage.record_failure(min(self.answer_due_at, self.clock.now()))
         self.has_caught_up = False
         self.revision = None
-        # The connection of a call without an answer may be cut since its start.
+        # The connection of a call without an answer may have been dead from the
+        # start of the call.
         now = self.clock.now()
         is_silent = now > self.answer_due_at + _ANSWER_SLACK
         self.role.report_store_lost(now - self.requested_at if is_silent else 0)
--- a/packages/cowslippond-core/src/cowslippond_core/_takeover.py
+++ b/packages/cowslippond-core/src/cowslippond_core/_takeover.py
@@ -23,8 +23,8 @@
 # How long a daemon that the store has refused leaves reading to others.
 _REFUSAL_PAUSE: Millis = 1500
 
-# The share of the additional time that is left for it when the reader whose
-# beacons counted turns out to have had no answers from the store.
+# When the reader that a daemon relied on turns out to have had no answers, the
+# daemon takes over within this share of its additional time.
 _DOUBT_SHARE = 0.25
 
 # A starting daemon knows few peers, and may miss beacons.
