--- a/tests/core/test_upstream_registry.py
+++ b/tests/core/test_upstream_registry.py
@@ -321,20 +321,28 @@
         pull(lagging, registry)
         assert set(lagging.states()) == {'kept'}
 
+    @pytest.fixture
+    def silence(
+        self, clock: FakeClock, lagging: DecodingRegistry
+    ) -> StoreSilence:
+        """Let the lagging daemon know when others read the store."""
+        lagging.shared_keys.lost_reports = GossipTable(STORE_LOST_TABLE, clock)
+        lagging.shared_keys.silence = StoreSilence(clock)
+        return lagging.shared_keys.silence
+
     def test_removal_reaches_a_peer_while_another_daemon_is_cut_off(
         self,
         clock: FakeClock,
         registry: DecodingRegistry,
         lagging: DecodingRegistry,
+        silence: StoreSilence,
     ) -> None:
         """Guard against reports of a lost store that hide removals.
 
         The report of a daemon that is cut off lives as long as the cut.
         """
-        reports = GossipTable(STORE_LOST_TABLE, clock)
-        lagging.shared_keys.lost_reports = reports
-        silence = StoreSilence(clock)
-        lagging.shared_keys.silence = silence
+        reports = lagging.shared_keys.lost_reports
+        assert reports is not None
         for _ in range(10):
             clock.advance(300)
             silence.record_reading()
@@ -348,11 +356,10 @@
         clock: FakeClock,
         registry: DecodingRegistry,
         lagging: DecodingRegistry,
+        silence: StoreSilence,
     ) -> None:
-        reports = GossipTable(STORE_LOST_TABLE, clock)
-        lagging.shared_keys.lost_reports = reports
-        silence = StoreSilence(clock)
-        lagging.shared_keys.silence = silence
+        reports = lagging.shared_keys.lost_reports
+        assert reports is not None
         silence.record_reading()
         reports.put('other', 'lost', 5000)
         clock.advance(3000)
