--- a/packages/cowslippond-standins/src/cowslippond_standins/model/_partition.py
+++ b/packages/cowslippond-standins/src/cowslippond_standins/model/_partition.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection
 from typing import NamedTuple
 
 import anyio
@@ -56,8 +56,8 @@
     at each of ``changes_at``, and ``loses_reports`` means that no open call
     reports a change. From ``lost_at`` on, the daemons with the indices ``lost``
     are without power. At ``cut_at``, ``cut_readers`` of the daemons that read
-    the store are cut off from it for good, by refusals or in silence. Each
-    simulation ends at ``stops_at``.
+    the store are cut off from it for good, by refusals or in silence, or all
+    daemons if ``cuts_all``. Each simulation ends at ``stops_at``.
     """
 
     starts_at: Millis
@@ -76,6 +76,7 @@
     lost: frozenset[int] = frozenset()
     lost_at: Millis = math.inf
     cut_readers: int = 0
+    cuts_all: bool = False
     cut_at: Millis = math.inf
     is_cut_silent: bool = False
     seed: int = 0
@@ -149,7 +150,7 @@
             if call.table == OPERATORS:
                 call.is_over.set()
 
-    def cut_readers(self, alive: Iterable[str]) -> None:
+    def cut_readers(self, alive: Collection[str]) -> None:
         """Cut some of the daemons that read off, also in their open calls.
 
         :param alive: the addresses of the daemons that have power.
@@ -158,6 +159,8 @@
         callers = {call.caller for call in self.calls if call.at > since}
         readers = sorted(callers.intersection(alive))
         self.cut = set(readers[: self.plan.cut_readers])
+        if self.plan.cuts_all:
+            self.cut = set(alive)
         for call in self.open_calls:
             if call.caller in self.cut and not self.plan.is_cut_silent:
                 call.is_over.set()
@@ -297,7 +300,7 @@
                 fleet.catalogue.listeners.append(
                     _Recorder(self, address).record
                 )
-            if plan.cut_readers:
+            if plan.cut_readers or plan.cuts_all:
                 tasks.start_soon(self._cut_readers)
             for at in plan.changes_at:
                 await self.clock.sleep(at - self.clock.now())
@@ -316,11 +319,12 @@
 
     async def _cut_readers(self) -> None:
         await self.clock.sleep(self.plan.cut_at - self.clock.now())
-        self.store.cut_readers(
+        alive = [
             address
             for address, index in self.indices.items()
             if not self.store.is_lost(index)
-        )
+        ]
+        self.store.cut_readers(alive)
 
     def _delays(self, number: int, changed_at: Millis) -> dict[int, Millis]:
         return {
--- a/tests/core/test_reader_partitions.py
+++ b/tests/core/test_reader_partitions.py
@@ -163,6 +163,20 @@
         delays = figures.delays[0]
         assert max(delays.values()) <= 2500
 
+    def test_an_outage_without_answers(self) -> None:
+        """Guard against all daemons that take over from silent readers."""
+        figures = simulate_partition(
+            PartitionPlan(
+                0,
+                0,
+                stops_at=ENDS_AT,
+                cuts_all=True,
+                cut_at=STARTS_AT,
+                is_cut_silent=True,
+            )
+        )
+        assert figures.peak_rate(STARTS_AT, ENDS_AT) <= MAX_RATE
+
 
 def make_fleet(clock: FakeClock) -> Fleet:
     settings = FleetSettings(
